--- /dev/null
+++ b/foldhoist/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Slots, queues and budgets; no I/O."""
--- /dev/null
+++ b/foldhoist/admission/bucket.py
@@ -0,0 +1,55 @@
+"""Token buckets: a hard bound on what may be spent."""
+
+from __future__ import annotations
+
+
+class TokenBucket:
+    """Holds up to `burst` tokens and gains `rate` of them a second."""
+
+    def __init__(self, rate: float, burst: float, now: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self._tokens = burst
+        self._at = now
+
+    def take(self, now: float, amount: float = 1.0) -> bool:
+        """Spend `amount` tokens if they are there; `now` is in seconds, monotonic."""
+        self._refill(now)
+        if self._tokens < amount:
+            return False
+        self._tokens -= amount
+        return True
+
+    def wait(self, now: float, amount: float = 1.0) -> float:
+        """Return the seconds until `amount` tokens will be there."""
+        self._refill(now)
+        if self.rate <= 0:
+            return float("inf")
+        return max(0.0, (amount - self._tokens) / self.rate)
+
+    def _refill(self, now: float) -> None:
+        gained = (now - self._at) * self.rate
+        self._at = max(now, self._at)
+        self._tokens = min(self.burst, self._tokens + max(0.0, gained))
+
+
+class RetryBudget:
+    """Allows further attempts as a share of calls, with a small reserve for quiet times."""
+
+    RESERVE = 3.0
+    CAP = 20.0
+
+    def __init__(self, share: float) -> None:
+        self.share = share
+        self._tokens = self.RESERVE if share > 0 else 0.0
+
+    def call(self) -> None:
+        """Count a first attempt, which earns `share` of a further one."""
+        self._tokens = min(self.CAP, self._tokens + self.share)
+
+    def spend(self) -> bool:
+        """Take one further attempt if the budget has it."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/foldhoist/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command of the command line."""
--- /dev/null
+++ b/foldhoist/commands/apply.py
@@ -0,0 +1,158 @@
+"""`foldhoist apply`: proposes a fleet configuration as a whole."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+
+from foldhoist.commands.check import load_fleet
+from foldhoist.commands.fetch import fetch_json
+from foldhoist.commands.output import (
+    EXIT_FAULTS,
+    EXIT_OK,
+    EXIT_REJECTED,
+    EXIT_UNKNOWN,
+    print_faults,
+    print_json,
+)
+from foldhoist.config.faults import Fault, errors
+from foldhoist.config.fleet import check_change, parse_fleet
+from foldhoist.configlog.fold import State, from_snapshot, merge
+from foldhoist.configlog.publisher import (
+    Accepted,
+    Append,
+    Publisher,
+    Rejected,
+    Step,
+    Unknown,
+    base_of,
+    new_id,
+)
+from foldhoist.exceptions import UnreachableError, UsageError
+from foldhoist.platform.client import PlatformClient, pack_publish
+from foldhoist.platform.state import read_state
+from foldhoist.schema.messages import Snapshot
+
+if TYPE_CHECKING:
+    from foldhoist.schema.fleet import Fleet
+
+AGAIN_S = 0.3
+"""Pause before the log is read again, seconds."""
+
+
+def apply(
+    file: str,
+    *,
+    log: str,
+    stream: str = "configuration",
+    daemon: str = "",
+    id: str = "",
+    json: bool = False,
+) -> int:
+    """Propose a fleet configuration; it comes into force as a whole or not at all.
+
+    Exits with 0 if it was accepted, 1 if the file has faults, 2 if it was rejected (another
+    operator was faster, or the platform was not reachable before anything was sent), and 3 if
+    that is not known: then run the command again with the id that it prints.
+
+    :param file: Path of the configuration.
+    :param log: Address of the platform's log, as IP:port.
+    :param stream: Stream that holds the configuration.
+    :param daemon: Operators address of a daemon, asked if the log alone cannot tell.
+    :param id: Id of an earlier run whose end is not known.
+    :param json: Print for a program.
+    """
+    text, fleet, faults = load_fleet(file)
+    if fleet is None:
+        print_faults(faults, as_json=json)
+        return EXIT_FAULTS
+    if id and base_of(id) is None:
+        raise UsageError(f"{id} is no publish id; give the one that an earlier run printed")
+    proposal = Proposal(file, text, fleet, log, stream, daemon)
+    publish_id, ended = asyncio.run(_apply(proposal, id))
+    if isinstance(ended, list):
+        print_faults(ended, as_json=json)
+        return EXIT_FAULTS
+    return _tell(ended, publish_id, json)
+
+
+class Proposal(NamedTuple):
+    """A checked configuration and where to propose it."""
+
+    file: str
+    text: str
+    fleet: Fleet
+    log: str
+    stream: str
+    daemon: str
+
+
+async def _apply(proposal: Proposal, earlier_id: str) -> tuple[str, Step | list[Fault]]:
+    client = PlatformClient(proposal.log, proposal.stream)
+    state = await _state(client, proposal.daemon)
+    if state is None and not earlier_id:
+        return "", Rejected("the platform's log could not be read, and nothing was sent")
+    if state is not None:
+        faults = _change_faults(state, proposal)
+        if errors(faults):
+            return "", faults
+    publish_id = earlier_id or new_id(state or State(), secrets.token_hex(8))
+    publisher = Publisher(publish_id, proposal.text)
+    return publish_id, await _publish(client, publisher, state, proposal.daemon)
+
+
+async def _publish(
+    client: PlatformClient, publisher: Publisher, state: State | None, daemon: str
+) -> Step:
+    while True:
+        step = publisher.next(state)
+        if not isinstance(step, Append):
+            return step
+        appended = await client.append(pack_publish(step.body))
+        if appended.is_error():
+            await asyncio.sleep(AGAIN_S)
+        state = await _state(client, daemon)
+
+
+async def _state(client: PlatformClient, daemon: str) -> State | None:
+    answer = await read_state(client)
+    if answer.is_error():
+        return None
+    state = answer.ok
+    if state.exact or not daemon:
+        return state
+    try:
+        body = await fetch_json(daemon, "/configuration")
+    except UnreachableError:
+        return state
+    known = from_snapshot(msgspec.convert(body, Snapshot))
+    return merge(state, known) if known.folded >= state.folded else state
+
+
+def _change_faults(state: State, proposal: Proposal) -> list[Fault]:
+    if not state.content or state.content == proposal.text:
+        return []
+    old, _ = parse_fleet(state.content, "configuration in force")
+    return check_change(old, proposal.fleet, proposal.file)
+
+
+def _tell(step: Step, publish_id: str, json: bool) -> int:
+    match step:
+        case Accepted(generation):
+            code, result = EXIT_OK, "accepted"
+            text = f"accepted: generation {generation} is in force"
+            why = ""
+        case Rejected(why):
+            code, result, generation = EXIT_REJECTED, "rejected", 0
+            text = f"rejected: {why}; look at `foldhoist config`, then apply again"
+        case Unknown(why):
+            code, result, generation = EXIT_UNKNOWN, "unknown", 0
+            text = f"unknown: {why}; run the same command again with --id {publish_id}"
+    if json:
+        print_json({"result": result, "generation": generation, "why": why, "id": publish_id})
+    else:
+        print(text)
+    return code
--- /dev/null
+++ b/foldhoist/commands/daemon.py
@@ -0,0 +1,53 @@
+"""`foldhoist daemon`: runs one daemon until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+import msgspec
+from loguru import logger
+
+from foldhoist.commands.output import EXIT_FAULTS, EXIT_OK, EXIT_UNREACHABLE, print_faults
+from foldhoist.config.settings import load_settings
+from foldhoist.daemon.daemon import Daemon
+from foldhoist.observe.logs import set_up_logs
+
+if TYPE_CHECKING:
+    from foldhoist.schema.settings import Settings
+
+
+def daemon(settings: str) -> int:
+    """Run one daemon in the foreground; SIGTERM and SIGINT stop it as planned.
+
+    It prints one JSON line with its addresses on standard output once it listens.
+
+    :param settings: Path of the daemon's settings file.
+    """
+    loaded = load_settings(settings)
+    if loaded.is_error():
+        print_faults(loaded.error, as_json=False)
+        return EXIT_FAULTS
+    cfg = loaded.ok
+    set_up_logs(cfg["observe"], cfg["daemon"]["name"])
+    return asyncio.run(_run(cfg))
+
+
+async def _run(cfg: Settings) -> int:
+    running = Daemon(cfg)
+    try:
+        await running.start()
+    except OSError as exc:
+        logger.error("cannot listen: {}; change the addresses under [listen]", exc)
+        return EXIT_UNREACHABLE
+    loop = asyncio.get_running_loop()
+    stops: set[asyncio.Task[None]] = set()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, lambda: stops.add(loop.create_task(running.drain())))
+    ready = {"ready": running.name, "addresses": running.addresses}
+    sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
+    sys.stdout.flush()
+    await running.stopped.wait()
+    return EXIT_OK
--- /dev/null
+++ b/foldhoist/commands/fetch.py
@@ -0,0 +1,30 @@
+"""Asks a daemon's operator endpoint."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from tornado.httpclient import HTTPClientError, HTTPRequest
+
+from foldhoist.exceptions import UnreachableError
+
+ANSWER_S = 5.0
+"""Longest wait for a daemon's answer, seconds."""
+
+
+async def fetch_json(address: str, path: str, method: str = "GET") -> Any:
+    """Return what a daemon answers; raises UnreachableError if it does not."""
+    from tornado.httpclient import AsyncHTTPClient
+
+    body = b"" if method == "POST" else None
+    url = f"http://{address}{path}"
+    req = HTTPRequest(
+        url, method=method, body=body, connect_timeout=ANSWER_S, request_timeout=ANSWER_S
+    )
+    try:
+        answer = await AsyncHTTPClient().fetch(req)
+    except (HTTPClientError, OSError, ValueError) as exc:
+        text = f"no answer from a daemon at {address} ({exc}); give the operators address of one"
+        raise UnreachableError(text) from exc
+    return msgspec.json.decode(answer.body)
--- /dev/null
+++ b/foldhoist/commands/output.py
@@ -0,0 +1,51 @@
+"""Exit codes, and how commands print."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from foldhoist.config.faults import report, show
+
+if TYPE_CHECKING:
+    from foldhoist.config.faults import Fault
+
+EXIT_OK = 0
+"""All was done."""
+EXIT_FAULTS = 1
+"""A file or the command line must be changed; nothing was done."""
+EXIT_REJECTED = 2
+"""The configuration was rejected; nothing was done."""
+EXIT_UNKNOWN = 3
+"""It is not known whether the configuration was accepted: ask again with the same id."""
+EXIT_UNREACHABLE = 4
+"""A daemon or the platform did not answer, or an address could not be listened on."""
+EXIT_NOT_FOUND = 5
+"""No daemon knows what was asked for."""
+
+
+def print_json(body: Any) -> None:
+    """Print for a program."""
+    sys.stdout.write(msgspec.json.format(msgspec.json.encode(body), indent=2).decode() + "\n")
+
+
+def print_faults(faults: list[Fault], as_json: bool) -> None:
+    """Print every fault: to a person on standard error, to a program on standard output."""
+    if as_json:
+        print_json({"faults": [report(fault) for fault in faults]})
+        return
+    for fault in faults:
+        sys.stderr.write(show(fault) + "\n")
+
+
+def print_table(rows: list[dict[str, Any]]) -> None:
+    """Print rows of the same keys as columns."""
+    if not rows:
+        return
+    names = list(rows[0])
+    widths = {name: max(len(name), *(len(str(row[name])) for row in rows)) for name in names}
+    print("  ".join(name.ljust(widths[name]) for name in names).rstrip())
+    for row in rows:
+        print("  ".join(str(row[name]).ljust(widths[name]) for name in names).rstrip())
--- /dev/null
+++ b/foldhoist/commands/status.py
@@ -0,0 +1,42 @@
+"""`foldhoist status`: what one daemon sees."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from foldhoist.commands.fetch import fetch_json
+from foldhoist.commands.output import EXIT_OK, print_json, print_table
+
+
+def status(daemon: str, *, json: bool = False) -> int:
+    """Show a daemon's state, and each upstream as it sees it, with the age of what it knows.
+
+    :param daemon: Operators address of the daemon, as IP:port.
+    :param json: Print for a program.
+    """
+    body = asyncio.run(fetch_json(daemon, "/status"))
+    if json:
+        print_json(body)
+        return EXIT_OK
+    _show(body)
+    return EXIT_OK
+
+
+def _show(body: dict[str, Any]) -> None:
+    cfg = body["configuration"]
+    load = body["load"]
+    print(f"daemon {body['name']} {body['version']}, incarnation {body['incarnation']}")
+    log = "reachable" if body["log_reachable"] else "not reachable or not read here"
+    print(f"generation {cfg['generation']}, platform log {log}")
+    why = f" ({', '.join(body['leaving_why'])})" if body["leaving_why"] else ""
+    print(
+        f"upstream {load['state']}{why}: {load['busy']} of {load['slots']} slots busy, "
+        f"{load['queued']} waiting"
+    )
+    for name, entry in body["latencies_us"].items():
+        print(
+            f"{name}: {int(entry['count'])} values, p50 {entry['p50'] / 1000:.2f} ms, "
+            f"p99 {entry['p99'] / 1000:.2f} ms, p99.9 {entry['p99.9'] / 1000:.2f} ms"
+        )
+    print_table(body["upstreams"])
--- /dev/null
+++ b/foldhoist/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and fleet configuration: loading, checking, reporting."""
--- /dev/null
+++ b/foldhoist/config/fleet.py
@@ -0,0 +1,160 @@
+"""The fleet configuration: loads it, checks it as a whole, and checks what a change may do."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, cast
+
+from foldhoist.config.faults import Fault
+from foldhoist.config.ini import read_section, read_sections
+from foldhoist.config.options import close_to, load_schema
+
+if TYPE_CHECKING:
+    from configparser import ConfigParser
+
+    from foldhoist.schema.fleet import Fleet, Service, Target
+
+KINDS = {"service": "Service", "route": "Route", "target": "Target"}
+"""Kinds of sections that carry a name, with their entry in the schema."""
+
+
+def parse_fleet(text: str, file: str) -> tuple[Fleet, list[Fault]]:
+    """Return the configuration and faults of a text; with errors it is not to be used."""
+    parser, faults = read_sections(text, file)
+    if faults:
+        return cast("Fleet", {}), faults
+    schema = load_schema("fleet")
+    fleet: dict[str, Any] = {"services": {}, "routes": {}, "targets": {}}
+    fleet["fleet"], found = read_section(parser, "fleet", schema["$defs"]["FleetSection"], file)
+    faults += found
+    for section in parser.sections():
+        if section == "fleet":
+            continue
+        faults += _read_named(parser, section, schema, fleet, file)
+    checked = cast("Fleet", fleet)
+    if not faults:
+        faults += check_whole(checked, file)
+    return checked, faults
+
+
+def check_whole(fleet: Fleet, file: str) -> list[Fault]:
+    """Return the faults that show only when sections are seen together."""
+    faults = _check_references(fleet, file)
+    for name, service in fleet["services"].items():
+        faults += _check_service(fleet, name, service, file)
+    faults += _check_addresses(fleet, file)
+    return faults
+
+
+def check_change(old: Fleet, new: Fleet, file: str) -> list[Fault]:
+    """Return the faults of a change: a target goes only after it was retired.
+
+    A daemon that still runs keys of a vanished target could not be told from one that is off.
+    """
+    faults: list[Fault] = []
+    for name, target in old["targets"].items():
+        if name not in new["targets"] and target["state"] != "retired":
+            problem = "is removed, but was not retired in the configuration in force"
+            mend = "switch its host off, apply `state = retired`, then remove the section"
+            faults.append(Fault(file, f"target {name}", "", "", problem, mend))
+            continue
+        if name not in new["targets"] or target["state"] != "retired":
+            continue
+        if new["targets"][name]["state"] != "retired":
+            problem = "was retired and cannot come back"
+            mend = "give the new target a new name"
+            faults.append(Fault(file, f"target {name}", "state", "", problem, mend))
+    return faults
+
+
+def targets_of(fleet: Fleet, service: str) -> dict[str, Target]:
+    """Return the targets of a service that are not retired, by name."""
+    return {
+        name: target
+        for name, target in fleet["targets"].items()
+        if target["service"] == service and target["state"] != "retired"
+    }
+
+
+def homes_of(fleet: Fleet, service: str) -> tuple[str, ...]:
+    """Return the targets that may be homes of idempotency keys."""
+    targets = targets_of(fleet, service)
+    return tuple(name for name, target in targets.items() if target["state"] == "serving")
+
+
+def data_centres(fleet: Fleet) -> list[str]:
+    """Return the names of the data centres."""
+    return [part.strip() for part in fleet["fleet"]["data_centres"].split(",") if part.strip()]
+
+
+def _read_named(
+    parser: ConfigParser, section: str, schema: dict[str, Any], fleet: dict[str, Any], file: str
+) -> list[Fault]:
+    kind, _, name = section.partition(" ")
+    name = name.strip()
+    if kind not in KINDS or not name:
+        mend = close_to(kind, list(KINDS)) + " (a section is written as [target kasa-1])"
+        return [Fault(file, section, "", "", "is no section of a configuration", mend)]
+    values, faults = read_section(parser, section, schema["$defs"][KINDS[kind]], file)
+    fleet[f"{kind}s"][name] = values
+    return faults
+
+
+def _check_references(fleet: Fleet, file: str) -> list[Fault]:
+    faults: list[Fault] = []
+    services = list(fleet["services"])
+    centres = data_centres(fleet)
+    for kind, named in (("route", fleet["routes"]), ("target", fleet["targets"])):
+        for name, section in named.items():
+            service = str(section["service"])
+            if service in services:
+                continue
+            mend = close_to(service, services) if services else "add a [service NAME] section"
+            where = f"{kind} {name}"
+            faults.append(Fault(file, where, "service", service, "is no service", mend))
+    for name, target in fleet["targets"].items():
+        centre = target["data_centre"]
+        if centre in centres:
+            continue
+        mend = close_to(centre, centres)
+        where = f"target {name}"
+        faults.append(Fault(file, where, "data_centre", centre, "is no data centre", mend))
+    return faults
+
+
+def _check_service(fleet: Fleet, name: str, service: Service, file: str) -> list[Fault]:
+    faults: list[Fault] = []
+    where = f"service {name}"
+    for other, cfg in fleet["services"].items():
+        if other < name and cfg["prefix"] == service["prefix"]:
+            problem = f"is the prefix of service {other}, too"
+            mend = "give each service a prefix of its own"
+            faults.append(Fault(file, where, "prefix", service["prefix"], problem, mend))
+    targets = targets_of(fleet, name)
+    if not targets:
+        problem = "has no target that is not retired"
+        faults.append(Fault(file, where, "", "", problem, "add a [target NAME] section", "warning"))
+    for target_name, target in targets.items():
+        if service["urgent_slots"] < target["slots"]:
+            continue
+        problem = f"leaves no slot of target {target_name} for ordinary calls"
+        mend = f"write less than {target['slots']}"
+        value = str(service["urgent_slots"])
+        faults.append(Fault(file, where, "urgent_slots", value, problem, mend))
+    return faults
+
+
+def _check_addresses(fleet: Fleet, file: str) -> list[Fault]:
+    faults: list[Fault] = []
+    seen: dict[str, str] = {}
+    for name, target in fleet["targets"].items():
+        if target["state"] == "retired":
+            continue
+        for option in ("frames", "control", "operators"):
+            address = str(target[option])
+            if address in seen:
+                problem = f"is the address of {seen[address]}, too"
+                mend = "give each target addresses of its own"
+                faults.append(Fault(file, f"target {name}", option, address, problem, mend))
+                continue
+            seen[address] = f"target {name} ({option})"
+    return faults
--- /dev/null
+++ b/foldhoist/configlog/fold.py
@@ -0,0 +1,180 @@
+"""The configuration as a fold over the platform's log: the same function at every reader.
+
+A state says which generation is in force after every record below an offset. It is exact if no
+record can have been missed; only an exact state may accept a proposal.
+"""
+
+from __future__ import annotations
+
+from hashlib import sha256
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from foldhoist.schema.messages import Outcome, Publish, Snapshot
+
+MOST_OUTCOMES = 64
+"""Outcomes of publish ids that a state remembers."""
+
+
+class State(NamedTuple):
+    """A folded log; `folded` is the offset of the next record to fold."""
+
+    generation: int = 0
+    digest: str = ""
+    content: str = ""
+    folded: int = 0
+    exact: bool = True
+    outcomes: tuple[Outcome, ...] = ()
+
+
+class PublishRecord(NamedTuple):
+    """An operator's proposal at an offset of the log."""
+
+    offset: int
+    body: Publish
+
+
+class KeepRecord(NamedTuple):
+    """A state that a daemon wrote again, at an offset of the log."""
+
+    offset: int
+    body: Snapshot
+
+
+LogRecord: TypeAlias = PublishRecord | KeepRecord
+
+
+def digest_of(content: str) -> str:
+    """Return the SHA-256 of a configuration, hexadecimal."""
+    return sha256(content.encode()).hexdigest()
+
+
+def from_snapshot(snapshot: Snapshot) -> State:
+    """Return the state that a snapshot carries."""
+    return State(
+        snapshot["generation"],
+        snapshot["digest"],
+        snapshot["content"],
+        snapshot["folded"],
+        snapshot["exact"],
+        tuple(snapshot["outcomes"]),
+    )
+
+
+def to_snapshot(state: State) -> Snapshot:
+    """Return the state as a message."""
+    return {
+        "generation": state.generation,
+        "digest": state.digest,
+        "content": state.content,
+        "folded": state.folded,
+        "exact": state.exact,
+        "outcomes": list(state.outcomes),
+    }
+
+
+def outcome_of(state: State, publish_id: str) -> Outcome | None:
+    """Return what became of a publish id, or None if the state does not know it."""
+    for outcome in state.outcomes:
+        if outcome["publish_id"] == publish_id:
+            return outcome
+    return None
+
+
+def anchor(records: Sequence[LogRecord], oldest: int) -> State:
+    """Return where a reader without state starts: `records` are all that the log keeps.
+
+    With every record kept that is the empty state; else it is the first kept state that is exact
+    and after which no record is missing; else nothing exact is known.
+    """
+    if oldest == 0:
+        return State()
+    for record in records:
+        match record:
+            case KeepRecord(_, body) if body["exact"] and body["folded"] >= oldest:
+                if body["digest"] == digest_of(body["content"]):
+                    return from_snapshot(body)
+    return State(folded=oldest, exact=False)
+
+
+def fold_all(records: Sequence[LogRecord], oldest: int) -> State:
+    """Return the state that all the records that a log keeps add up to."""
+    state = anchor(records, oldest)
+    for record in records:
+        state = fold(state, record)
+    return state
+
+
+def skip_to(state: State, oldest: int) -> State:
+    """Return the state before the oldest record kept; it is not exact if records are missing."""
+    if state.folded >= oldest:
+        return state
+    return state._replace(folded=oldest, exact=False)
+
+
+def merge(state: State, other: State) -> State:
+    """Return what both states together tell; neither generation is ever lost.
+
+    An exact state that has folded at least as far as an inexact one takes its place. The
+    generation never falls: exact states are all prefixes of one history.
+    """
+    if other.exact and not state.exact and other.generation >= state.generation:
+        return other
+    if state.exact and not other.exact:
+        if other.generation > state.generation:
+            return other._replace(folded=min(state.folded, other.folded), exact=False)
+        return state
+    if (other.generation, other.folded) > (state.generation, state.folded):
+        return other
+    return state
+
+
+def fold(state: State, record: LogRecord) -> State:
+    """Return the state after one more record; a record folded before changes nothing."""
+    if record.offset < state.folded:
+        return state
+    state = skip_to(state, record.offset)
+    match record:
+        case PublishRecord(offset, body):
+            state = _fold_publish(state, body)
+        case KeepRecord(offset, body):
+            state = _fold_keep(state, body, offset)
+    return state._replace(folded=offset + 1)
+
+
+def _fold_publish(state: State, body: Publish) -> State:
+    if not state.exact or outcome_of(state, body["publish_id"]) is not None:
+        return state
+    reason = _fault(state, body)
+    if reason:
+        return _with_outcome(state, body["publish_id"], 0, reason)
+    accepted = state._replace(
+        generation=state.generation + 1, digest=body["digest"], content=body["content"]
+    )
+    return _with_outcome(accepted, body["publish_id"], accepted.generation, "")
+
+
+def _fault(state: State, body: Publish) -> str:
+    if body["digest"] != digest_of(body["content"]):
+        return "the content does not match its digest"
+    if body["base"] != state.generation or body["base_digest"] != state.digest:
+        return f"it is based on generation {body['base']}, but {state.generation} is in force"
+    return ""
+
+
+def _fold_keep(state: State, body: Snapshot, offset: int) -> State:
+    if body["digest"] != digest_of(body["content"]):
+        return state
+    kept = from_snapshot(body)
+    if not state.exact and kept.exact and kept.folded >= offset:
+        return kept if kept.generation >= state.generation else state
+    if kept.generation > state.generation:
+        return kept._replace(exact=False)
+    return state
+
+
+def _with_outcome(state: State, publish_id: str, generation: int, reason: str) -> State:
+    outcome: Outcome = {"publish_id": publish_id, "generation": generation, "reason": reason}
+    return state._replace(outcomes=(*state.outcomes, outcome)[-MOST_OUTCOMES:])
--- /dev/null
+++ b/foldhoist/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own the sockets of a daemon."""
--- /dev/null
+++ b/foldhoist/daemon/callers.py
@@ -0,0 +1,310 @@
+"""HTTP for callers: one protocol object a connection, one request at a time.
+
+The head parser is httptools and not tornado's server, since the users' ceiling on added latency
+leaves no room for the latter; docs/design/transport.md has the figures.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import httptools
+
+from foldhoist.daemon.http import (
+    REASON,
+    TRACE,
+    VERDICT,
+    passed_on,
+    status_line,
+    write_head,
+)
+from foldhoist.daemon.request import BadRequest, read_request
+from foldhoist.delivery.verdict import Answered, Headers, MayHaveRun, NotRun, Verdict, verdict_name
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foldhoist.delivery.ingress import CallerRequest
+    from foldhoist.schema.settings import Limits
+
+MOST_PIPELINED = 8
+"""Requests that a caller may send before its first answer; reading pauses above it."""
+
+
+@dataclass(slots=True)
+class Counters:
+    """What the caller side has counted."""
+
+    bad: int = 0
+    connections: int = 0
+    refused_connections: int = 0
+    slow: int = 0
+    too_large: int = 0
+
+
+class Shared:
+    """What all caller connections of a daemon share."""
+
+    def __init__(
+        self,
+        limits: Limits,
+        on_request: Callable[[CallerConnection, CallerRequest], None],
+        on_gone: Callable[[int], None],
+    ) -> None:
+        self.limits = limits
+        self.on_request = on_request
+        self.on_gone = on_gone
+        self.count = Counters()
+        self.open: set[CallerConnection] = set()
+        self.closing = False
+
+
+class CallerConnection(asyncio.Protocol):
+    """A caller's connection: parses requests, writes answers, enforces the limits."""
+
+    def __init__(self, shared: Shared) -> None:
+        self._shared = shared
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._timer: asyncio.TimerHandle | None = None
+        self._waiting: deque[CallerRequest | BadRequest] = deque()
+        self._keep_alive: deque[bool] = deque()
+        self._call_id: int | None = None
+        self._busy = False
+        self._method = ""
+        self._ended = False
+        self._in_request = False
+        self._reset()
+
+    # asyncio
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Admit the connection, or refuse it if there are too many."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        shared = self._shared
+        shared.count.connections += 1
+        shared.open.add(self)
+        if len(shared.open) > shared.limits["callers"]:
+            shared.count.refused_connections += 1
+            self._fail(BadRequest(503, "too-many-connections"))
+            return
+        self._set_timer(shared.limits["idle_ms"])
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Withdraw the call that nobody waits for any more."""
+        self._shared.open.discard(self)
+        self._transport = None
+        self._clear_timer()
+        if self._call_id is not None:
+            self._shared.on_gone(self._call_id)
+            self._call_id = None
+
+    def data_received(self, data: bytes) -> None:
+        """Parse; a request that breaks the rules is answered with a refusal and the end."""
+        if self._ended:
+            return
+        if not self._in_request and not self._busy:
+            self._set_timer(self._shared.limits["request_ms"])
+        self._in_request = True
+        if not self._head_done:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(BadRequest(400, "upgrade-not-supported"))
+            return
+        except (httptools.HttpParserError, _TooLargeError) as exc:
+            self._reject(_fault_of(exc))
+            return
+        if not self._head_done and self._head_bytes > self._shared.limits["header_bytes"]:
+            self._reject(BadRequest(431, "headers-too-large"))
+
+    def eof_received(self) -> bool:
+        """Close when the caller has closed its side."""
+        return False
+
+    # httptools
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._reset()
+        self._in_request = True
+
+    def on_url(self, url: bytes) -> None:
+        """Take in a piece of the request target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take in a header."""
+        self._size += len(name) + len(value)
+        if self._size + len(self._url) > self._shared.limits["header_bytes"]:
+            raise _TooLargeError(431, "headers-too-large")
+        self._headers.append([name, value])
+
+    def on_headers_complete(self) -> None:
+        """Invite the body if the caller waits for that."""
+        self._head_done = True
+        for name, value in self._headers:
+            if name.lower() == b"expect" and value.lower() == b"100-continue":
+                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Take in a piece of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._shared.limits["body_bytes"]:
+            raise _TooLargeError(413, "body-too-large")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand the request on, or keep it until the one before has its answer."""
+        self._head_done = True
+        self._in_request = False
+        method = self._parser.get_method().decode()
+        body = b"".join(self._body)
+        self._keep_alive.append(self._parser.should_keep_alive())
+        self._waiting.append(read_request(method, self._url, self._headers, body))
+        self._reset()
+        if len(self._waiting) > MOST_PIPELINED and self._transport is not None:
+            self._transport.pause_reading()
+        self._next()
+
+    # Answers
+
+    def begin(self, call_id: int) -> None:
+        """Note the number of the call in hand."""
+        self._call_id = call_id
+
+    def answer(self, verdict: Verdict, trace: str) -> None:
+        """Write the final answer of the call in hand."""
+        self._call_id = None
+        self._busy = False
+        keep = self._keep_alive.popleft() and not self._shared.closing
+        self._write(_answer_bytes(verdict, trace, self._method, keep))
+        if not keep:
+            self._end()
+            return
+        self._set_timer(self._shared.limits["idle_ms"])
+        if self._transport is not None and len(self._waiting) <= MOST_PIPELINED:
+            self._transport.resume_reading()
+        self._next()
+
+    @property
+    def idle(self) -> bool:
+        """Return whether no request is under way."""
+        return not self._busy and not self._in_request
+
+    def close(self) -> None:
+        """Close the connection when all that was written is sent."""
+        self._end()
+
+    # Steps
+
+    def _next(self) -> None:
+        if self._busy or not self._waiting or self._ended:
+            return
+        req = self._waiting.popleft()
+        self._busy = True
+        self._clear_timer()
+        if isinstance(req, BadRequest):
+            self._fail(req)
+            return
+        self._method = req.method
+        self._shared.on_request(self, req)
+
+    def _reset(self) -> None:
+        self._url = b""
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._size = 0
+        self._head_bytes = 0
+        self._head_done = False
+        self._in_request = False
+
+    def _reject(self, bad: BadRequest) -> None:
+        if self._busy:
+            self._ended = True
+            self._keep_alive = deque([False])
+            return
+        self._fail(bad)
+
+    def _fail(self, bad: BadRequest) -> None:
+        if bad.status in (413, 431):
+            self._shared.count.too_large += 1
+        else:
+            self._shared.count.bad += 1
+        verdict = NotRun(bad.reason, 1.0 if bad.status == 503 else 0.0, bad.status)
+        self._write(_answer_bytes(verdict, "", "", keep=False))
+        self._end()
+
+    def _late(self) -> None:
+        self._timer = None
+        if self._busy:
+            return
+        if self._in_request:
+            self._shared.count.slow += 1
+            self._fail(BadRequest(408, "request-too-slow"))
+            return
+        self._end()
+
+    def _end(self) -> None:
+        self._ended = True
+        self._clear_timer()
+        if self._transport is not None:
+            self._transport.close()
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def _set_timer(self, ms: int) -> None:
+        self._clear_timer()
+        self._timer = asyncio.get_running_loop().call_later(ms / 1000, self._late)
+
+    def _clear_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+class _TooLargeError(Exception):
+    """A part of a request is above its limit."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.bad = BadRequest(status, reason)
+
+
+def _fault_of(exc: BaseException) -> BadRequest:
+    cause = exc.__context__ if not isinstance(exc, _TooLargeError) else exc
+    if isinstance(cause, _TooLargeError):
+        return cause.bad
+    return BadRequest(400, "malformed-request")
+
+
+def _answer_bytes(verdict: Verdict, trace: str, method: str, keep: bool) -> bytes:
+    own: Headers = [[VERDICT, verdict_name(verdict).encode()]]
+    if trace:
+        own.append([TRACE, trace.encode()])
+    if not keep:
+        own.append([b"Connection", b"close"])
+    match verdict:
+        case Answered(response):
+            status, headers, body = response.status, passed_on(response.headers), response.body
+        case NotRun(reason, retry_after_s, status):
+            own.append([REASON, reason.encode()])
+            if status == 503:
+                own.append([b"Retry-After", b"%d" % max(1, round(retry_after_s + 0.499))])
+                own.append([b"Foldhoist-Retry-After-Ms", b"%d" % int(retry_after_s * 1000)])
+            headers, body = [[b"Content-Type", b"text/plain"]], f"not run: {reason}\n".encode()
+        case MayHaveRun(reason, status):
+            own.append([REASON, reason.encode()])
+            headers = [[b"Content-Type", b"text/plain"]]
+            body = f"may have run: {reason}\n".encode()
+    bodiless = status == 204 or status == 304 or status < 200
+    head = write_head(status_line(status), headers + own, None if bodiless else len(body))
+    return head if bodiless or method == "HEAD" else head + body
--- /dev/null
+++ b/foldhoist/daemon/configuration.py
@@ -0,0 +1,268 @@
+"""The configuration in force at one daemon: reads the log, asks peers, passes generations on."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+
+from foldhoist.config.faults import errors
+from foldhoist.config.fleet import parse_fleet
+from foldhoist.configlog.fold import (
+    State,
+    digest_of,
+    fold,
+    fold_all,
+    from_snapshot,
+    merge,
+    to_snapshot,
+)
+from foldhoist.configlog.keep import Keeper
+from foldhoist.configlog.spread import Place, next_partner, place_of
+from foldhoist.platform.client import pack_keep, unpack
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from foldhoist.configlog.fold import LogRecord
+    from foldhoist.daemon.control import Control
+    from foldhoist.platform.client import Page, PlatformClient
+    from foldhoist.schema.fleet import Fleet
+    from foldhoist.schema.messages import Ask, Snapshot
+    from foldhoist.schema.settings import Settings
+
+
+@dataclass(slots=True)
+class Counters:
+    """What the configuration task has counted."""
+
+    adopted: int = 0
+    asked: int = 0
+    kept: int = 0
+    log_errors: int = 0
+    log_reads: int = 0
+    passed_on: int = 0
+    stale: int = 0
+
+
+class ConfigurationTask:
+    """Owns the state of the configuration; `on_adopt(state, fleet)` is called for each new one."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        client: PlatformClient,
+        control: Control,
+        on_adopt: Callable[[State, Fleet], None],
+        rng: Random,
+    ) -> None:
+        self.state = State(exact=False)
+        self.fleet: Fleet | None = None
+        self.count = Counters()
+        self.log_ok = False
+        self.place = Place(True, (), ())
+        self._cfg = cfg
+        self._client = client
+        self._control = control
+        self._on_adopt = on_adopt
+        self._rng = rng
+        self._log_state = State(exact=False)
+        self._keeper = Keeper(cfg["platform"]["keep_s"], rng)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Start reading and asking."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(self._read_log()), loop.create_task(self._ask_peers())]
+
+    def close(self) -> None:
+        """Stop."""
+        for task in self._tasks:
+            task.cancel()
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        """Take in a generation that a peer passed on."""
+        if digest_of(snapshot["content"]) != snapshot["digest"]:
+            self.count.stale += 1
+            return
+        self._take(from_snapshot(snapshot))
+
+    def on_ask(self, ask: Ask) -> None:
+        """Answer a peer that may have an older generation, or ask it for its newer one."""
+        if ask["have"] < self.state.generation:
+            self._control.send(ask["answer_to"], "Snapshot", to_snapshot(self.state))
+        elif ask["have"] > self.state.generation:
+            self._ask(ask["answer_to"])
+
+    # The log
+
+    async def _read_log(self) -> None:
+        poll_s = self._cfg["platform"]["poll_ms"] / 1000
+        while True:
+            if self.place.reader or not self.state.generation:
+                await self._read_once()
+            await asyncio.sleep(poll_s * (0.75 + 0.5 * self._rng.random()))
+
+    async def _read_once(self) -> None:
+        if not self._log_state.exact:
+            await self._read_whole()
+        else:
+            await self._read_on()
+        await self._keep()
+
+    async def _read_whole(self) -> None:
+        records: list[LogRecord] = []
+        offset, oldest = 0, -1
+        while True:
+            page = await self._page(offset)
+            if page is None:
+                return
+            oldest = page["oldest"] if oldest < 0 else oldest
+            records += _unpacked(page)
+            offset = max(offset, page["oldest"]) + len(page["records"])
+            if not page["records"]:
+                break
+        state = fold_all(records, oldest)
+        if state.folded < offset:
+            state = state._replace(folded=offset)
+        self._log_state = state
+        for record in records:
+            self._saw(record)
+        self._take(state)
+
+    async def _read_on(self) -> None:
+        while True:
+            page = await self._page(self._log_state.folded)
+            if page is None:
+                return
+            if page["oldest"] > self._log_state.folded:
+                self._log_state = self._log_state._replace(exact=False)
+                return
+            if not page["records"]:
+                return
+            for stored in page["records"]:
+                self._fold(stored["offset"], unpack(stored))
+            self._take(self._log_state)
+
+    def _fold(self, offset: int, record: LogRecord | None) -> None:
+        if record is None:
+            self._log_state = self._log_state._replace(folded=offset + 1)
+            return
+        self._log_state = fold(self._log_state, record)
+        self._saw(record)
+
+    def _saw(self, record: LogRecord) -> None:
+        now = asyncio.get_running_loop().time()
+        self._keeper.saw(now, record, self.state)
+
+    async def _page(self, offset: int) -> Page | None:
+        self.count.log_reads += 1
+        answer = await self._client.read(offset)
+        if answer.is_ok():
+            self._log_is(True)
+            return answer.ok
+        self.count.log_errors += 1
+        self._log_is(False, answer.error.what)
+        return None
+
+    def _log_is(self, ok: bool, what: str = "") -> None:
+        if ok != self.log_ok:
+            logger.info("platform log: {}", "reachable" if ok else f"not reachable, {what}")
+        self.log_ok = ok
+
+    async def _keep(self) -> None:
+        now = asyncio.get_running_loop().time()
+        state = self._log_state
+        if not self.log_ok or not self._keeper.is_due(now, state):
+            return
+        if state.generation < self.state.generation:
+            return
+        self._keeper.wrote(now)
+        await self._client.append(pack_keep(to_snapshot(state)))
+        self.count.kept += 1
+
+    # Peers
+
+    async def _ask_peers(self) -> None:
+        mean_s = self._cfg["peers"]["ask_ms"] / 1000
+        seeds = [part.strip() for part in self._cfg["peers"]["seeds"].split(",") if part.strip()]
+        while True:
+            self._ask_someone(seeds)
+            await asyncio.sleep(mean_s * (0.5 + self._rng.random()))
+
+    def _ask_someone(self, seeds: list[str]) -> None:
+        if self.fleet is None:
+            if seeds:
+                self._ask(seeds[int(self._rng.random() * len(seeds))])
+            return
+        partner = next_partner(self.place, self._rng)
+        target = self.fleet["targets"].get(partner) if partner else None
+        if target is not None:
+            self._ask(target["control"])
+
+    def _ask(self, address: str) -> None:
+        self.count.asked += 1
+        ask: Ask = {"have": self.state.generation, "answer_to": self._control.address}
+        self._control.send(address, "Ask", ask)
+
+    # Adoption
+
+    def _take(self, state: State) -> None:
+        merged = merge(self.state, state)
+        newer = merged.generation > self.state.generation
+        if merged.generation < self.state.generation:
+            self.count.stale += 1
+            return
+        self.state = merged
+        if newer:
+            self._adopt(merged)
+
+    def _adopt(self, state: State) -> None:
+        fleet, faults = parse_fleet(state.content, f"generation {state.generation}")
+        if errors(faults):
+            logger.error("generation {} cannot be used: {}", state.generation, faults[0].problem)
+            return
+        self.fleet = fleet
+        self.count.adopted += 1
+        logger.info("generation {} in force", state.generation)
+        self._place(fleet)
+        self._on_adopt(state, fleet)
+        self._pass_on(state, fleet)
+
+    def _place(self, fleet: Fleet) -> None:
+        by_data_centre: dict[str, list[str]] = {}
+        for name, target in fleet["targets"].items():
+            if target["state"] != "retired":
+                by_data_centre.setdefault(target["data_centre"], []).append(name)
+        daemon, peers = self._cfg["daemon"], self._cfg["peers"]
+        self.place = place_of(
+            daemon["name"], by_data_centre, daemon["data_centre"], peers["readers"], peers["fanout"]
+        )
+
+    def _pass_on(self, state: State, fleet: Fleet) -> None:
+        snapshot = to_snapshot(state)
+        for name in self.place.children:
+            if self._control.send(fleet["targets"][name]["control"], "Snapshot", snapshot):
+                self.count.passed_on += 1
+
+
+def _unpacked(page: Page) -> list[LogRecord]:
+    records: list[LogRecord] = []
+    for stored in page["records"]:
+        record = unpack(stored)
+        if record is not None:
+            records.append(record)
+    return records
+
+
+def describe(state: State) -> dict[str, Any]:
+    """Return the state without its content, for operators."""
+    return {
+        "generation": state.generation,
+        "digest": state.digest,
+        "folded": state.folded,
+        "exact": state.exact,
+    }
--- /dev/null
+++ b/foldhoist/daemon/daemon.py
@@ -0,0 +1,272 @@
+"""One daemon: wires the tasks that own sockets to the core objects that decide."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import random
+import secrets
+import time
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+
+from foldhoist.admission.slots import Shape
+from foldhoist.daemon.callers import CallerConnection, Shared
+from foldhoist.daemon.configuration import ConfigurationTask
+from foldhoist.daemon.control import Control
+from foldhoist.daemon.handover import HandoverTask
+from foldhoist.daemon.ingress_task import IngressTask
+from foldhoist.daemon.links import LinkEvents, Links
+from foldhoist.daemon.operators import Operators
+from foldhoist.daemon.owner_task import OwnerTask
+from foldhoist.daemon.prober import Prober
+from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
+from foldhoist.delivery.ingress import Ingress
+from foldhoist.delivery.owner import Owner
+from foldhoist.membership.view import homes, tracked
+from foldhoist.observe.metrics import Latencies, Metrics, counters_of
+from foldhoist.observe.records import Hop, Ring
+from foldhoist.observe.spans import Spans
+from foldhoist.platform.client import PlatformClient
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foldhoist.configlog.fold import State
+    from foldhoist.delivery.owner import Ended
+    from foldhoist.schema.fleet import Fleet
+    from foldhoist.schema.messages import Hello
+    from foldhoist.schema.settings import Settings
+
+EAGER_LINKS = 64
+"""With no more tracked upstreams than this, connections are opened before the first call."""
+SHAPE_UNKNOWN = Shape(slots=1, queue=0, urgent_slots=0, urgent_run=1)
+"""Shape of the owner before the first configuration names it."""
+DRAIN_LOOK_S = 0.02
+"""Time between two looks at what is still in flight at a planned stop, seconds."""
+QUIET_S = 1.0
+"""Time left to callers with an open connection to use it once more before it closes, seconds."""
+REPLY_GRACE_S = 0.05
+"""Time left to callers to read their last answer at a planned stop, seconds."""
+
+
+class Daemon:
+    """Everything of one daemon process."""
+
+    def __init__(self, cfg: Settings, rng: random.Random | None = None) -> None:
+        self.cfg = cfg
+        self.name = cfg["daemon"]["name"]
+        self.incarnation = secrets.token_hex(8)
+        self.rng = rng or random.Random()
+        self.started = time.time()
+        self.draining = False
+        self.stopped = asyncio.Event()
+        self.addresses: dict[str, str] = {}
+        self.latencies = Latencies()
+        self.ring = Ring(cfg["observe"]["records"])
+        observe, centre = cfg["observe"], cfg["daemon"]["data_centre"]
+        self.spans = Spans(self.name, centre, observe["otlp"], observe["trace_share"])
+        self.metrics = Metrics(self.latencies, self.counters, self.gauges)
+        self._hello: Hello = {
+            "name": self.name,
+            "incarnation": self.incarnation,
+            "epoch": 1,
+            "schema": SCHEMA_VERSION,
+        }
+
+    async def start(self) -> None:
+        """Open every socket and start every task."""
+        cfg = self.cfg
+        limit = cfg["limits"]["body_bytes"] + HEADROOM
+        platform = cfg["platform"]
+        self.client = PlatformClient(platform["log"], platform["stream"], platform["hosts"])
+        self.owner = Owner(self.name, "", SHAPE_UNKNOWN, 600.0)
+        self.owner_task = OwnerTask(self.owner, cfg, self._hello, self._local_frame, self._hop)
+        ingress = Ingress(cfg["daemon"]["data_centre"], cfg["limits"]["calls"], self.rng)
+        self.ingress_task = IngressTask(ingress, self.ring, self.latencies, self.spans)
+        events = LinkEvents(
+            self.ingress_task.link_up,
+            self.ingress_task.link_lost,
+            self.ingress_task.link_refused,
+            self.ingress_task.message,
+        )
+        self.links = Links(self._hello, limit, events, self.rng)
+        self.ingress_task.connect(self.name, self.links, self.owner_task)
+        await self._listen()
+        self.control = Control(cfg["listen"]["control"], cfg["measuring"], self._on_control)
+        self.addresses["control"] = self.control.address
+        self.configuration = ConfigurationTask(
+            cfg, self.client, self.control, self._on_adopt, self.rng
+        )
+        self.handover = HandoverTask(self.owner, self.control)
+        self.prober = Prober(cfg, self.client, self.owner_task.set_state, self._on_host)
+        self.operators = Operators(self)
+        self.addresses["operators"] = self.operators.listen(cfg["listen"]["operators"])
+        for task in (self.configuration, self.handover, self.prober, self.owner_task):
+            task.start()
+        self._counters_task = asyncio.get_running_loop().create_task(self._log_counters())
+        self._quiet_collector()
+        logger.info("daemon {} started, incarnation {}", self.name, self.incarnation)
+
+    async def drain(self) -> None:
+        """Stop as planned: refuse new work, finish what is in flight in both roles, end.
+
+        Callers are taken until the upstream's own calls are done, since those may call others.
+        """
+        if self.draining:
+            return
+        self.draining = True
+        logger.info("draining")
+        self.owner_task.leave("drain")
+        self.shared.closing = True
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + self.cfg["limits"]["drain_ms"] / 1000
+        await self._wait_until(lambda: not self.owner.calls, limit)
+        self._servers[0].close()
+        quiet = min(limit, loop.time() + QUIET_S)
+        await self._wait_until(lambda: not self.shared.open, quiet)
+        await self._wait_until(lambda: all(conn.idle for conn in self.shared.open), limit)
+        for conn in list(self.shared.open):
+            conn.close()
+        await asyncio.sleep(REPLY_GRACE_S)
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Close every socket and end every task."""
+        self._counters_task.cancel()
+        for server in self._servers:
+            server.close()
+        self.operators.close()
+        for task in (self.prober, self.handover, self.configuration, self.owner_task):
+            task.close()
+        self.links.close()
+        self.control.close()
+        self.client.close()
+        self.spans.close()
+        logger.info("daemon {} stopped", self.name)
+        self.stopped.set()
+
+    # What operators read
+
+    def counters(self) -> dict[str, dict[str, int]]:
+        """Return all counters, by part."""
+        return {
+            "ingress": counters_of(self.ingress_task.ingress.count),
+            "owner": counters_of(self.owner.count),
+            "callers": counters_of(self.shared.count),
+            "control": counters_of(self.control.count),
+            "configuration": counters_of(self.configuration.count),
+            "prober": counters_of(self.prober.count),
+        }
+
+    def gauges(self) -> dict[str, float]:
+        """Return what rises and falls."""
+        return {
+            "ingress_calls": self.ingress_task.ingress.calls,
+            "owner_busy": self.owner.queue.busy,
+            "owner_queued": self.owner.queue.queued,
+            "generation": self.configuration.state.generation,
+            "links": len(self.links.open()),
+            "caller_connections": len(self.shared.open),
+            "upstream_connections": self.owner_task.pool.open,
+            "leaving": float(self.owner.leaving),
+        }
+
+    # Steps
+
+    async def _listen(self) -> None:
+        cfg = self.cfg
+        loop = asyncio.get_running_loop()
+        self.shared = Shared(cfg["limits"], self.ingress_task.arrive, self.ingress_task.gone)
+        host, port = _split(cfg["listen"]["callers"])
+        callers = await loop.create_server(
+            lambda: CallerConnection(self.shared), host, port, backlog=1024
+        )
+        host, port = _split(cfg["listen"]["frames"])
+        frames = await loop.create_server(self.owner_task.connection, host, port, backlog=1024)
+        self._servers = [callers, frames]
+        for name, server in (("callers", callers), ("frames", frames)):
+            self.addresses[name] = "{}:{}".format(*server.sockets[0].getsockname()[:2])
+
+    def _on_adopt(self, state: State, fleet: Fleet) -> None:
+        now = asyncio.get_running_loop().time()
+        mine = fleet["targets"].get(self.name)
+        if mine is not None:
+            self._adopt_as_owner(state, fleet)
+        centre = self.cfg["daemon"]["data_centre"]
+        chosen = tracked(fleet, self.name, centre)
+        self.links.adopt({name: target["frames"] for name, target in fleet["targets"].items()})
+        ingress = self.ingress_task.ingress
+        ingress.adopt(now, state.generation, fleet, chosen, homes(fleet))
+        names = {member.name for members in chosen.values() for member in members}
+        if self.name in names or mine is not None:
+            self.ingress_task.local_up(self.incarnation)
+        if len(names) <= EAGER_LINKS:
+            self.links.want(sorted(names - {self.name}))
+
+    def _adopt_as_owner(self, state: State, fleet: Fleet) -> None:
+        target = fleet["targets"][self.name]
+        service = fleet["services"][target["service"]]
+        if self.owner.service not in ("", target["service"]):
+            logger.error("target {} changed its service: restart the daemon", self.name)
+            return
+        self.owner.service = target["service"]
+        self.owner.keys.window_s = service["key_window_s"]
+        self.owner.queue.shape = Shape(
+            target["slots"], service["queue"], service["urgent_slots"], service["urgent_run"]
+        )
+        self.owner_task.pool.most = target["connections"]
+        if target["state"] == "serving":
+            self.owner_task.stay("configuration")
+        else:
+            self.owner_task.leave("configuration")
+        self.handover.adopt(state.generation, fleet)
+
+    def _on_control(self, kind: str, body: Any) -> None:
+        match kind:
+            case "Snapshot":
+                self.configuration.on_snapshot(body)
+            case "Ask":
+                self.configuration.on_ask(body)
+            case "Handover":
+                self.handover.on_handover(body)
+            case "Handed":
+                self.handover.on_handed(body)
+
+    def _on_host(self, state: str) -> None:
+        if state == "leaving":
+            self.owner_task.leave("host-list")
+        elif state == "live":
+            self.owner_task.stay("host-list")
+
+    def _local_frame(self, kind: str, body: Any) -> None:
+        self.ingress_task.message(self.name, kind, body)
+
+    def _hop(self, call: Ended) -> None:
+        hop = Hop(self.name, time.time(), call)
+        self.ring.add_hop(hop)
+        self.spans.hop(hop)
+        self.latencies.record("queue", call.waited_us)
+        self.latencies.record("upstream", call.served_us)
+
+    async def _wait_until(self, is_done: Callable[[], bool], limit: float) -> None:
+        loop = asyncio.get_running_loop()
+        while not is_done() and loop.time() < limit:
+            await asyncio.sleep(DRAIN_LOOK_S)
+
+    async def _log_counters(self) -> None:
+        every = self.cfg["observe"]["counters_s"]
+        while every > 0:
+            await asyncio.sleep(every)
+            logger.info("counters {}", self.counters())
+
+    def _quiet_collector(self) -> None:
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 20, 50)
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/foldhoist/daemon/ingress_task.py
@@ -0,0 +1,127 @@
+"""Runs the ingress object: gives it requests and frames, carries out its actions."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Any
+
+from foldhoist.delivery.ingress import Connect, Reply, SendTo
+from foldhoist.observe.records import trace_id
+
+if TYPE_CHECKING:
+    from foldhoist.daemon.callers import CallerConnection
+    from foldhoist.daemon.links import Links
+    from foldhoist.daemon.owner_task import OwnerTask
+    from foldhoist.delivery.ingress import Action, CallerRequest, Ingress, Record
+    from foldhoist.observe.metrics import Latencies
+    from foldhoist.observe.records import Ring
+    from foldhoist.observe.spans import Spans
+
+
+class IngressTask:
+    """The ingress role of a daemon."""
+
+    def __init__(self, ingress: Ingress, ring: Ring, latencies: Latencies, spans: Spans) -> None:
+        self.ingress = ingress
+        self._ring = ring
+        self._latencies = latencies
+        self._spans = spans
+        self._callers: dict[int, CallerConnection] = {}
+        self._next_call = 1
+        self._timer: asyncio.TimerHandle | None = None
+        self._loop = asyncio.get_running_loop()
+
+    def connect(self, name: str, links: Links, owner_task: OwnerTask) -> None:
+        """Set where frames go: to the owner in this process, or over links."""
+        self._name = name
+        self._links = links
+        self._owner_task = owner_task
+
+    def now(self) -> float:
+        """Return the monotonic clock that the ingress object is given, seconds."""
+        return self._loop.time()
+
+    def arrive(self, conn: CallerConnection, req: CallerRequest) -> None:
+        """Take in a request."""
+        call_id = self._next_call
+        self._next_call += 1
+        self._callers[call_id] = conn
+        conn.begin(call_id)
+        self._carry_out(self.ingress.arrive(self._loop.time(), call_id, req))
+
+    def gone(self, call_id: int) -> None:
+        """Take in that a caller left before its answer."""
+        if self._callers.pop(call_id, None) is None:
+            return
+        self._carry_out(self.ingress.caller_gone(self._loop.time(), call_id))
+
+    def message(self, target: str, kind: str, body: Any) -> None:
+        """Take in a frame of an owner."""
+        now = self._loop.time()
+        match kind:
+            case "Answer":
+                self._carry_out(self.ingress.answer(now, target, body))
+            case "Refusal":
+                self._carry_out(self.ingress.refusal(now, target, body))
+            case "Report":
+                self.ingress.report(now, target, body)
+
+    def link_up(self, target: str, incarnation: str) -> None:
+        """Take in a new connection to an owner."""
+        self._carry_out(self.ingress.link_up(self._loop.time(), target, incarnation))
+
+    def link_lost(self, target: str) -> None:
+        """Take in that a connection fell."""
+        self._carry_out(self.ingress.link_lost(self._loop.time(), target))
+
+    def link_refused(self, target: str) -> None:
+        """Take in that an owner's process is gone."""
+        self._carry_out(self.ingress.link_refused(self._loop.time(), target))
+
+    def local_up(self, incarnation: str) -> None:
+        """Connect to the owner in this process, which cannot be lost."""
+        self._owner_task.local_hello()
+        self.link_up(self._name, incarnation)
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case SendTo(target, frame):
+                    self._send(target, frame.kind, frame.body)
+                case Reply(call_id, verdict, record):
+                    conn = self._callers.pop(call_id, None)
+                    if conn is not None:
+                        conn.answer(verdict, trace_id(record.trace))
+                    self._ended(record)
+                case Connect(targets):
+                    self._links.want(name for name in targets if name != self._name)
+        self._set_timer()
+
+    def _send(self, target: str, kind: str, body: Any) -> None:
+        if target == self._name:
+            self._loop.call_soon(self._owner_task.local_message, kind, body)
+            return
+        self._links.send(target, kind, body)
+
+    def _ended(self, record: Record) -> None:
+        self._ring.add_call(record)
+        total_us = (record.ended - record.arrived) * 1e6
+        self._latencies.record("call", total_us)
+        if record.verdict == "answered" and len(record.attempts) == 1:
+            self._latencies.record("added", total_us - record.attempts[0].served_us)
+        self._spans.call(record, time.time(), self._loop.time())
+
+    def _set_timer(self) -> None:
+        at = self.ingress.next_at()
+        if at is None:
+            return
+        if self._timer is not None:
+            if self._timer.when() <= at:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_at(at, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._carry_out(self.ingress.tick(self._loop.time()))
--- /dev/null
+++ b/foldhoist/daemon/links.py
@@ -0,0 +1,180 @@
+"""The ingress's connections to owners: one for each, opened anew when it falls."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from foldhoist.daemon.frames import FrameConnection
+from foldhoist.delivery.codec import SCHEMA_VERSION
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from random import Random
+
+    from foldhoist.schema.messages import Hello
+
+RETRY_FIRST_S = 0.02
+"""First pause before a connection is tried again, seconds; it doubles each time."""
+RETRY_LONGEST_S = 2.0
+"""Longest pause before a connection is tried again, seconds."""
+CONNECT_S = 1.0
+"""Longest wait for a connection and its first message, seconds."""
+
+
+class LinkEvents:
+    """What links tell: up, lost, refused, and every message."""
+
+    def __init__(
+        self,
+        on_up: Callable[[str, str], None],
+        on_lost: Callable[[str], None],
+        on_refused: Callable[[str], None],
+        on_message: Callable[[str, str, Any], None],
+    ) -> None:
+        self.on_up = on_up
+        self.on_lost = on_lost
+        self.on_refused = on_refused
+        self.on_message = on_message
+
+
+class Link:
+    """The connection to one owner; a task keeps it up."""
+
+    def __init__(
+        self, name: str, address: str, hello: Hello, limit: int, events: LinkEvents, rng: Random
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.up = False
+        self._hello = hello
+        self._limit = limit
+        self._events = events
+        self._rng = rng
+        self._epoch = 0
+        self._conn: FrameConnection | None = None
+        self._fell = asyncio.Event()
+        self._greeted = asyncio.Event()
+        self._task = asyncio.get_running_loop().create_task(self._keep_up())
+
+    def send(self, kind: str, body: object) -> bool:
+        """Write a message; returns False if the link is down."""
+        if self._conn is None or not self.up:
+            return False
+        self._conn.send(kind, body)
+        return True
+
+    def close(self) -> None:
+        """Close for good."""
+        self._task.cancel()
+        if self._conn is not None:
+            self._conn.close()
+
+    async def _keep_up(self) -> None:
+        pause = RETRY_FIRST_S
+        while True:
+            if await self._connect():
+                pause = RETRY_FIRST_S
+                await self._fell.wait()
+                continue
+            await asyncio.sleep(pause * (0.5 + self._rng.random()))
+            pause = min(RETRY_LONGEST_S, pause * 2)
+
+    async def _connect(self) -> bool:
+        host, _, port = self.address.rpartition(":")
+        self._fell.clear()
+        self._greeted.clear()
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, conn = await loop.create_connection(
+                    lambda: FrameConnection(self._limit, self._message, self._lost), host, int(port)
+                )
+                self._conn = conn
+                self._epoch += 1
+                conn.send("Hello", {**self._hello, "epoch": self._epoch})
+                await self._greeted.wait()
+        except ConnectionRefusedError:
+            self._events.on_refused(self.name)
+            return False
+        except (OSError, TimeoutError):
+            self._drop()
+            return False
+        return self.up
+
+    def _message(self, conn: FrameConnection, kind: str, body: Any) -> None:
+        if conn is not self._conn:
+            return
+        if kind == "Hello":
+            self._greet(conn, body)
+            return
+        self._events.on_message(self.name, kind, body)
+
+    def _greet(self, conn: FrameConnection, hello: Hello) -> None:
+        if hello["schema"] != SCHEMA_VERSION or hello["name"] != self.name:
+            conn.close()
+            return
+        self.up = True
+        self._greeted.set()
+        self._events.on_up(self.name, hello["incarnation"])
+
+    def _lost(self, conn: FrameConnection) -> None:
+        if conn is not self._conn:
+            return
+        self._conn = None
+        was_up = self.up
+        self.up = False
+        self._greeted.set()
+        self._fell.set()
+        if was_up:
+            self._events.on_lost(self.name)
+
+    def _drop(self) -> None:
+        if self._conn is not None:
+            self._conn.close()
+
+
+class Links:
+    """All links of a daemon, by target name."""
+
+    def __init__(self, hello: Hello, limit: int, events: LinkEvents, rng: Random) -> None:
+        self._hello = hello
+        self._limit = limit
+        self._events = events
+        self._rng = rng
+        self._links: dict[str, Link] = {}
+        self._addresses: dict[str, str] = {}
+
+    def adopt(self, addresses: dict[str, str]) -> None:
+        """Take over the addresses of a configuration; links to others are closed."""
+        self._addresses = addresses
+        for name, link in list(self._links.items()):
+            if addresses.get(name) == link.address:
+                continue
+            link.close()
+            del self._links[name]
+            self._events.on_lost(name)
+
+    def want(self, names: Iterable[str]) -> None:
+        """Open the links that are not there yet."""
+        for name in names:
+            address = self._addresses.get(name)
+            if address is None or name in self._links:
+                continue
+            link = Link(name, address, self._hello, self._limit, self._events, self._rng)
+            self._links[name] = link
+
+    def send(self, name: str, kind: str, body: object) -> bool:
+        """Write a message to an owner; returns False if its link is down."""
+        link = self._links.get(name)
+        return link is not None and link.send(kind, body)
+
+    def open(self) -> list[str]:
+        """Return the names of the owners that are connected."""
+        return [name for name, link in self._links.items() if link.up]
+
+    def close(self) -> None:
+        """Close every link for good."""
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
--- /dev/null
+++ b/foldhoist/daemon/operators.py
@@ -0,0 +1,150 @@
+"""HTTP for operators, on tornado: status, metrics, records, configuration, drain."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.ioloop import IOLoop
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from foldhoist import __version__
+from foldhoist.configlog.fold import to_snapshot
+from foldhoist.daemon.configuration import describe
+from foldhoist.observe.records import record_report
+
+if TYPE_CHECKING:
+    from foldhoist.daemon.daemon import Daemon
+
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+"""Content type of the metrics."""
+
+
+class _Handler(RequestHandler):
+    def initialize(self, daemon: Daemon) -> None:
+        self.daemon = daemon
+
+    def give(self, body: Any) -> None:
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(body))
+
+
+class _Status(_Handler):
+    def get(self) -> None:
+        self.give(status_of(self.daemon))
+
+
+class _Metrics(_Handler):
+    def get(self) -> None:
+        self.set_header("Content-Type", METRICS_TYPE)
+        self.finish(self.daemon.metrics.text())
+
+
+class _Configuration(_Handler):
+    def get(self) -> None:
+        self.give(to_snapshot(self.daemon.configuration.state))
+
+
+class _Records(_Handler):
+    def get(self) -> None:
+        after = int(self.get_query_argument("after", "0"))
+        number, records = self.daemon.ring.since(after)
+        self.give({"number": number, "records": [record_report(each) for each in records]})
+
+
+class _Explain(_Handler):
+    def get(self, trace: str) -> None:
+        ring = self.daemon.ring
+        hops = [
+            {"owner": hop.owner, "at": hop.at, **hop.call._asdict()} for hop in ring.hops_of(trace)
+        ]
+        calls = [record_report(record) for record in ring.calls_of(trace)]
+        self.give({"daemon": self.daemon.name, "calls": calls, "hops": hops})
+
+
+class _Drain(_Handler):
+    def post(self) -> None:
+        IOLoop.current().spawn_callback(self.daemon.drain)
+        self.give({"draining": True})
+
+
+class Operators:
+    """The operators' HTTP server of a daemon."""
+
+    def __init__(self, daemon: Daemon) -> None:
+        shared = {"daemon": daemon}
+        app = Application(
+            [
+                (r"/status", _Status, shared),
+                (r"/metrics", _Metrics, shared),
+                (r"/configuration", _Configuration, shared),
+                (r"/records", _Records, shared),
+                (r"/explain/([0-9a-f]{32})", _Explain, shared),
+                (r"/drain", _Drain, shared),
+            ],
+            log_function=lambda handler: None,
+        )
+        self._server = HTTPServer(app)
+
+    def listen(self, address: str) -> str:
+        """Listen; returns the address with the port that the system chose."""
+        host, _, port = address.rpartition(":")
+        sockets = bind_sockets(int(port), host.strip("[]"))
+        self._server.add_sockets(sockets)
+        return "{}:{}".format(*sockets[0].getsockname()[:2])
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+
+def status_of(daemon: Daemon) -> dict[str, Any]:
+    """Return what `foldhoist status` shows; ages in seconds, negative if never heard of."""
+    state = daemon.configuration.state
+    return {
+        "name": daemon.name,
+        "version": __version__,
+        "incarnation": daemon.incarnation,
+        "started": daemon.started,
+        "draining": daemon.draining,
+        "addresses": daemon.addresses,
+        "configuration": describe(state),
+        "reader": daemon.configuration.place.reader,
+        "log_reachable": daemon.configuration.log_ok,
+        "load": daemon.owner.load(),
+        "leaving_why": sorted(daemon.owner.leaving_why),
+        "keys_pending": sorted(daemon.owner.keys.pending),
+        "keys_since_ms": daemon.owner.keys.since_ms,
+        "gauges": daemon.gauges(),
+        "latencies_us": daemon.latencies.summary(),
+        "counters": daemon.counters(),
+        "upstreams": _upstreams(daemon),
+    }
+
+
+def _upstreams(daemon: Daemon) -> list[dict[str, Any]]:
+    now = daemon.ingress_task.now()
+    rows: list[dict[str, Any]] = []
+    for service, picker in daemon.ingress_task.ingress.pickers().items():
+        for track in picker.tracks.values():
+            load = track.load
+            rows.append(
+                {
+                    "service": service,
+                    "name": track.name,
+                    "data_centre": track.data_centre,
+                    "linked": track.linked,
+                    "state": load["state"] if load is not None else "unknown",
+                    "age_s": round(now - track.load_at, 3) if load is not None else -1,
+                    "in_flight": track.in_flight,
+                    "busy": load["busy"] if load is not None else -1,
+                    "queued": load["queued"] if load is not None else -1,
+                    "slots": track.slots,
+                    "latency_ms": round(track.latency_s * 1000, 3),
+                    "errors": round(track.errors, 3),
+                    "ejected_s": round(max(0.0, track.ejected_until - now), 3),
+                }
+            )
+    return rows
--- /dev/null
+++ b/foldhoist/daemon/owner_task.py
@@ -0,0 +1,191 @@
+"""Runs the owner object: connections of ingresses on one side, the upstream on the other."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+
+from foldhoist.daemon.frames import FrameConnection
+from foldhoist.daemon.upstream import UpstreamPool
+from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
+from foldhoist.delivery.owner import (
+    LOCAL_LINK,
+    CancelCall,
+    CloseLink,
+    SendTo,
+    StartCall,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foldhoist.delivery.owner import Action, Ended, Owner, Result
+    from foldhoist.schema.messages import Hello
+    from foldhoist.schema.settings import Settings
+
+TICK_S = 0.05
+"""Time between two looks at what has waited too long, seconds."""
+
+
+class OwnerTask:
+    """The owner role of a daemon."""
+
+    def __init__(
+        self,
+        owner: Owner,
+        cfg: Settings,
+        hello: Hello,
+        on_local: Callable[[str, Any], None],
+        on_hop: Callable[[Ended], None],
+    ) -> None:
+        self.owner = owner
+        self._hello = hello
+        self._on_local = on_local
+        self._on_hop = on_hop
+        self._loop = asyncio.get_running_loop()
+        self._limit = cfg["limits"]["body_bytes"] + HEADROOM
+        self._conns: dict[int, FrameConnection] = {}
+        self._next_link = LOCAL_LINK + 1
+        self._greeted: set[int] = set()
+        host, _, port = cfg["upstream"]["address"].rpartition(":")
+        self.pool = UpstreamPool(
+            (host, int(port)),
+            cfg["upstream"]["connect_ms"] / 1000,
+            cfg["limits"]["body_bytes"],
+            self._result,
+            lambda: self.set_state("leaving"),
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start looking at what has waited too long."""
+        self._task = self._loop.create_task(self._tick())
+
+    def close(self) -> None:
+        """Close every connection."""
+        if self._task is not None:
+            self._task.cancel()
+        for conn in list(self._conns.values()):
+            conn.close()
+        self.pool.close()
+
+    def connection(self) -> FrameConnection:
+        """Return the protocol object of a new connection."""
+        conn = FrameConnection(self._limit, self._message, self._lost)
+        conn.number = self._next_link
+        self._next_link += 1
+        self._conns[conn.number] = conn
+        return conn
+
+    def local_hello(self) -> None:
+        """Connect the ingress in this process, once."""
+        if LOCAL_LINK in self._greeted:
+            return
+        self._greeted.add(LOCAL_LINK)
+        self._carry_out(self.owner.hello(self._loop.time(), LOCAL_LINK, self._hello))
+
+    def local_message(self, kind: str, body: Any) -> None:
+        """Take in a message of the ingress in this process."""
+        self._handle(LOCAL_LINK, kind, body)
+
+    def set_state(self, state: str) -> None:
+        """Take in what the upstream says of itself."""
+        before = self.owner.load()["state"]
+        self._carry_out(self.owner.set_state(state))
+        self._log_change(before)
+
+    def leave(self, source: str) -> None:
+        """Stop taking new work."""
+        before = self.owner.load()["state"]
+        self._carry_out(self.owner.leave(source))
+        self._log_change(before)
+
+    def stay(self, source: str) -> None:
+        """Take back what a source said."""
+        before = self.owner.load()["state"]
+        self._carry_out(self.owner.stay(source))
+        self._log_change(before)
+
+    def _log_change(self, before: str) -> None:
+        after = self.owner.load()["state"]
+        if after != before:
+            why = ", ".join(self.owner.leaving_why) or "upstream"
+            logger.info("upstream {} (by {}), was {}", after, why, before)
+
+    def _message(self, conn: FrameConnection, kind: str, body: Any) -> None:
+        if kind == "Hello":
+            self._greet(conn, body)
+            return
+        if conn.number not in self._greeted:
+            conn.close()
+            return
+        self._handle(conn.number, kind, body)
+
+    def _greet(self, conn: FrameConnection, hello: Hello) -> None:
+        conn.send("Hello", self._hello)
+        if hello["schema"] != SCHEMA_VERSION:
+            logger.info("peer {} has message schema {}", hello["name"], hello["schema"])
+            conn.close()
+            return
+        self._greeted.add(conn.number)
+        self._carry_out(self.owner.hello(self._loop.time(), conn.number, hello))
+
+    def _handle(self, link: int, kind: str, body: Any) -> None:
+        now = self._loop.time()
+        match kind:
+            case "Dispatch":
+                self._carry_out(self.owner.dispatch(now, int(time.time() * 1000), link, body))
+            case "Withdraw":
+                self._carry_out(self.owner.withdraw(now, link, body))
+            case "FateAsk":
+                self._carry_out(self.owner.fate(now, link, body))
+
+    def _lost(self, conn: FrameConnection) -> None:
+        self._conns.pop(conn.number, None)
+        self._greeted.discard(conn.number)
+        self.owner.link_lost(self._loop.time(), conn.number)
+
+    def _result(self, ticket: int, result: Result) -> None:
+        now = self._loop.time()
+        hop = self.owner.ended(now, ticket, result)
+        if hop is not None:
+            self._on_hop(hop)
+        self._carry_out(self.owner.finished(now, ticket, result))
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case SendTo(link, frame):
+                    self._send(link, frame.kind, frame.body)
+                case StartCall(ticket):
+                    self.pool.start(self._loop.time(), action)
+                case CancelCall(ticket):
+                    self.pool.cancel(ticket)
+                case CloseLink(link):
+                    conn = self._conns.get(link)
+                    if conn is not None:
+                        conn.close()
+
+    def _send(self, link: int, kind: str, body: Any) -> None:
+        if link == LOCAL_LINK:
+            self._loop.call_soon(self._on_local, kind, body)
+            return
+        conn = self._conns.get(link)
+        if conn is not None:
+            conn.send(kind, body)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._loop.time()
+            self._carry_out(self.owner.tick(now))
+            self._stop_late()
+
+    def _stop_late(self) -> None:
+        now = self._loop.time()
+        for ticket, limit in self.owner.running():
+            if now > limit:
+                self.pool.cancel(ticket, "deadline-passed")
--- /dev/null
+++ b/foldhoist/daemon/prober.py
@@ -0,0 +1,120 @@
+"""Asks the upstream's health endpoint and the platform's host list about this upstream only."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypedDict
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from foldhoist.admission.bucket import TokenBucket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foldhoist.platform.client import PlatformClient
+    from foldhoist.schema.settings import Settings
+
+PROBE_S = 1.0
+"""Longest wait for the health endpoint, seconds."""
+DOWN_AFTER = 3
+"""Refused connections in a row from which on the upstream counts as down."""
+
+
+class Health(TypedDict, total=False):
+    """What a health endpoint may say; all of it may lag or mislead."""
+
+    state: str
+
+
+@dataclass(slots=True)
+class Counters:
+    """What the prober has counted."""
+
+    failed: int = 0
+    host_errors: int = 0
+    host_reads: int = 0
+    probes: int = 0
+
+
+class Prober:
+    """Probes within the budget of measuring; every probe of this upstream is made here."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        client: PlatformClient,
+        on_state: Callable[[str], None],
+        on_host: Callable[[str], None],
+    ) -> None:
+        self.count = Counters()
+        self._cfg = cfg
+        self._client = client
+        self._on_state = on_state
+        self._on_host = on_host
+        self._http = AsyncHTTPClient(force_instance=True)
+        self._refused = 0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Start probing and reading the host list."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(self._probe())]
+        if self._cfg["platform"]["hosts"]:
+            self._tasks.append(loop.create_task(self._read_hosts()))
+
+    def close(self) -> None:
+        """Stop."""
+        for task in self._tasks:
+            task.cancel()
+        self._http.close()
+
+    async def _probe(self) -> None:
+        rate = self._cfg["measuring"]["probes_per_s"]
+        if rate <= 0:
+            return
+        loop = asyncio.get_running_loop()
+        bucket = TokenBucket(rate, 1.0, loop.time())
+        while True:
+            wait = bucket.wait(loop.time())
+            if wait > 0:
+                await asyncio.sleep(wait)
+            if bucket.take(loop.time()):
+                await self._probe_once()
+
+    async def _probe_once(self) -> None:
+        self.count.probes += 1
+        cfg = self._cfg["upstream"]
+        url = f"http://{cfg['address']}{cfg['health_path']}"
+        req = HTTPRequest(url, connect_timeout=PROBE_S, request_timeout=PROBE_S)
+        try:
+            answer = await self._http.fetch(req)
+            health = msgspec.json.decode(answer.body, type=Health)
+        except ConnectionRefusedError:
+            self.count.failed += 1
+            self._refused += 1
+            if self._refused == DOWN_AFTER:
+                self._on_state("down")
+            return
+        except (HTTPClientError, OSError, msgspec.DecodeError):
+            self.count.failed += 1
+            return
+        self._refused = 0
+        self._on_state(_known(health.get("state", "warm")))
+
+    async def _read_hosts(self) -> None:
+        poll_s = self._cfg["platform"]["hosts_poll_ms"] / 1000
+        while True:
+            self.count.host_reads += 1
+            answer = await self._client.host_state(self._cfg["daemon"]["name"])
+            if answer.is_ok():
+                self._on_host(answer.ok)
+            else:
+                self.count.host_errors += 1
+            await asyncio.sleep(poll_s)
+
+
+def _known(state: str) -> str:
+    return state if state in ("cold", "warm", "shedding", "leaving") else "warm"
--- /dev/null
+++ b/foldhoist/delivery/ingress.py
@@ -0,0 +1,649 @@
+"""The ingress's side of delivery: it owns a call from arrival to its final answer.
+
+It takes requests, frames and the fate of connections with an explicit `now` (monotonic seconds)
+and returns actions for the tasks that own the sockets. It does no I/O and reads no clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+from heapq import heappop, heappush
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+
+from foldhoist.admission.bucket import RetryBudget
+from foldhoist.delivery.keys import issued_by_uuid7
+from foldhoist.delivery.verdict import Answered, Headers, MayHaveRun, NotRun, Response, Verdict
+from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice, Picker
+from foldhoist.routing.policies import Scored, make_policy
+from foldhoist.routing.rendezvous import home
+from foldhoist.routing.routes import Routed, RouteTable
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from random import Random
+
+    from foldhoist.routing.picker import Member
+    from foldhoist.schema.fleet import Fleet, Service
+    from foldhoist.schema.messages import Answer, Dispatch, FateAsk, Refusal, Report, Withdraw
+
+FATE_S = 1.0
+"""Longest wait for an owner to say what became of a call, seconds."""
+DEADLINE_MARGIN_S = 0.005
+"""The owner is given this much less than is left, so that its refusal comes in time, seconds."""
+LEAST_BUDGET_S = 0.001
+"""A call with less time left than this is not dispatched, seconds."""
+PARK_S = 0.3
+"""Longest wait of a call for a first connection to an owner, seconds."""
+SERVER_ERROR = 500
+"""Statuses from this on count against an upstream."""
+
+
+class CallerRequest(NamedTuple):
+    """A request as a caller sent it; `budget_s` and `key_issued_ms` are 0 if not given."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    budget_s: float
+    urgent: bool
+    key: str
+    key_issued_ms: int
+    hops: int
+    retried: bool
+    trace: str
+
+
+class Outgoing(NamedTuple):
+    """A message to an owner: its kind and its fields."""
+
+    kind: str
+    body: Dispatch | Withdraw | FateAsk
+
+
+class SendTo(NamedTuple):
+    """Write a frame to the owner of this name."""
+
+    target: str
+    frame: Outgoing
+
+
+class Reply(NamedTuple):
+    """Give the caller its final answer, now."""
+
+    call_id: int
+    verdict: Verdict
+    record: Record
+
+
+class Connect(NamedTuple):
+    """Open connections to these owners: calls wait for one."""
+
+    targets: tuple[str, ...]
+
+
+Action: TypeAlias = SendTo | Reply | Connect
+
+
+class Attempt(NamedTuple):
+    """One try of a call at one upstream; times are monotonic seconds, parts microseconds."""
+
+    seq: int
+    target: str
+    reason: str
+    candidates: tuple[Scored, ...]
+    sent: float
+    ended: float
+    result: str
+    waited_us: int
+    served_us: int
+
+
+class Record(NamedTuple):
+    """The whole story of a call at its ingress."""
+
+    trace: str
+    service: str
+    method: str
+    path: str
+    urgent: bool
+    repeatable: bool
+    key: str
+    generation: int
+    arrived: float
+    ended: float
+    verdict: str
+    reason: str
+    status: int
+    attempts: tuple[Attempt, ...]
+
+
+@dataclass(slots=True)
+class Counters:
+    """What this ingress has counted since it started."""
+
+    answered: int = 0
+    calls: int = 0
+    fate_asked: int = 0
+    gone: int = 0
+    hedged: int = 0
+    late: int = 0
+    may_have_run: int = 0
+    not_run: int = 0
+    retried: int = 0
+
+
+class _Timer(IntEnum):
+    """What is to be done with a call at a set time."""
+
+    EXPIRE = 0
+    HEDGE = 1
+    UNASKED = 2
+    UNPARK = 3
+
+
+class _Live:
+    """An attempt that has no result yet."""
+
+    __slots__ = ("asking", "candidates", "reason", "sent", "seq", "target")
+
+    def __init__(self, seq: int, target: str, choice: Choice, now: float) -> None:
+        self.seq = seq
+        self.target = target
+        self.reason = choice.reason
+        self.candidates = choice.candidates
+        self.sent = now
+        self.asking = 0.0
+
+
+class _Call:
+    __slots__ = (
+        "arrived",
+        "attempts",
+        "call_id",
+        "deadline",
+        "excluded",
+        "live",
+        "maybe",
+        "repeatable",
+        "req",
+        "service",
+        "tries",
+        "urgent",
+    )
+
+    def __init__(
+        self, call_id: int, req: CallerRequest, routed: Routed, now: float, deadline: float
+    ) -> None:
+        self.call_id = call_id
+        self.req = req
+        self.service = routed.service
+        self.urgent = routed.urgent or req.urgent
+        self.repeatable = routed.repeatable
+        self.arrived = now
+        self.deadline = deadline
+        self.live: dict[int, _Live] = {}
+        self.excluded: set[str] = set()
+        self.attempts: list[Attempt] = []
+        self.tries = 0
+        self.maybe = ""
+
+
+class _ServiceState:
+    """A service of the configuration in force, with what this ingress knows of it."""
+
+    __slots__ = ("budget", "cfg", "homes", "picker")
+
+    def __init__(self, cfg: Service, picker: Picker, budget: RetryBudget) -> None:
+        self.cfg = cfg
+        self.picker = picker
+        self.budget = budget
+        self.homes: tuple[str, ...] = ()
+
+
+class Ingress:
+    """Every call that entered at this daemon and has no final answer yet."""
+
+    def __init__(self, data_centre: str, most_calls: int, rng: Random) -> None:
+        self.data_centre = data_centre
+        self.most_calls = most_calls
+        self.rng = rng
+        self.generation = 0
+        self.leaving = False
+        self.explain = True
+        self.count = Counters()
+        self._hops = 32
+        self._routes: RouteTable | None = None
+        self._services: dict[str, _ServiceState] = {}
+        self._calls: dict[int, _Call] = {}
+        self._by_seq: dict[int, _Call] = {}
+        self._linked: dict[str, str] = {}
+        self._up: set[str] = set()
+        self._next_seq = 1
+        self._timers: list[tuple[float, int, _Timer]] = []
+        self._parked: dict[int, _Call] = {}
+
+    # What the tasks tell it
+
+    def adopt(
+        self,
+        now: float,
+        generation: int,
+        fleet: Fleet,
+        tracked: Mapping[str, list[Member]],
+        homes: Mapping[str, tuple[str, ...]],
+    ) -> None:
+        """Take over a configuration; what is known of upstreams that stay is kept."""
+        self.generation = generation
+        self._hops = fleet["fleet"]["hops"]
+        self._routes = RouteTable(fleet)
+        services: dict[str, _ServiceState] = {}
+        for name, cfg in fleet["services"].items():
+            state = self._service_state(name, cfg)
+            state.picker.members(tracked.get(name, []), now)
+            for target in state.picker.tracks:
+                state.picker.linked(target, now, target in self._up, fresh=False)
+            state.homes = homes.get(name, ())
+            services[name] = state
+        self._services = services
+
+    def arrive(self, now: float, call_id: int, req: CallerRequest) -> list[Action]:
+        """Take in a request of a caller."""
+        self.count.calls += 1
+        routed = self._routes.find(req.method, req.path) if self._routes is not None else None
+        refused = self._refusal_at_door(req, routed)
+        if refused is not None or routed is None:
+            verdict = refused or NotRun("no-configuration", 1.0)
+            return [self._refuse_at_door(now, call_id, req, routed, verdict)]
+        state = self._services[routed.service]
+        limit = state.cfg["deadline_ms"] / 1000
+        budget = min(req.budget_s, limit) if req.budget_s > 0 else limit
+        call = _Call(call_id, req, routed, now, now + budget)
+        self._calls[call_id] = call
+        state.budget.call()
+        heappush(self._timers, (call.deadline, call_id, _Timer.EXPIRE))
+        actions = self._attempt(now, call)
+        hedge_ms = state.cfg["hedge_ms"]
+        if hedge_ms and call.repeatable and not req.retried:
+            heappush(self._timers, (now + hedge_ms / 1000, call_id, _Timer.HEDGE))
+        return actions
+
+    def answer(self, now: float, target: str, message: Answer) -> list[Action]:
+        """Take in an owner's answer; a late one is counted and dropped."""
+        seq = message["seq"]
+        call = self._by_seq.pop(seq, None)
+        if call is None:
+            self.count.late += 1
+            return []
+        live = call.live.pop(seq)
+        failed = message["status"] >= SERVER_ERROR
+        picker = self._services[call.service].picker if call.service in self._services else None
+        if picker is not None:
+            picker.answered(live.target, seq, now, failed, message["load"])
+        self._note(now, call, live, "answered", message["waited_us"], message["served_us"])
+        response = Response(message["status"], message["headers"], message["body"])
+        return self._finish(now, call, Answered(response))
+
+    def refusal(self, now: float, target: str, message: Refusal) -> list[Action]:
+        """Take in an owner's refusal: try elsewhere, or give the final answer."""
+        seq = message["seq"]
+        call = self._by_seq.pop(seq, None)
+        if call is None:
+            self.count.late += 1
+            return []
+        live = call.live.pop(seq)
+        retry_after_s = message["retry_after_ms"] / 1000
+        picker = self._services[call.service].picker if call.service in self._services else None
+        if picker is not None and message["ran"] == "no" and not call.req.key:
+            picker.refused(live.target, seq, now, retry_after_s, message["load"])
+        elif picker is not None:
+            picker.lost(live.target, seq, now)
+        self._note(now, call, live, f"{message['ran']}:{message['reason']}", 0, 0)
+        if message["ran"] == "maybe":
+            call.maybe = message["reason"]
+        return self._go_on(now, call, message["reason"], retry_after_s)
+
+    def report(self, now: float, target: str, message: Report) -> None:
+        """Take in a report that an owner sent by itself."""
+        for state in self._services.values():
+            state.picker.reported(target, now, message["load"])
+
+    def link_up(self, now: float, target: str, incarnation: str) -> list[Action]:
+        """Take in a new connection to an owner; ask for the fate of calls of an older one."""
+        fresh = self._linked.get(target) != incarnation
+        self._linked[target] = incarnation
+        self._up.add(target)
+        for state in self._services.values():
+            state.picker.linked(target, now, True, fresh)
+        return [*self._ask_fate(now, target, fresh), *self._unpark(now)]
+
+    def link_lost(self, now: float, target: str) -> list[Action]:
+        """Take in that a connection to an owner fell."""
+        self._up.discard(target)
+        for state in self._services.values():
+            state.picker.linked(target, now, False, fresh=False)
+        actions: list[Action] = []
+        for call, live in self._at(target):
+            if live.asking:
+                continue
+            if call.repeatable and not call.req.key:
+                actions += self._lose(now, call, live, "owner-connection-lost")
+                continue
+            live.asking = now + FATE_S
+            heappush(self._timers, (min(live.asking, call.deadline), call.call_id, _Timer.UNASKED))
+        return actions
+
+    def link_refused(self, now: float, target: str) -> list[Action]:
+        """Take in that the owner's process is gone: nobody can say what became of its calls."""
+        return self._end_asking(now, target, "owner-gone")
+
+    def caller_gone(self, now: float, call_id: int) -> list[Action]:
+        """Take in that a caller has closed its connection: nobody waits for the call."""
+        call = self._calls.pop(call_id, None)
+        if call is None:
+            return []
+        self._parked.pop(call_id, None)
+        self.count.gone += 1
+        return self._withdraw_all(call)
+
+    def tick(self, now: float) -> list[Action]:
+        """Give the final answer to calls whose time is up, and send hedges."""
+        actions: list[Action] = []
+        while self._timers and self._timers[0][0] <= now:
+            _, call_id, kind = heappop(self._timers)
+            call = self._calls.get(call_id)
+            if call is None:
+                continue
+            actions += self._on_timer(now, call, kind)
+        return actions
+
+    # What others may read
+
+    def next_at(self) -> float | None:
+        """Return when `tick` has something to do, monotonic seconds."""
+        while self._timers and self._timers[0][1] not in self._calls:
+            heappop(self._timers)
+        return self._timers[0][0] if self._timers else None
+
+    @property
+    def calls(self) -> int:
+        """Return the calls without a final answer."""
+        return len(self._calls)
+
+    def pickers(self) -> dict[str, Picker]:
+        """Return the picker of each service."""
+        return {name: state.picker for name, state in self._services.items()}
+
+    # Steps
+
+    def _on_timer(self, now: float, call: _Call, kind: _Timer) -> list[Action]:
+        if now >= call.deadline:
+            return self._expire(now, call)
+        match kind:
+            case _Timer.HEDGE:
+                return self._hedge(now, call)
+            case _Timer.UNASKED:
+                return self._end_unasked(now, call)
+            case _Timer.UNPARK if call.call_id in self._parked:
+                del self._parked[call.call_id]
+                return self._give_up(now, call, NO_CONNECTION, 1.0)
+        return []
+
+    def _park(self, now: float, call: _Call) -> list[Action]:
+        state = self._services[call.service]
+        self._parked[call.call_id] = call
+        heappush(self._timers, (now + PARK_S, call.call_id, _Timer.UNPARK))
+        if call.req.key:
+            name = home(state.homes, call.req.key)
+            return [Connect((name,) if name else ())]
+        return [Connect(tuple(state.picker.tracks))]
+
+    def _unpark(self, now: float) -> list[Action]:
+        parked = list(self._parked.values())
+        self._parked.clear()
+        actions: list[Action] = []
+        for call in parked:
+            if call.call_id in self._calls:
+                actions += self._attempt(now, call)
+        return actions
+
+    def _service_state(self, name: str, cfg: Service) -> _ServiceState:
+        old = self._services.get(name)
+        if old is not None and old.cfg == cfg:
+            return old
+        policy = make_policy(cfg["policy"], self.data_centre)
+        picker = Picker(policy, self.data_centre, cfg["eject_share"], self.rng)
+        if old is not None:
+            picker.tracks = old.picker.tracks
+        return _ServiceState(cfg, picker, RetryBudget(cfg["retry_share"]))
+
+    def _refusal_at_door(self, req: CallerRequest, routed: Routed | None) -> NotRun | None:
+        if self.leaving:
+            return NotRun("daemon-leaving", 0.0)
+        if self._routes is None:
+            return NotRun("no-configuration", 1.0)
+        if routed is None:
+            return NotRun("no-such-service", 0.0, status=404)
+        if req.hops > self._hops:
+            return NotRun("nested-too-deep", 0.0, status=508)
+        if len(self._calls) >= self.most_calls:
+            return NotRun("daemon-full", 0.1)
+        if req.budget_s < 0:
+            return NotRun("deadline-passed", 0.0, status=504)
+        return None
+
+    def _refuse_at_door(
+        self, now: float, call_id: int, req: CallerRequest, routed: Routed | None, verdict: NotRun
+    ) -> Reply:
+        self.count.not_run += 1
+        routed = routed or Routed("", repeatable=False, urgent=False)
+        call = _Call(call_id, req, routed, now, now)
+        return Reply(call_id, verdict, self._record(now, call, verdict))
+
+    def _attempt(self, now: float, call: _Call, first_reason: str = "") -> list[Action]:
+        pick = self._pick(now, call)
+        if isinstance(pick, NoChoice):
+            if pick.reason == NO_CONNECTION and not call.tries:
+                return self._park(now, call)
+            return self._give_up(now, call, first_reason or pick.reason, pick.retry_after_s)
+        left = call.deadline - now
+        if left < LEAST_BUDGET_S:
+            return self._give_up(now, call, "deadline-passed", 0.0)
+        seq = self._next_seq
+        self._next_seq += 1
+        call.tries += 1
+        call.excluded.add(pick.name)
+        call.live[seq] = _Live(seq, pick.name, pick, now)
+        self._by_seq[seq] = call
+        self._services[call.service].picker.sent(pick.name, seq, now)
+        return [SendTo(pick.name, Outgoing("Dispatch", self._dispatch(call, seq, left)))]
+
+    def _pick(self, now: float, call: _Call) -> Choice | NoChoice:
+        state = self._services.get(call.service)
+        if state is None:
+            return NoChoice("service-removed", 0.0)
+        if not call.req.key:
+            return state.picker.pick(now, call.excluded, self.explain)
+        name = home(state.homes, call.req.key)
+        if name is None:
+            return NoChoice("key-has-no-home", 1.0)
+        if name not in self._up:
+            return NoChoice(NO_CONNECTION, 1.0)
+        return Choice(name, "home-of-the-key", ())
+
+    def _dispatch(self, call: _Call, seq: int, left_s: float) -> Dispatch:
+        req = call.req
+        margin = DEADLINE_MARGIN_S if left_s > 4 * DEADLINE_MARGIN_S else 0.0
+        return {
+            "seq": seq,
+            "acked": next(iter(self._by_seq), seq),
+            "service": call.service,
+            "method": req.method,
+            "path": req.path,
+            "headers": req.headers,
+            "body": req.body,
+            "budget_ms": max(1, int((left_s - margin) * 1000)),
+            "urgent": call.urgent,
+            "repeatable": call.repeatable,
+            "key": req.key,
+            "key_issued_ms": req.key_issued_ms or issued_by_uuid7(req.key),
+            "generation": self.generation,
+            "hops": req.hops,
+            "retried": req.retried or call.tries > 1,
+            "trace": req.trace,
+        }
+
+    def _go_on(self, now: float, call: _Call, reason: str, retry_after_s: float) -> list[Action]:
+        if call.live:
+            return []
+        if not self._may_retry(now, call):
+            return self._give_up(now, call, reason, retry_after_s)
+        self.count.retried += 1
+        return self._attempt(now, call, first_reason=reason)
+
+    def _may_retry(self, now: float, call: _Call) -> bool:
+        state = self._services.get(call.service)
+        if state is None or call.req.key or call.req.retried:
+            return False
+        if call.maybe and not call.repeatable:
+            return False
+        if call.tries >= state.cfg["attempts"] or now + LEAST_BUDGET_S >= call.deadline:
+            return False
+        if isinstance(state.picker.pick(now, call.excluded, explain=False), NoChoice):
+            return False
+        return state.budget.spend()
+
+    def _hedge(self, now: float, call: _Call) -> list[Action]:
+        if len(call.live) != 1 or not self._may_retry(now, call):
+            return []
+        self.count.hedged += 1
+        return self._attempt(now, call)
+
+    def _give_up(self, now: float, call: _Call, reason: str, retry_after_s: float) -> list[Action]:
+        if call.live:
+            return []
+        if call.maybe:
+            return self._finish(now, call, MayHaveRun(call.maybe))
+        return self._finish(now, call, NotRun(reason, retry_after_s))
+
+    def _expire(self, now: float, call: _Call) -> list[Action]:
+        if call.live or call.maybe:
+            for live in call.live.values():
+                self._note(now, call, live, "maybe:deadline-passed", 0, 0)
+            return self._finish(now, call, MayHaveRun("deadline-passed", status=504))
+        return self._finish(now, call, NotRun("deadline-passed", 0.0, status=504))
+
+    def _finish(self, now: float, call: _Call, verdict: Verdict) -> list[Action]:
+        if self._calls.pop(call.call_id, None) is None:
+            return []
+        self._parked.pop(call.call_id, None)
+        match verdict:
+            case Answered():
+                self.count.answered += 1
+            case NotRun():
+                self.count.not_run += 1
+            case MayHaveRun():
+                self.count.may_have_run += 1
+        reply = Reply(call.call_id, verdict, self._record(now, call, verdict))
+        if not call.live:
+            return [reply]
+        return [reply, *self._withdraw_all(call)]
+
+    def _withdraw_all(self, call: _Call) -> list[Action]:
+        actions: list[Action] = []
+        state = self._services.get(call.service)
+        for seq, live in call.live.items():
+            self._by_seq.pop(seq, None)
+            if state is not None:
+                state.picker.abandoned(live.target, seq)
+            actions.append(SendTo(live.target, Outgoing("Withdraw", {"seq": seq})))
+        call.live = {}
+        return actions
+
+    def _at(self, target: str) -> list[tuple[_Call, _Live]]:
+        found: list[tuple[_Call, _Live]] = []
+        for call in self._calls.values():
+            for live in call.live.values():
+                if live.target == target:
+                    found.append((call, live))
+        return found
+
+    def _asking(self, target: str) -> list[tuple[_Call, _Live]]:
+        return [(call, live) for call, live in self._at(target) if live.asking]
+
+    def _ask_fate(self, now: float, target: str, fresh: bool) -> list[Action]:
+        asked = self._asking(target)
+        if not asked:
+            return []
+        if fresh:
+            return self._end_asking(now, target, "owner-restarted")
+        self.count.fate_asked += len(asked)
+        seqs = [live.seq for _, live in asked]
+        return [SendTo(target, Outgoing("FateAsk", {"seqs": seqs}))]
+
+    def _end_asking(self, now: float, target: str, reason: str) -> list[Action]:
+        actions: list[Action] = []
+        for call, live in self._asking(target):
+            actions += self._lose(now, call, live, reason)
+        return actions
+
+    def _end_unasked(self, now: float, call: _Call) -> list[Action]:
+        actions: list[Action] = []
+        for live in list(call.live.values()):
+            if live.asking and now >= live.asking:
+                actions += self._lose(now, call, live, "owner-unreachable")
+        return actions
+
+    def _lose(self, now: float, call: _Call, live: _Live, reason: str) -> list[Action]:
+        call.live.pop(live.seq, None)
+        self._by_seq.pop(live.seq, None)
+        state = self._services.get(call.service)
+        if state is not None:
+            state.picker.lost(live.target, live.seq, now)
+        call.maybe = reason
+        self._note(now, call, live, f"maybe:{reason}", 0, 0)
+        return self._go_on(now, call, reason, 0.5)
+
+    def _note(
+        self, now: float, call: _Call, live: _Live, result: str, waited_us: int, served_us: int
+    ) -> None:
+        call.attempts.append(
+            Attempt(
+                live.seq,
+                live.target,
+                live.reason,
+                live.candidates,
+                live.sent,
+                now,
+                result,
+                waited_us,
+                served_us,
+            )
+        )
+
+    def _record(self, now: float, call: _Call, verdict: Verdict) -> Record:
+        match verdict:
+            case Answered(response):
+                name, reason, status = "answered", "", response.status
+            case NotRun(reason, _, status):
+                name = "not-run"
+            case MayHaveRun(reason, status):
+                name = "may-have-run"
+        req = call.req
+        return Record(
+            req.trace,
+            call.service,
+            req.method,
+            req.path,
+            call.urgent,
+            call.repeatable,
+            req.key,
+            self.generation,
+            call.arrived,
+            now,
+            name,
+            reason,
+            status,
+            tuple(call.attempts),
+        )
--- /dev/null
+++ b/foldhoist/delivery/keys.py
@@ -0,0 +1,236 @@
+"""Idempotency keys at their home: each key runs at most once within its window.
+
+A home runs a key only if it knows every run of that key since the key was issued. Where it does
+not, it refuses, and says whether the key may have run before. docs/design/at-most-once.md gives
+the argument.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+
+from foldhoist.delivery.verdict import Response
+from foldhoist.routing.rendezvous import home
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from foldhoist.schema.messages import Handed, KeyState
+
+CLOCK_SKEW_MS = 2000
+"""Wall clocks of two hosts are trusted to differ by less than this, milliseconds."""
+MOST_KEYS = 50_000
+"""Keys that one home remembers; more are refused."""
+MOST_BYTES = 32 * 1024 * 1024
+"""Bytes of answers that one home keeps for keys; with more, new keys are refused."""
+
+
+class Run(NamedTuple):
+    """The key is new here and was claimed: run it."""
+
+
+class Join(NamedTuple):
+    """The key is running: its answer is the answer of this call, too."""
+
+
+class Replay(NamedTuple):
+    """The key has run: this is its answer."""
+
+    response: Response
+
+
+class Deny(NamedTuple):
+    """The key is not run. `ran` is "maybe" if an earlier call with it may have run."""
+
+    ran: str
+    reason: str
+    retry_after_s: float
+
+
+Claim: TypeAlias = Run | Join | Replay | Deny
+
+
+class _Entry:
+    __slots__ = ("fingerprint", "first", "response", "running")
+
+    def __init__(self, fingerprint: str, first: float, running: bool) -> None:
+        self.fingerprint = fingerprint
+        self.first = first
+        self.running = running
+        self.response: Response | None = None
+
+
+def fingerprint(method: str, path: str, body: bytes) -> str:
+    """Return a digest of what a request asks for."""
+    digest = blake2b(digest_size=12)
+    digest.update(f"{method} {path}\0".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def issued_by_uuid7(key: str) -> int:
+    """Return the wall clock in milliseconds inside a UUIDv7, or 0 if the key is none."""
+    digits = key.replace("-", "")
+    if len(digits) != 32 or digits[12] != "7":
+        return 0
+    try:
+        return int(digits[:12], 16)
+    except ValueError:
+        return 0
+
+
+class KeyTable:
+    """The keys of one home; `now` is monotonic seconds, `wall_ms` wall clock milliseconds."""
+
+    def __init__(self, name: str, window_s: float) -> None:
+        self.name = name
+        self.window_s = window_s
+        self.generation = 0
+        self._names: frozenset[str] | None = None
+        self._before: frozenset[str] | None = None
+        self._pending: set[str] = set()
+        self._own_since_ms = 0
+        self._moved_since_ms = 0
+        self._entries: dict[str, _Entry] = {}
+        self._bytes = 0
+
+    @property
+    def pending(self) -> frozenset[str]:
+        """Return the former homes that have not handed over yet."""
+        return frozenset(self._pending)
+
+    @property
+    def since_ms(self) -> int:
+        """Return the wall clock from which on every key of this home is known."""
+        return max(self._own_since_ms, self._moved_since_ms)
+
+    def adopt(
+        self, wall_ms: int, generation: int, serving: Iterable[str], others: Iterable[str]
+    ) -> frozenset[str]:
+        """Take over a generation; return the targets that must hand over their keys first.
+
+        `serving` are the names that may be homes, `others` all that are not retired.
+        """
+        names = frozenset(serving)
+        followed = generation == self.generation + 1 and self._names is not None
+        if generation <= self.generation:
+            return frozenset()
+        self.generation = generation
+        if followed and names == self._names:
+            self._pending &= set(others)
+            return frozenset(self._pending)
+        self._own_since_ms = self.since_ms
+        self._before = self._names if followed else None
+        if not followed:
+            self._own_since_ms = wall_ms
+        self._moved_since_ms = self._own_since_ms
+        gone = (self._names or frozenset()) - set(others)
+        if gone:
+            self._moved_since_ms = wall_ms
+        self._names = names
+        self._pending = set(others) - {self.name}
+        return frozenset(self._pending)
+
+    def handed(self, now: float, message: Handed) -> None:
+        """Take in what a former home knew; it runs keys of ours no more."""
+        if message["generation"] < self.generation:
+            return
+        if message["former"] not in self._pending:
+            return
+        self._pending.discard(message["former"])
+        if self._before is not None and message["former"] in self._before:
+            self._moved_since_ms = max(self._moved_since_ms, message["since_ms"])
+        for state in message["keys"]:
+            self._import(now, state)
+
+    def export(self, now: float, target: str) -> list[KeyState]:
+        """Return what is known of the keys whose home is `target` now."""
+        states: list[KeyState] = []
+        for key, entry in self._entries.items():
+            if self._home(key) != target:
+                continue
+            states.append(_state(key, entry, now))
+        return states
+
+    def claim(self, now: float, wall_ms: int, key: str, issued_ms: int, mark: str) -> Claim:
+        """Decide on a call with this key; `mark` is the request's fingerprint."""
+        if self._home(key) != self.name:
+            return Deny("no", "key-has-another-home", 0.5)
+        entry = self._entries.get(key)
+        if entry is not None:
+            return _again(entry, mark)
+        was_home = self._before is not None and home(self._before, key) == self.name
+        if self._pending and not was_home:
+            return Deny("no", "key-handover-pending", 0.5)
+        since = self._own_since_ms if was_home else self._moved_since_ms
+        first = issued_ms or wall_ms - int(self.window_s * 1000)
+        if first < since + CLOCK_SKEW_MS:
+            return Deny("maybe", "key-older-than-its-home", self.window_s)
+        if first < wall_ms - self.window_s * 1000 and issued_ms:
+            return Deny("maybe", "key-past-its-window", self.window_s)
+        if len(self._entries) >= MOST_KEYS or self._bytes >= MOST_BYTES:
+            return Deny("no", "key-table-full", 1.0)
+        self._entries[key] = _Entry(mark, now, running=True)
+        return Run()
+
+    def ended(self, key: str, response: Response | None, ran: bool) -> None:
+        """Take in the end of a claimed run: its answer, or that it may have run, or did not."""
+        entry = self._entries.get(key)
+        if entry is None:
+            return
+        entry.running = False
+        if not ran:
+            del self._entries[key]
+            return
+        if response is not None:
+            entry.response = response
+            self._bytes += len(response.body)
+
+    def expire(self, now: float) -> None:
+        """Forget the keys whose window has passed."""
+        limit = now - self.window_s
+        old = [key for key, entry in self._entries.items() if entry.first < limit]
+        for key in old:
+            entry = self._entries[key]
+            if entry.running:
+                continue
+            if entry.response is not None:
+                self._bytes -= len(entry.response.body)
+            del self._entries[key]
+
+    def _home(self, key: str) -> str | None:
+        return home(self._names or (), key)
+
+    def _import(self, now: float, state: KeyState) -> None:
+        known = self._entries.get(state["key"])
+        if known is not None and (known.response is not None or state["ran"] != "answered"):
+            return
+        entry = _Entry(state["fingerprint"], now - state["age_ms"] / 1000, running=False)
+        if state["ran"] == "answered":
+            entry.response = Response(state["status"], state["headers"], state["body"])
+            self._bytes += len(state["body"])
+        self._entries[state["key"]] = entry
+
+
+def _again(entry: _Entry, mark: str) -> Claim:
+    if entry.fingerprint != mark:
+        return Deny("no", "key-reused-for-another-request", 0.0)
+    if entry.running:
+        return Join()
+    if entry.response is not None:
+        return Replay(entry.response)
+    return Deny("maybe", "key-may-have-run", 0.0)
+
+
+def _state(key: str, entry: _Entry, now: float) -> KeyState:
+    response = entry.response
+    return {
+        "key": key,
+        "fingerprint": entry.fingerprint,
+        "ran": "answered" if response is not None else "maybe",
+        "status": response.status if response is not None else 0,
+        "headers": response.headers if response is not None else [],
+        "body": response.body if response is not None else b"",
+        "age_ms": int((now - entry.first) * 1000),
+    }
--- /dev/null
+++ b/foldhoist/delivery/owner.py
@@ -0,0 +1,553 @@
+"""The owner's side of delivery: every call to one upstream passes through this object.
+
+It takes frames and results with an explicit `now` (monotonic seconds) and returns actions for
+the tasks that own the sockets. It does no I/O and reads no clock.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+
+from foldhoist.admission.slots import Refuse, Shape, SlotQueue, Start
+from foldhoist.delivery.keys import Deny, Join, KeyTable, Replay, fingerprint
+from foldhoist.delivery.verdict import Headers, Response
+
+if TYPE_CHECKING:
+    from foldhoist.admission.slots import Decision
+    from foldhoist.schema.messages import (
+        Answer,
+        Dispatch,
+        FateAsk,
+        Hello,
+        Load,
+        Refusal,
+        Report,
+        Withdraw,
+    )
+
+KEPT_RESULTS = 512
+"""Results kept for one ingress until it says that it has them."""
+KEPT_BYTES = 4 * 1024 * 1024
+"""Bytes of results kept for one ingress."""
+PEER_FORGET_S = 600.0
+"""An ingress without connection or calls is forgotten after this, seconds."""
+ORPHAN_S = 1.0
+"""Waiting calls of an ingress whose connection fell are dropped after this, seconds."""
+ERROR_SMOOTHING = 0.1
+"""Weight of the newest answer in the share of errors."""
+LOCAL_LINK = 0
+"""Link number of the ingress in the owner's own process."""
+
+
+class Frame(NamedTuple):
+    """A message to an ingress: its kind and its fields."""
+
+    kind: str
+    body: Answer | Refusal | Report
+
+
+class SendTo(NamedTuple):
+    """Write a frame to a connection."""
+
+    link: int
+    frame: Frame
+
+
+class CloseLink(NamedTuple):
+    """Close a connection whose ingress has a newer one."""
+
+    link: int
+
+
+class StartCall(NamedTuple):
+    """Send this call to the upstream; at most `budget_s` seconds are left for it."""
+
+    ticket: int
+    request: Dispatch
+    budget_s: float
+
+
+class CancelCall(NamedTuple):
+    """Stop this call at the upstream: nobody waits for it."""
+
+    ticket: int
+
+
+Action: TypeAlias = SendTo | CloseLink | StartCall | CancelCall
+
+
+class Whole(NamedTuple):
+    """The upstream's whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class Shed(NamedTuple):
+    """The upstream says that it did not run the call."""
+
+    retry_after_s: float
+
+
+class Broken(NamedTuple):
+    """No whole answer; `sent` tells whether any byte of the call may have reached the upstream."""
+
+    sent: bool
+    reason: str
+
+
+Result: TypeAlias = Whole | Shed | Broken
+
+
+class Ended(NamedTuple):
+    """What a call did at this owner, for its record; times are microseconds."""
+
+    trace: str
+    seq: int
+    waited_us: int
+    served_us: int
+    result: str
+    busy: int
+    queued: int
+
+
+@dataclass(slots=True)
+class Counters:
+    """What this owner has counted since it started."""
+
+    answered: int = 0
+    cancelled: int = 0
+    dispatched: int = 0
+    fenced: int = 0
+    key_denied: int = 0
+    key_replayed: int = 0
+    lost: int = 0
+    refused: int = 0
+    withdrawn: int = 0
+
+
+class _Peer:
+    """One life of one ingress process."""
+
+    __slots__ = ("epoch", "forgotten", "kept", "kept_bytes", "link", "live", "lost_at", "name")
+
+    def __init__(self, name: str, epoch: int, link: int) -> None:
+        self.name = name
+        self.epoch = epoch
+        self.link: int | None = link
+        self.live: dict[int, int] = {}
+        self.kept: OrderedDict[int, Frame] = OrderedDict()
+        self.kept_bytes = 0
+        self.forgotten = 0
+        self.lost_at = 0.0
+
+
+class _Ticket:
+    __slots__ = ("arrived", "deadline", "incarnation", "key", "request", "running", "started")
+
+    def __init__(self, incarnation: str, request: Dispatch, now: float, deadline: float) -> None:
+        self.incarnation = incarnation
+        self.request = request
+        self.arrived = now
+        self.deadline = deadline
+        self.running = False
+        self.started = 0.0
+        self.key = request["key"]
+
+
+class Owner:
+    """Admission, dispatch and the memory of results for one upstream."""
+
+    def __init__(self, name: str, service: str, shape: Shape, key_window_s: float) -> None:
+        self.name = name
+        self.service = service
+        self.queue = SlotQueue(shape)
+        self.keys = KeyTable(name, key_window_s)
+        self.count = Counters()
+        self.state = "warm"
+        self.leaving_why: dict[str, bool] = {}
+        self.errors = 0.0
+        self.waits_us: list[int] = []
+        self._answered_any = False
+        self._peers: dict[str, _Peer] = {}
+        self._by_link: dict[int, str] = {}
+        self._tickets: dict[int, _Ticket] = {}
+        self._joined: dict[str, list[tuple[str, int]]] = {}
+        self._next_ticket = 1
+
+    # What the tasks tell it
+
+    def hello(self, now: float, link: int, hello: Hello) -> list[Action]:
+        """Take in a new connection; an older one of the same ingress is closed and refused."""
+        incarnation = hello["incarnation"]
+        peer = self._peers.get(incarnation)
+        if peer is None:
+            self._peers[incarnation] = _Peer(hello["name"], hello["epoch"], link)
+            self._by_link[link] = incarnation
+            return [SendTo(link, self._report())]
+        if hello["epoch"] <= peer.epoch:
+            self.count.fenced += 1
+            return [CloseLink(link)]
+        actions: list[Action] = []
+        if peer.link is not None:
+            self._by_link.pop(peer.link, None)
+            actions.append(CloseLink(peer.link))
+        peer.epoch = hello["epoch"]
+        peer.link = link
+        self._by_link[link] = incarnation
+        actions.append(SendTo(link, self._report()))
+        return actions
+
+    def link_lost(self, now: float, link: int) -> None:
+        """Take in that a connection fell; its ingress may come back and ask."""
+        incarnation = self._by_link.pop(link, None)
+        if incarnation is None:
+            return
+        peer = self._peers[incarnation]
+        peer.link = None
+        peer.lost_at = now
+
+    def dispatch(self, now: float, wall_ms: int, link: int, req: Dispatch) -> list[Action]:
+        """Take in a call."""
+        incarnation = self._by_link.get(link)
+        if incarnation is None:
+            self.count.fenced += 1
+            return []
+        peer = self._peers[incarnation]
+        _drop_acked(peer, req["acked"])
+        seq = req["seq"]
+        refused = self._refusal_at_door(req)
+        if refused is not None:
+            return [self._refuse(peer, seq, refused, 1.0)]
+        if req["key"]:
+            early = self._claim(now, wall_ms, incarnation, req)
+            if early is not None:
+                return early
+        return self._admit(now, incarnation, peer, req)
+
+    def withdraw(self, now: float, link: int, message: Withdraw) -> list[Action]:
+        """Take in that nobody waits for a call any more."""
+        incarnation = self._by_link.get(link)
+        if incarnation is None:
+            return []
+        peer = self._peers[incarnation]
+        ticket_id = peer.live.get(message["seq"])
+        if ticket_id is None:
+            return []
+        ticket = self._tickets[ticket_id]
+        if ticket.key:
+            return []
+        if not ticket.running:
+            self.queue.withdraw(ticket_id)
+            self.count.withdrawn += 1
+            return self._end_refused(ticket_id, "no", "withdrawn", 0.0)
+        self.count.cancelled += 1
+        return [CancelCall(ticket_id)]
+
+    def fate(self, now: float, link: int, message: FateAsk) -> list[Action]:
+        """Say what became of calls whose connection fell."""
+        incarnation = self._by_link.get(link)
+        if incarnation is None:
+            return []
+        peer = self._peers[incarnation]
+        actions: list[Action] = []
+        for seq in message["seqs"]:
+            if seq in peer.live or self._is_joined(incarnation, seq):
+                continue
+            frame = peer.kept.get(seq)
+            if frame is not None:
+                actions.append(SendTo(link, frame))
+                continue
+            ran = "maybe" if seq <= peer.forgotten else "no"
+            reason = "result-forgotten" if ran == "maybe" else "never-arrived"
+            actions.append(SendTo(link, self._refusal(seq, ran, reason, 0.0)))
+        return actions
+
+    def finished(self, now: float, ticket_id: int, result: Result) -> list[Action]:
+        """Take in what the upstream made of a call."""
+        ticket = self._tickets.get(ticket_id)
+        if ticket is None:
+            return []
+        served = now - ticket.started
+        match result:
+            case Whole():
+                self._count_answer(result.status)
+                started = self._apply(now, self.queue.release(now, served))
+                return [*self._end_answered(now, ticket_id, result, served), *started]
+            case Shed():
+                self.state = "shedding"
+                started = self._apply(now, self.queue.release(now, None))
+                ended = self._end_refused(ticket_id, "no", "upstream-shed", result.retry_after_s)
+                return [*ended, *started]
+            case Broken():
+                self.count.lost += 1
+                self.errors += ERROR_SMOOTHING * (1.0 - self.errors)
+                started = self._apply(now, self.queue.release(now, None))
+                ran = "maybe" if result.sent else "no"
+                return [*self._end_refused(ticket_id, ran, result.reason, 0.5), *started]
+
+    def set_state(self, state: str) -> list[Action]:
+        """Take in what the upstream says of itself; tells every ingress if it changed."""
+        if self.leaving_why.get("upstream"):
+            return []
+        if state == "leaving":
+            return self.leave("upstream")
+        if state == self.state:
+            return []
+        self.state = state
+        return self._tell_all()
+
+    def leave(self, source: str) -> list[Action]:
+        """Stop taking new work, because `source` says that the upstream is leaving."""
+        if self.leaving_why.get(source):
+            return []
+        self.leaving_why[source] = True
+        return self._tell_all()
+
+    def stay(self, source: str) -> list[Action]:
+        """Take back what `source` said; other sources still count."""
+        if not self.leaving_why.pop(source, False):
+            return []
+        return self._tell_all()
+
+    def tick(self, now: float) -> list[Action]:
+        """Refuse what has waited too long, drop what nobody will ask for, forget old peers."""
+        actions = self._apply(now, self.queue.expire(now))
+        for incarnation, peer in list(self._peers.items()):
+            if peer.link is not None or incarnation == "":
+                continue
+            if now - peer.lost_at > ORPHAN_S:
+                self._drop_waiting(peer)
+            if now - peer.lost_at > PEER_FORGET_S and not peer.live:
+                del self._peers[incarnation]
+        self.keys.expire(now)
+        return actions
+
+    # What others may read
+
+    @property
+    def leaving(self) -> bool:
+        """Return whether this upstream takes no new work."""
+        return bool(self.leaving_why)
+
+    @property
+    def calls(self) -> int:
+        """Return the calls that wait or run here."""
+        return len(self._tickets)
+
+    def running(self) -> list[tuple[int, float]]:
+        """Return ticket and deadline of the calls that are at the upstream."""
+        return [(each, t.deadline) for each, t in self._tickets.items() if t.running]
+
+    def ended(self, now: float, ticket_id: int, result: Result) -> Ended | None:
+        """Return what to record of a call whose result is about to be taken in."""
+        ticket = self._tickets.get(ticket_id)
+        if ticket is None:
+            return None
+        match result:
+            case Whole(status):
+                name = f"answered {status}"
+            case Shed():
+                name = "shed"
+            case Broken(_, reason):
+                name = reason
+        req = ticket.request
+        waited_us = int((ticket.started - ticket.arrived) * 1e6)
+        served_us = int((now - ticket.started) * 1e6)
+        busy, queued = self.queue.busy, self.queue.queued
+        return Ended(req["trace"], req["seq"], waited_us, served_us, name, busy, queued)
+
+    def load(self) -> Load:
+        """Return the load as it is now."""
+        return {
+            "busy": self.queue.busy,
+            "queued": self.queue.queued,
+            "slots": self.queue.shape.slots,
+            "service_us": int(self.queue.service_s * 1e6) if self._answered_any else 0,
+            "errors": round(self.errors, 3),
+            "state": "leaving" if self.leaving else self.state,  # type: ignore[typeddict-item]
+        }
+
+    # Steps
+
+    def _refusal_at_door(self, req: Dispatch) -> str | None:
+        if self.leaving:
+            return "upstream-leaving"
+        if req["service"] != self.service:
+            return "not-my-service"
+        if self.state == "down":
+            return "upstream-down"
+        return None
+
+    def _claim(
+        self, now: float, wall_ms: int, incarnation: str, req: Dispatch
+    ) -> list[Action] | None:
+        mark = fingerprint(req["method"], req["path"], req["body"])
+        peer = self._peers[incarnation]
+        seq = req["seq"]
+        claim = self.keys.claim(now, wall_ms, req["key"], req["key_issued_ms"], mark)
+        match claim:
+            case Deny():
+                self.count.key_denied += 1
+                frame = self._refusal(seq, claim.ran, claim.reason, claim.retry_after_s)
+                return [self._send(peer, seq, frame)]
+            case Replay():
+                self.count.key_replayed += 1
+                return [self._send(peer, seq, self._answer(seq, claim.response, 0, 0))]
+            case Join():
+                self._joined.setdefault(req["key"], []).append((incarnation, seq))
+                return []
+        return None
+
+    def _admit(self, now: float, incarnation: str, peer: _Peer, req: Dispatch) -> list[Action]:
+        ticket_id = self._next_ticket
+        self._next_ticket += 1
+        deadline = now + req["budget_ms"] / 1000
+        ticket = _Ticket(incarnation, req, now, deadline)
+        self._tickets[ticket_id] = ticket
+        peer.live[req["seq"]] = ticket_id
+        decision = self.queue.submit(now, ticket_id, req["urgent"], deadline)
+        return self._apply(now, [decision])
+
+    def _apply(self, now: float, decisions: list[Decision]) -> list[Action]:
+        actions: list[Action] = []
+        for decision in decisions:
+            match decision:
+                case Start(ticket_id):
+                    actions.append(self._start(now, ticket_id))
+                case Refuse(ticket_id, reason, retry_after_s):
+                    actions += self._end_refused(ticket_id, "no", reason, retry_after_s)
+        return actions
+
+    def _start(self, now: float, ticket_id: int) -> Action:
+        ticket = self._tickets[ticket_id]
+        ticket.running = True
+        ticket.started = now
+        self.count.dispatched += 1
+        return StartCall(ticket_id, ticket.request, ticket.deadline - now)
+
+    def _end_answered(
+        self, now: float, ticket_id: int, whole: Whole, served_s: float
+    ) -> list[Action]:
+        ticket = self._tickets.pop(ticket_id)
+        self.count.answered += 1
+        response = Response(whole.status, whole.headers, whole.body)
+        waited_us = int((ticket.started - ticket.arrived) * 1e6)
+        served_us = int(served_s * 1e6)
+        actions: list[Action] = []
+        for incarnation, seq in self._waiters(ticket):
+            peer = self._peers.get(incarnation)
+            if peer is None:
+                continue
+            frame = self._answer(seq, response, waited_us, served_us)
+            actions.append(self._end(peer, seq, frame))
+        if ticket.key:
+            self.keys.ended(ticket.key, response, ran=True)
+        return actions
+
+    def _end_refused(
+        self, ticket_id: int, ran: str, reason: str, retry_after_s: float
+    ) -> list[Action]:
+        ticket = self._tickets.pop(ticket_id)
+        self.count.refused += 1
+        actions: list[Action] = []
+        for incarnation, seq in self._waiters(ticket):
+            peer = self._peers.get(incarnation)
+            if peer is None:
+                continue
+            frame = self._refusal(seq, ran, reason, retry_after_s)
+            actions.append(self._end(peer, seq, frame))
+        if ticket.key:
+            self.keys.ended(ticket.key, None, ran=ran != "no")
+        return actions
+
+    def _waiters(self, ticket: _Ticket) -> list[tuple[str, int]]:
+        first = (ticket.incarnation, ticket.request["seq"])
+        if not ticket.key:
+            return [first]
+        return [first, *self._joined.pop(ticket.key, [])]
+
+    def _end(self, peer: _Peer, seq: int, frame: Frame) -> Action:
+        peer.live.pop(seq, None)
+        return self._send(peer, seq, frame)
+
+    def _send(self, peer: _Peer, seq: int, frame: Frame) -> Action:
+        if peer.link == LOCAL_LINK:
+            return SendTo(LOCAL_LINK, frame)
+        peer.kept[seq] = frame
+        peer.kept_bytes += _size(frame)
+        while len(peer.kept) > KEPT_RESULTS or peer.kept_bytes > KEPT_BYTES:
+            old, dropped = peer.kept.popitem(last=False)
+            peer.kept_bytes -= _size(dropped)
+            peer.forgotten = max(peer.forgotten, old)
+        return SendTo(-1 if peer.link is None else peer.link, frame)
+
+    def _refuse(self, peer: _Peer, seq: int, reason: str, retry_after_s: float) -> Action:
+        self.count.refused += 1
+        return self._send(peer, seq, self._refusal(seq, "no", reason, retry_after_s))
+
+    def _is_joined(self, incarnation: str, seq: int) -> bool:
+        return any((incarnation, seq) in waiters for waiters in self._joined.values())
+
+    def _drop_waiting(self, peer: _Peer) -> None:
+        for ticket_id in list(peer.live.values()):
+            ticket = self._tickets[ticket_id]
+            if ticket.running:
+                continue
+            self.queue.withdraw(ticket_id)
+            self.count.withdrawn += 1
+            self._end_refused(ticket_id, "no", "ingress-gone", 0.0)
+
+    def _count_answer(self, status: int) -> None:
+        failed = 1.0 if status >= 500 else 0.0
+        self.errors += ERROR_SMOOTHING * (failed - self.errors)
+        self._answered_any = True
+        if self.state in ("shedding", "cold"):
+            self.state = "warm"
+
+    def _tell_all(self) -> list[Action]:
+        report = self._report()
+        return [SendTo(link, report) for link in self._by_link]
+
+    def _report(self) -> Frame:
+        return Frame("Report", {"load": self.load()})
+
+    def _answer(self, seq: int, response: Response, waited_us: int, served_us: int) -> Frame:
+        body: Answer = {
+            "seq": seq,
+            "status": response.status,
+            "headers": response.headers,
+            "body": response.body,
+            "waited_us": waited_us,
+            "served_us": served_us,
+            "load": self.load(),
+        }
+        return Frame("Answer", body)
+
+    def _refusal(self, seq: int, ran: str, reason: str, retry_after_s: float) -> Frame:
+        body: Refusal = {
+            "seq": seq,
+            "ran": ran,  # type: ignore[typeddict-item]
+            "reason": reason,
+            "retry_after_ms": int(retry_after_s * 1000),
+            "load": self.load(),
+        }
+        return Frame("Refusal", body)
+
+
+def _drop_acked(peer: _Peer, acked: int) -> None:
+    while peer.kept:
+        seq = next(iter(peer.kept))
+        if seq >= acked:
+            return
+        peer.kept_bytes -= _size(peer.kept.pop(seq))
+
+
+def _size(frame: Frame) -> int:
+    match frame.body:
+        case {"body": bytes(body)}:
+            return len(body) + 100
+    return 100
--- /dev/null
+++ b/foldhoist/delivery/verdict.py
@@ -0,0 +1,50 @@
+"""The verdict: what became of a request, and whether it may have run."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TypeAlias
+
+Headers: TypeAlias = list[list[bytes]]
+
+
+class Response(NamedTuple):
+    """A whole HTTP answer; header values are raw bytes."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class Answered(NamedTuple):
+    """The upstream answered, whole."""
+
+    response: Response
+
+
+class NotRun(NamedTuple):
+    """The request certainly did not run; asking again makes sense after `retry_after_s` seconds."""
+
+    reason: str
+    retry_after_s: float = 1.0
+    status: int = 503
+
+
+class MayHaveRun(NamedTuple):
+    """The request was dispatched and no whole answer came back."""
+
+    reason: str
+    status: int = 502
+
+
+Verdict: TypeAlias = Answered | NotRun | MayHaveRun
+
+
+def verdict_name(verdict: Verdict) -> str:
+    """Return the name that callers see in the verdict header."""
+    match verdict:
+        case Answered():
+            return "answered"
+        case NotRun():
+            return "not-run"
+        case MayHaveRun():
+            return "may-have-run"
--- /dev/null
+++ b/foldhoist/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstreams may get work; no I/O."""
--- /dev/null
+++ b/foldhoist/membership/view.py
@@ -0,0 +1,46 @@
+"""Which upstreams one daemon tracks: a bounded number, its own data centre first."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from foldhoist.config.fleet import homes_of, targets_of
+from foldhoist.routing.picker import Member
+from foldhoist.routing.rendezvous import ranked
+
+if TYPE_CHECKING:
+    from foldhoist.schema.fleet import Fleet
+
+REMOTE_SHARE = 4
+"""One in this many tracked upstreams is of another data centre, so that a lost one leaves some."""
+
+
+def tracked(fleet: Fleet, name: str, data_centre: str) -> dict[str, list[Member]]:
+    """Return the upstreams that the daemon of this name tracks, by service."""
+    chosen: dict[str, list[Member]] = {}
+    for service, cfg in fleet["services"].items():
+        serving = {
+            target_name: target
+            for target_name, target in targets_of(fleet, service).items()
+            if target["state"] == "serving"
+        }
+        near = [each for each in serving if serving[each]["data_centre"] == data_centre]
+        far = [each for each in serving if serving[each]["data_centre"] != data_centre]
+        picked = _bounded(ranked(near, name), ranked(far, name), cfg["track"])
+        chosen[service] = [
+            Member(each, serving[each]["data_centre"], serving[each]["slots"]) for each in picked
+        ]
+    return chosen
+
+
+def homes(fleet: Fleet) -> dict[str, tuple[str, ...]]:
+    """Return the homes of idempotency keys, by service."""
+    return {service: homes_of(fleet, service) for service in fleet["services"]}
+
+
+def _bounded(near: list[str], far: list[str], most: int) -> list[str]:
+    if len(near) + len(far) <= most:
+        return near + far
+    remote = min(len(far), max(1, most // REMOTE_SHARE))
+    local = min(len(near), most - remote)
+    return near[:local] + far[: most - local]
--- /dev/null
+++ b/foldhoist/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, histograms, spans and decision records."""
--- /dev/null
+++ b/foldhoist/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/foldhoist/platform/client.py
@@ -0,0 +1,136 @@
+"""Client of the platform's append-only log and of its host list, over HTTP."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TypedDict
+
+import msgspec
+from expression import Error, Ok, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from foldhoist.configlog.fold import KeepRecord, LogRecord, PublishRecord
+from foldhoist.schema.messages import Publish, Snapshot
+
+REQUEST_S = 5.0
+"""Longest wait for an answer of the platform, seconds."""
+PAGE = 200
+"""Records asked for at once."""
+
+
+class PlatformError(NamedTuple):
+    """The platform did not do what was asked; `sent` tells whether it may have been done."""
+
+    what: str
+    sent: bool
+
+
+class StoredRecord(TypedDict):
+    """A record as the log gives it; data is base64 in JSON."""
+
+    offset: int
+    data: bytes
+
+
+class Page(TypedDict):
+    """Records from an offset on, the oldest offset kept and the next to be written."""
+
+    oldest: int
+    next: int
+    records: list[StoredRecord]
+
+
+class Host(TypedDict):
+    """An entry of the host list."""
+
+    name: str
+    state: str
+
+
+_PAGES = msgspec.json.Decoder(Page)
+_HOSTS = msgspec.json.Decoder(Host)
+_PUBLISHES = msgspec.json.Decoder(Publish)
+_KEEPS = msgspec.json.Decoder(Snapshot)
+
+
+def pack_publish(body: Publish) -> bytes:
+    """Return the bytes of a proposal as a record."""
+    return b"publish " + msgspec.json.encode(body)
+
+
+def pack_keep(body: Snapshot) -> bytes:
+    """Return the bytes of a kept state as a record."""
+    return b"keep " + msgspec.json.encode(body)
+
+
+def unpack(stored: StoredRecord) -> LogRecord | None:
+    """Return the record, or None if its bytes are none of ours: it folds to nothing."""
+    kind, _, fields = stored["data"].partition(b" ")
+    try:
+        match kind:
+            case b"publish":
+                return PublishRecord(stored["offset"], _PUBLISHES.decode(fields))
+            case b"keep":
+                return KeepRecord(stored["offset"], _KEEPS.decode(fields))
+    except msgspec.DecodeError:
+        return None
+    return None
+
+
+class PlatformClient:
+    """Reads and appends records of one stream, and reads the host list."""
+
+    def __init__(self, log: str, stream: str, hosts: str = "") -> None:
+        self.url = f"http://{log}/streams/{stream}"
+        self.hosts_url = f"http://{hosts}/hosts" if hosts else ""
+        self._http = AsyncHTTPClient(force_instance=True)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.close()
+
+    async def append(self, data: bytes) -> Result[int, PlatformError]:
+        """Append a record; returns its offset."""
+        answer = await self._fetch(HTTPRequest(self.url, method="POST", body=data))
+        match answer:
+            case Result(tag="ok", ok=body):
+                return Ok(int(msgspec.json.decode(body)["offset"]))
+        return Error(answer.error)
+
+    async def read(self, offset: int) -> Result[Page, PlatformError]:
+        """Read up to PAGE records from an offset on."""
+        answer = await self._fetch(HTTPRequest(f"{self.url}?from={offset}&limit={PAGE}"))
+        match answer:
+            case Result(tag="ok", ok=body):
+                return _decode_page(body)
+        return Error(answer.error)
+
+    async def host_state(self, name: str) -> Result[str, PlatformError]:
+        """Return the state of one host: live, leaving or absent."""
+        answer = await self._fetch(HTTPRequest(f"{self.hosts_url}/{name}"))
+        match answer:
+            case Result(tag="ok", ok=body):
+                try:
+                    return Ok(_HOSTS.decode(body)["state"])
+                except msgspec.DecodeError as exc:
+                    return Error(PlatformError(f"the host list answered no host: {exc}", False))
+        return Error(answer.error)
+
+    async def _fetch(self, req: HTTPRequest) -> Result[bytes, PlatformError]:
+        req.connect_timeout = REQUEST_S
+        req.request_timeout = REQUEST_S
+        try:
+            response = await self._http.fetch(req)
+        except HTTPClientError as exc:
+            return Error(PlatformError(f"the platform answered {exc.code}", exc.code >= 500))
+        except ConnectionRefusedError:
+            return Error(PlatformError("the platform refused the connection", False))
+        except (OSError, TimeoutError) as exc:
+            return Error(PlatformError(f"the platform did not answer: {exc}", True))
+        return Ok(response.body)
+
+
+def _decode_page(body: bytes) -> Result[Page, PlatformError]:
+    try:
+        return Ok(_PAGES.decode(body))
+    except msgspec.DecodeError as exc:
+        return Error(PlatformError(f"the log answered no page: {exc}", False))
--- /dev/null
+++ b/foldhoist/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing an upstream; no I/O."""
--- /dev/null
+++ b/foldhoist/routing/picker.py
@@ -0,0 +1,252 @@
+"""Chooses an upstream of one service: who may be chosen, ejection, slow start, then a policy."""
+
+from __future__ import annotations
+
+from statistics import median
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+
+from foldhoist.routing.policies import Policy, Scored, choose, scored
+from foldhoist.routing.track import Track
+
+if TYPE_CHECKING:
+    from collections.abc import Container, Iterable
+    from random import Random
+
+    from foldhoist.schema.messages import Load
+
+NO_CONNECTION = "no-upstream-connected"
+"""Reason of a refusal for want of any connection."""
+EJECT_ERRORS = 0.5
+"""Share of recent errors from which on an upstream is ejected."""
+EJECT_RESULTS = 3
+"""Results needed before an upstream is judged."""
+EJECT_SLOWER = 6.0
+"""An upstream this many times slower than the median of the others is ejected."""
+EJECT_SLOW_S = 0.01
+"""Slowness below this is never a reason, seconds."""
+EJECT_FIRST_S = 0.5
+"""Length of a first ejection, seconds; it doubles each time."""
+EJECT_LONGEST_S = 30.0
+"""Longest ejection, seconds."""
+TRIAL_CALLS = 3
+"""Good answers that a returning upstream must give, one at a time."""
+RAMP_S = 2.0
+"""A new upstream is given its full share after this long, seconds."""
+REFUSED_S = 0.02
+"""An upstream that refused is left out at least this long, seconds."""
+REFUSED_LONGEST_S = 1.0
+"""An upstream that refused is left out at most this long, seconds."""
+
+
+class Member(NamedTuple):
+    """An upstream that this daemon tracks."""
+
+    name: str
+    data_centre: str
+    slots: int
+
+
+class Choice(NamedTuple):
+    """The chosen upstream, why, and the candidates it was chosen from."""
+
+    name: str
+    reason: str
+    candidates: tuple[Scored, ...]
+
+
+class NoChoice(NamedTuple):
+    """No upstream may get the call; ask again after `retry_after_s` seconds."""
+
+    reason: str
+    retry_after_s: float
+
+
+Pick: TypeAlias = Choice | NoChoice
+
+
+class Picker:
+    """The upstreams of one service as one daemon sees them; `now` is in seconds, monotonic."""
+
+    def __init__(self, policy: Policy, data_centre: str, eject_share: float, rng: Random) -> None:
+        self.policy = policy
+        self.data_centre = data_centre
+        self.eject_share = eject_share
+        self.rng = rng
+        self.tracks: dict[str, Track] = {}
+        self._started = False
+
+    def members(self, members: Iterable[Member], now: float) -> None:
+        """Set the upstreams to choose from; those known already keep what is known of them."""
+        kept: dict[str, Track] = {}
+        for member in members:
+            track = self.tracks.get(member.name)
+            if track is None:
+                since = now if self._started else now - RAMP_S
+                track = Track(member.name, member.data_centre, member.slots, since)
+            kept[member.name] = track
+        self.tracks = kept
+        self._started = True
+
+    def pick(self, now: float, excluded: Container[str], explain: bool = True) -> Pick:
+        """Choose an upstream for one call, other than the excluded ones."""
+        open_ones: list[Track] = []
+        ejected: list[Track] = []
+        for track in self.tracks.values():
+            if not track.linked or not track.standing or track.name in excluded:
+                continue
+            if track.backoff_until > now:
+                continue
+            if track.ejected_until > now:
+                ejected.append(track)
+                continue
+            if self._has_room(track, now):
+                open_ones.append(track)
+        reason = "least-cost"
+        if not open_ones:
+            open_ones = ejected
+            reason = "only-ejected-left"
+        if not open_ones:
+            return self._none(now, excluded)
+        if len(open_ones) == 1:
+            track = open_ones[0]
+            reason = "only-one-open" if reason == "least-cost" else reason
+        else:
+            track = choose(self.policy, open_ones, now, self.rng)
+        if not explain:
+            return Choice(track.name, reason, ())
+        shown = tuple(scored(each, self.data_centre, now) for each in open_ones)
+        return Choice(track.name, reason, shown)
+
+    def sent(self, name: str, seq: int, now: float) -> None:
+        """Count a call that was sent to this upstream."""
+        track = self.tracks.get(name)
+        if track is not None:
+            track.sent(seq, now)
+
+    def answered(self, name: str, seq: int, now: float, failed: bool, load: Load) -> None:
+        """Take in an answer; `failed` marks an error of the server's."""
+        track = self.tracks.get(name)
+        if track is None:
+            return
+        sent = track.ended(seq)
+        track.learned(load, now)
+        self._take_state(track, load)
+        if sent is not None:
+            self._judge(track, now, now - sent, failed)
+
+    def refused(self, name: str, seq: int, now: float, retry_after_s: float, load: Load) -> None:
+        """Take in a refusal: leave the upstream out until it may have room again."""
+        track = self.tracks.get(name)
+        if track is None:
+            return
+        track.ended(seq)
+        track.learned(load, now)
+        self._take_state(track, load)
+        pause = min(REFUSED_LONGEST_S, max(REFUSED_S, retry_after_s))
+        track.backoff_until = max(track.backoff_until, now + pause)
+
+    def lost(self, name: str, seq: int, now: float) -> None:
+        """Take in a call that ended without answer or refusal."""
+        track = self.tracks.get(name)
+        if track is None:
+            return
+        sent = track.ended(seq)
+        if sent is not None:
+            self._judge(track, now, now - sent, failed=True)
+
+    def abandoned(self, name: str, seq: int) -> None:
+        """Take in a call that nobody waits for any more."""
+        track = self.tracks.get(name)
+        if track is not None:
+            track.ended(seq)
+
+    def reported(self, name: str, now: float, load: Load) -> None:
+        """Take in a report of the owner's that came by itself."""
+        track = self.tracks.get(name)
+        if track is None:
+            return
+        track.learned(load, now)
+        self._take_state(track, load)
+
+    def linked(self, name: str, now: float, up: bool, fresh: bool) -> None:
+        """Take in that the connection to the owner stands or fell; `fresh` marks a new life."""
+        track = self.tracks.get(name)
+        if track is None:
+            return
+        track.linked = up
+        if up and fresh:
+            self._forget(track, now)
+
+    def _forget(self, track: Track, now: float) -> None:
+        if track.load is not None or track.results:
+            track.since = now
+        track.standing = True
+        track.results = 0
+        track.errors = 0.0
+        track.latency_s = 0.0
+        track.load = None
+        track.others = 0
+
+    def _take_state(self, track: Track, load: Load) -> None:
+        track.standing = load["state"] not in ("leaving", "down")
+
+    def _has_room(self, track: Track, now: float) -> bool:
+        if track.trial_left:
+            return track.in_flight == 0
+        age = now - track.since
+        if age >= RAMP_S:
+            return True
+        return track.in_flight < max(1.0, track.slots * age / RAMP_S)
+
+    def _judge(self, track: Track, now: float, latency_s: float, failed: bool) -> None:
+        track.measured(latency_s, failed)
+        if track.trial_left:
+            self._judge_trial(track, now, latency_s, failed)
+            return
+        if track.ejected_until > now or track.results < EJECT_RESULTS:
+            return
+        if track.errors >= EJECT_ERRORS or self._is_slow(track.latency_s, track.name):
+            self._eject(track, now)
+
+    def _judge_trial(self, track: Track, now: float, latency_s: float, failed: bool) -> None:
+        if failed or self._is_slow(latency_s, track.name):
+            self._eject(track, now)
+            return
+        track.trial_left -= 1
+        if track.trial_left == 0:
+            track.ejections = 0
+            track.errors = 0.0
+            track.latency_s = latency_s
+
+    def _is_slow(self, latency_s: float, name: str) -> bool:
+        if latency_s < EJECT_SLOW_S:
+            return False
+        others = [
+            track.latency_s
+            for track in self.tracks.values()
+            if track.name != name and track.results >= EJECT_RESULTS
+        ]
+        return bool(others) and latency_s > EJECT_SLOWER * median(others)
+
+    def _eject(self, track: Track, now: float) -> None:
+        out = sum(1 for each in self.tracks.values() if each.ejected_until > now)
+        if out + 1 > self.eject_share * len(self.tracks):
+            return
+        length = min(EJECT_LONGEST_S, EJECT_FIRST_S * 2**track.ejections)
+        track.ejections += 1
+        track.ejected_until = now + length
+        track.trial_left = TRIAL_CALLS
+
+    def _none(self, now: float, excluded: Container[str]) -> NoChoice:
+        waits = [
+            track.backoff_until - now
+            for track in self.tracks.values()
+            if track.backoff_until > now and track.linked and track.standing
+        ]
+        if waits:
+            return NoChoice("all-upstreams-full", min(waits))
+        if any(track.linked and track.name in excluded for track in self.tracks.values()):
+            return NoChoice("no-other-upstream", 0.1)
+        if any(track.linked for track in self.tracks.values()):
+            return NoChoice("all-upstreams-leaving-or-busy", 0.5)
+        return NoChoice(NO_CONNECTION, 1.0)
--- /dev/null
+++ b/foldhoist/routing/track.py
@@ -0,0 +1,106 @@
+"""What one daemon knows of one upstream, and how sure it may be of it."""
+
+from __future__ import annotations
+
+from math import exp
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from foldhoist.schema.messages import Load
+
+UNKNOWN_SERVICE_S = 0.001
+"""Service time assumed of an upstream that has not answered yet, seconds."""
+SMOOTHING = 0.2
+"""Weight of the newest answer in the running means."""
+REPORT_HALF_LIFE_S = 0.05
+"""A reported load counts half after this long, seconds; measured in docs/design/choosing.md."""
+LN_2 = 0.6931471805599453
+
+
+class Track:
+    """One upstream as this daemon sees it; times are seconds, monotonic."""
+
+    __slots__ = (
+        "backoff_until",
+        "data_centre",
+        "ejected_until",
+        "ejections",
+        "errors",
+        "in_flight",
+        "latency_s",
+        "linked",
+        "load",
+        "load_at",
+        "name",
+        "others",
+        "results",
+        "sent_at",
+        "since",
+        "slots",
+        "standing",
+        "trial_left",
+    )
+
+    def __init__(self, name: str, data_centre: str, slots: int, now: float) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.slots = slots
+        self.since = now
+        self.linked = False
+        self.standing = True
+        self.in_flight = 0
+        self.sent_at: dict[int, float] = {}
+        self.latency_s = 0.0
+        self.errors = 0.0
+        self.results = 0
+        self.load: Load | None = None
+        self.load_at = 0.0
+        self.others = 0
+        self.backoff_until = 0.0
+        self.ejected_until = 0.0
+        self.ejections = 0
+        self.trial_left = 0
+
+    def sent(self, seq: int, now: float) -> None:
+        """Count a call that was just sent."""
+        self.sent_at[seq] = now
+        self.in_flight += 1
+
+    def ended(self, seq: int) -> float | None:
+        """Count the end of a call; return when it was sent, or None if it was not counted."""
+        sent = self.sent_at.pop(seq, None)
+        if sent is not None:
+            self.in_flight -= 1
+        return sent
+
+    def learned(self, load: Load, now: float) -> None:
+        """Take over the load that the owner attached to a message."""
+        self.load = load
+        self.load_at = now
+        self.slots = load["slots"] or self.slots
+        self.others = max(0, load["busy"] + load["queued"] - self.in_flight)
+
+    def measured(self, latency_s: float, failed: bool) -> None:
+        """Add one result to the running means."""
+        self.results += 1
+        weight = max(SMOOTHING, 1.0 / self.results)
+        self.latency_s += weight * (latency_s - self.latency_s)
+        self.errors += weight * ((1.0 if failed else 0.0) - self.errors)
+
+    def oldest_age(self, now: float) -> float:
+        """Return how long the oldest call in flight has been without a result, seconds."""
+        for sent in self.sent_at.values():
+            return now - sent
+        return 0.0
+
+    def service_s(self, now: float) -> float:
+        """Return the expected time of a call, never below the age of the oldest one in flight."""
+        known = self.latency_s if self.results else UNKNOWN_SERVICE_S
+        return max(known, self.oldest_age(now))
+
+    def occupancy(self, now: float) -> float:
+        """Return the calls expected there now: our own, and others by an ageing report."""
+        if not self.others:
+            return float(self.in_flight)
+        faded = exp(-LN_2 * (now - self.load_at) / REPORT_HALF_LIFE_S)
+        return self.in_flight + self.others * faded
--- /dev/null
+++ b/foldhoist/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Generated message, settings and configuration types."""
--- /dev/null
+++ b/foldhoist/schema/fleet.py
@@ -0,0 +1,158 @@
+"""Generated from fleet.json by tools/generate.py; edit that and run `make generate`."""
+
+from __future__ import annotations
+
+from typing import Literal, TypedDict
+
+
+class FleetSection(TypedDict):
+    """
+    The fleet.
+    """
+
+    name: str
+    """
+    Name of the fleet.
+    """
+    data_centres: str
+    """
+    Data centres, separated by commas.
+    """
+    hops: int
+    """
+    Deepest nesting of calls; a deeper one is refused.
+    """
+
+
+class Service(TypedDict):
+    """
+    A service: several targets that can each answer its calls.
+    """
+
+    prefix: str
+    """
+    Calls whose path begins with this belong to the service; the longest prefix wins.
+    """
+    deadline_ms: int
+    """
+    Time for a call in which the caller names none, milliseconds.
+    """
+    policy: Literal[
+        "random", "round-robin", "least-in-flight", "two-choices", "hot-cold", "mixed"
+    ]
+    """
+    How an upstream is chosen.
+    """
+    retry_share: float
+    """
+    Further attempts allowed, as a share of recent calls.
+    """
+    attempts: int
+    """
+    Most attempts of one call, the first included.
+    """
+    hedge_ms: int
+    """
+    A repeatable call without an answer after this many milliseconds is sent to a second upstream; 0 for never.
+    """
+    queue: int
+    """
+    Calls that may wait at one owner.
+    """
+    urgent_slots: int
+    """
+    Slots of each target that only urgent calls may take.
+    """
+    urgent_run: int
+    """
+    Urgent calls that may pass a waiting ordinary one in a row.
+    """
+    key_window_s: int
+    """
+    How long an idempotency key is remembered, seconds; a caller must not send a key again after that.
+    """
+    eject_share: float
+    """
+    Largest share of the service's upstreams that may be left out for errors or slowness.
+    """
+    track: int
+    """
+    Upstreams of the service that one daemon knows and chooses from.
+    """
+
+
+class Route(TypedDict):
+    """
+    Calls of a service that differ from the rest: the longest matching prefix with a matching method wins.
+    """
+
+    service: str
+    """
+    Name of the service.
+    """
+    prefix: str
+    """
+    Path prefix.
+    """
+    methods: str
+    """
+    HTTP methods, separated by commas.
+    """
+    repeatable: bool
+    """
+    Whether running the call twice does no harm.
+    """
+    urgent: bool
+    """
+    Whether the call goes before others.
+    """
+
+
+class Target(TypedDict):
+    """
+    One target: an upstream and the daemon beside it.
+    """
+
+    service: str
+    """
+    Name of the service.
+    """
+    data_centre: str
+    """
+    Data centre of the host.
+    """
+    frames: str
+    """
+    Address of the daemon's call connections.
+    """
+    control: str
+    """
+    Address of the daemon's control messages.
+    """
+    operators: str
+    """
+    Address of the daemon's operator endpoint.
+    """
+    slots: int
+    """
+    Calls that the upstream runs at once.
+    """
+    connections: int
+    """
+    Connections that the upstream accepts.
+    """
+    state: Literal["serving", "leaving", "retired"]
+    """
+    serving; leaving: no new calls; retired: the operator states that the host is off for good and that nothing of it runs.
+    """
+
+
+class Fleet(TypedDict):
+    """
+    The fleet configuration: an INI file that is applied as a whole. Sections are [fleet], [service NAME], [route NAME] and [target NAME].
+    """
+
+    fleet: FleetSection
+    services: dict[str, Service]
+    routes: dict[str, Route]
+    targets: dict[str, Target]
--- /dev/null
+++ b/foldhoist/schema/messages.py
@@ -0,0 +1,315 @@
+"""Generated from messages.json by tools/generate.py; edit that and run `make generate`."""
+
+from __future__ import annotations
+
+from typing import Literal, TypedDict
+
+
+class Messages(TypedDict):
+    """
+    Every message between two foldhoist processes. A field's description gives its unit.
+    """
+
+
+class Load(TypedDict):
+    """
+    What an owner knows of its upstream at the moment it writes; rides on every answer.
+    """
+
+    busy: int
+    """
+    Slots in use, this owner's own count.
+    """
+    queued: int
+    """
+    Calls waiting at the owner for a slot.
+    """
+    slots: int
+    """
+    Slots that the owner dispatches into.
+    """
+    service_us: int
+    """
+    Recent mean service time in microseconds; 0 before the first answer.
+    """
+    errors: float
+    """
+    Recent share of answers with a 5xx status, 0 to 1.
+    """
+    state: Literal["cold", "warm", "shedding", "leaving", "down"]
+    """
+    State of the upstream.
+    """
+
+
+class Hello(TypedDict):
+    """
+    First frame in each direction of a call connection.
+    """
+
+    name: str
+    """
+    The sender's target name.
+    """
+    incarnation: str
+    """
+    Random name of this life of the sender's process.
+    """
+    epoch: int
+    """
+    Rises with each connection of one incarnation to one owner; an older connection is refused from then on.
+    """
+    schema: int
+    """
+    Version of the message schema.
+    """
+
+
+class Dispatch(TypedDict):
+    """
+    Ingress to owner: run this call.
+    """
+
+    seq: int
+    """
+    Sequence number, unique within the ingress incarnation.
+    """
+    acked: int
+    """
+    Every result with a sequence number below this has been received by the ingress.
+    """
+    service: str
+    method: str
+    path: str
+    """
+    Request target as the caller sent it.
+    """
+    headers: list[list[bytes]]
+    """
+    Pairs of name and value.
+    """
+    body: bytes
+    budget_ms: int
+    """
+    Time left until the caller's deadline, in milliseconds, when the frame was written.
+    """
+    urgent: bool
+    repeatable: bool
+    key: str
+    """
+    Idempotency key, or empty.
+    """
+    key_issued_ms: int
+    """
+    When the key was first issued, milliseconds of wall clock; 0 if not known.
+    """
+    generation: int
+    """
+    Configuration generation by which the ingress chose this owner.
+    """
+    hops: int
+    """
+    How many calls this one is nested in.
+    """
+    retried: bool
+    """
+    This, or a call that it is nested in, is a further attempt.
+    """
+    trace: str
+    """
+    W3C traceparent of the ingress span.
+    """
+
+
+class Answer(TypedDict):
+    """
+    Owner to ingress: the upstream's whole answer.
+    """
+
+    seq: int
+    status: int
+    headers: list[list[bytes]]
+    body: bytes
+    waited_us: int
+    """
+    Time in the owner's queue, microseconds.
+    """
+    served_us: int
+    """
+    Time from dispatch to the whole answer, microseconds.
+    """
+    load: Load
+
+
+class Refusal(TypedDict):
+    """
+    Owner to ingress: no answer, and whether the call may have run.
+    """
+
+    seq: int
+    ran: Literal["no", "maybe"]
+    """
+    no: it certainly did not run. maybe: it was dispatched and no whole answer came.
+    """
+    reason: str
+    retry_after_ms: int
+    """
+    When asking again makes sense, in milliseconds.
+    """
+    load: Load
+
+
+class Withdraw(TypedDict):
+    """
+    Ingress to owner: nobody waits for this call any more.
+    """
+
+    seq: int
+
+
+class FateAsk(TypedDict):
+    """
+    Ingress to owner on a new connection: what became of these calls?
+    """
+
+    seqs: list[int]
+
+
+class Report(TypedDict):
+    """
+    Owner to every connected ingress when its upstream's state changes.
+    """
+
+    load: Load
+
+
+class Outcome(TypedDict):
+    """
+    What became of one publish id.
+    """
+
+    publish_id: str
+    generation: int
+    """
+    The generation it became, or 0 if it was rejected.
+    """
+    reason: str
+    """
+    Why it was rejected, or empty.
+    """
+
+
+class Snapshot(TypedDict):
+    """
+    A folded configuration log: the state after every record below an offset.
+    """
+
+    generation: int
+    digest: str
+    """
+    SHA-256 of content, hexadecimal.
+    """
+    content: str
+    """
+    The fleet configuration as INI text.
+    """
+    folded: int
+    """
+    Every record with a smaller offset has been folded.
+    """
+    exact: bool
+    """
+    False if records may have been missed, so that the generation is only a lower bound.
+    """
+    outcomes: list[Outcome]
+    """
+    Latest outcomes, oldest first.
+    """
+
+
+class Publish(TypedDict):
+    """
+    A record of the configuration stream: an operator's proposal.
+    """
+
+    publish_id: str
+    base: int
+    """
+    Generation that it replaces.
+    """
+    base_digest: str
+    digest: str
+    content: str
+
+
+class Ask(TypedDict):
+    """
+    Control: tell me of anything newer than this generation.
+    """
+
+    have: int
+    """
+    Generation held by the asker; 0 for none.
+    """
+    answer_to: str
+    """
+    Control address of the asker.
+    """
+
+
+class Handover(TypedDict):
+    """
+    Control: the new home of some keys asks a former home to stop and to tell what it knows.
+    """
+
+    service: str
+    generation: int
+    """
+    Generation that makes the asker the home.
+    """
+    target: str
+    """
+    Name of the asker.
+    """
+    answer_to: str
+
+
+class KeyState(TypedDict):
+    """
+    What a home knows of one idempotency key.
+    """
+
+    key: str
+    fingerprint: str
+    """
+    Digest of method, path and body of the request that claimed the key.
+    """
+    ran: Literal["answered", "maybe"]
+    status: int
+    """
+    Status of the kept answer, 0 for none.
+    """
+    headers: list[list[bytes]]
+    body: bytes
+    age_ms: int
+    """
+    Time since the key was first seen.
+    """
+
+
+class Handed(TypedDict):
+    """
+    Control: a former home has adopted the generation and runs these keys no more.
+    """
+
+    service: str
+    generation: int
+    former: str
+    """
+    Name of the former home.
+    """
+    since_ms: int
+    """
+    Wall clock in milliseconds from which on the former home knows every key of its own.
+    """
+    keys: list[KeyState]
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what lies outside the project: platform, upstream, fault proxy."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,1 @@
+"""Fixtures that several test groups use."""
