--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -17,7 +18,7 @@
     REASON,
     TRACE,
     VERDICT,
-    passed_on,
+    HeadReader,
     status_line,
     write_head,
 )
@@ -30,6 +31,8 @@
     from foldhoist.delivery.ingress import CallerRequest
     from foldhoist.schema.settings import Limits
 
+LOOK_S = 0.1
+"""Time between two looks at connections that take too long, seconds."""
 MOST_PIPELINED = 8
 """Requests that a caller may send before its first answer; reading pauses above it."""
 
@@ -61,6 +64,14 @@
         self.open: set[CallerConnection] = set()
         self.closing = False
 
+    async def close_late(self) -> None:
+        """Close connections that take too long; one look for all is cheaper than timers."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            now = time.monotonic()
+            for conn in [conn for conn in self.open if conn.due <= now]:
+                conn.late()
+
 
 class CallerConnection(asyncio.Protocol):
     """A caller's connection: parses requests, writes answers, enforces the limits."""
@@ -69,7 +80,7 @@
         self._shared = shared
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._timer: asyncio.TimerHandle | None = None
+        self.due = float("inf")
         self._waiting: deque[CallerRequest | BadRequest] = deque()
         self._keep_alive: deque[bool] = deque()
         self._call_id: int | None = None
@@ -98,7 +109,6 @@
         """Withdraw the call that nobody waits for any more."""
         self._shared.open.discard(self)
         self._transport = None
-        self._clear_timer()
         if self._call_id is not None:
             self._shared.on_gone(self._call_id)
             self._call_id = None
@@ -140,17 +150,16 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take in a header."""
-        self._size += len(name) + len(value)
-        if self._size + len(self._url) > self._shared.limits["header_bytes"]:
+        head = self._head
+        head.add(name, value)
+        if head.size + len(self._url) > self._shared.limits["header_bytes"]:
             raise _TooLargeError(431, "headers-too-large")
-        self._headers.append([name, value])
 
     def on_headers_complete(self) -> None:
         """Invite the body if the caller waits for that."""
         self._head_done = True
-        for name, value in self._headers:
-            if name.lower() == b"expect" and value.lower() == b"100-continue":
-                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if self._head.said.get(b"expect", b"").lower() == b"100-continue":
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Take in a piece of the body."""
@@ -166,7 +175,7 @@
         method = self._parser.get_method().decode()
         body = b"".join(self._body)
         self._keep_alive.append(self._parser.should_keep_alive())
-        self._waiting.append(read_request(method, self._url, self._headers, body))
+        self._waiting.append(read_request(method, self._url, self._head, body))
         self._reset()
         if len(self._waiting) > MOST_PIPELINED and self._transport is not None:
             self._transport.pause_reading()
@@ -208,7 +217,7 @@
             return
         req = self._waiting.popleft()
         self._busy = True
-        self._clear_timer()
+        self.due = float("inf")
         if isinstance(req, BadRequest):
             self._fail(req)
             return
@@ -217,10 +226,9 @@
 
     def _reset(self) -> None:
         self._url = b""
-        self._headers: Headers = []
+        self._head = HeadReader()
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._size = 0
         self._head_bytes = 0
         self._head_done = False
         self._in_request = False
@@ -241,8 +249,8 @@
         self._write(_answer_bytes(verdict, "", "", keep=False))
         self._end()
 
-    def _late(self) -> None:
-        self._timer = None
+    def late(self) -> None:
+        """Close the connection, which has taken too long; a request under way gets an answer."""
         if self._busy:
             return
         if self._in_request:
@@ -253,7 +261,7 @@
 
     def _end(self) -> None:
         self._ended = True
-        self._clear_timer()
+        self.due = float("inf")
         if self._transport is not None:
             self._transport.close()
 
@@ -262,13 +270,7 @@
             self._transport.write(data)
 
     def _set_timer(self, ms: int) -> None:
-        self._clear_timer()
-        self._timer = asyncio.get_running_loop().call_later(ms / 1000, self._late)
-
-    def _clear_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self.due = time.monotonic() + ms / 1000
 
 
 class _TooLargeError(Exception):
@@ -294,7 +296,7 @@
         own.append([b"Connection", b"close"])
     match verdict:
         case Answered(response):
-            status, headers, body = response.status, passed_on(response.headers), response.body
+            status, headers, body = response.status, response.headers, response.body
         case NotRun(reason, retry_after_s, status):
             own.append([REASON, reason.encode()])
             if status == 503:
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -105,6 +105,7 @@
         self.addresses["operators"] = self.operators.listen(cfg["listen"]["operators"])
         for task in (self.configuration, self.handover, self.prober, self.owner_task):
             task.start()
+        self._late_task = asyncio.get_running_loop().create_task(self.shared.close_late())
         self._counters_task = asyncio.get_running_loop().create_task(self._log_counters())
         self._quiet_collector()
         logger.info("daemon {} started, incarnation {}", self.name, self.incarnation)
@@ -135,6 +136,7 @@
     async def stop(self) -> None:
         """Close every socket and end every task."""
         self._counters_task.cancel()
+        self._late_task.cancel()
         for server in self._servers:
             server.close()
         self.operators.close()
--- a/foldhoist/daemon/http.py
+++ b/foldhoist/daemon/http.py
@@ -50,27 +50,44 @@
     return b"HTTP/1.1 %d %s\r\n" % (status, _PHRASES.get(status, b"Status"))
 
 
-def passed_on(headers: Headers) -> Headers:
-    """Return the headers that go on to the next hop, without those a Connection header names."""
-    named: frozenset[bytes] = frozenset()
-    for name, value in headers:
-        if name.lower() == b"connection":
-            named = frozenset(part.strip().lower() for part in value.split(b","))
-    kept: Headers = []
-    for pair in headers:
-        name = pair[0].lower()
-        if name in HOP_BY_HOP or name in named or name.startswith(OWN_PREFIX):
-            continue
-        kept.append(pair)
-    return kept
-
-
-def find(headers: Headers, wanted: bytes) -> bytes:
-    """Return the value of a header, or nothing; `wanted` is in small letters."""
-    for name, value in headers:
-        if name.lower() == wanted:
-            return value
-    return b""
+SPOKEN = frozenset({KEY, TRACEPARENT, b"host", NOT_RUN, STATE})
+"""Headers that foldhoist reads or writes anew at each hop."""
+
+
+class HeadReader:
+    """Sorts the headers of one message as they come: to pass on, to read, or to drop."""
+
+    __slots__ = ("kept", "named", "said", "size")
+
+    def __init__(self) -> None:
+        self.kept: Headers = []
+        self.said: dict[bytes, bytes] = {}
+        self.named: list[bytes] = []
+        self.size = 0
+
+    def add(self, name: bytes, value: bytes) -> None:
+        """Take in a header; a header that is read and comes twice keeps both values."""
+        lower = name.lower()
+        self.size += len(name) + len(value)
+        if lower in HOP_BY_HOP:
+            if lower == b"connection":
+                self.named += [part.strip().lower() for part in value.split(b",")]
+            elif lower == b"expect":
+                self.said[lower] = value
+            return
+        if lower in SPOKEN or lower.startswith(OWN_PREFIX):
+            self.said[lower] = self.said[lower] + b", " + value if lower in self.said else value
+            return
+        if lower == b"retry-after":
+            self.said[lower] = value
+        self.kept.append([name, value])
+
+    def passed_on(self) -> Headers:
+        """Return the headers that go on, without those that a Connection header names."""
+        drop = [name for name in self.named if name not in (b"keep-alive", b"close")]
+        if not drop:
+            return self.kept
+        return [pair for pair in self.kept if pair[0].lower() not in drop]
 
 
 def write_head(first: bytes, headers: Headers, length: int | None) -> bytes:
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -151,9 +151,9 @@
     def _result(self, ticket: int, result: Result) -> None:
         now = self._loop.time()
         hop = self.owner.ended(now, ticket, result)
+        self._carry_out(self.owner.finished(now, ticket, result))
         if hop is not None:
             self._on_hop(hop)
-        self._carry_out(self.owner.finished(now, ticket, result))
 
     def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
--- a/foldhoist/daemon/request.py
+++ b/foldhoist/daemon/request.py
@@ -6,16 +6,17 @@
 import re
 from typing import TYPE_CHECKING, NamedTuple
 
-from foldhoist.daemon.http import BUDGET, HOPS, ISSUED, KEY, RETRY, TRACEPARENT, URGENT, passed_on
+from foldhoist.daemon.http import BUDGET, HOPS, ISSUED, KEY, RETRY, TRACEPARENT, URGENT
 from foldhoist.delivery.ingress import CallerRequest
 
 if TYPE_CHECKING:
-    from foldhoist.delivery.verdict import Headers
+    from foldhoist.daemon.http import HeadReader
 
 LONGEST_KEY = 200
 """Longest idempotency key, characters."""
+LONGEST_NUMBER = 15
+"""Longest number in a header, digits."""
 _TRACEPARENT = re.compile(r"^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$")
-_OWN = frozenset({BUDGET, URGENT, HOPS, RETRY, ISSUED, KEY, TRACEPARENT})
 _NUMBERS = (BUDGET, HOPS, ISSUED)
 
 
@@ -27,28 +28,22 @@
 
 
 def read_request(
-    method: str, url: bytes, headers: Headers, body: bytes
+    method: str, url: bytes, head: HeadReader, body: bytes
 ) -> CallerRequest | BadRequest:
     """Return the request, or why it is refused."""
-    said: dict[bytes, bytes] = {}
-    hosts = 0
-    for name, value in headers:
-        lower = name.lower()
-        if lower in _OWN:
-            said[lower] = value
-        elif lower == b"host":
-            hosts += 1
-    if hosts > 1:
+    said = head.said
+    if b"," in said.get(b"host", b""):
         return BadRequest(400, "several-host-headers")
     if not url.startswith(b"/"):
         return BadRequest(400, "target-is-no-path")
     numbers: dict[bytes, int] = {}
     for name in _NUMBERS:
-        if name not in said:
+        value = said.get(name)
+        if value is None:
             continue
-        if not said[name].isdigit() or len(said[name]) > 15:
+        if not value.isdigit() or len(value) > LONGEST_NUMBER:
             return BadRequest(400, f"bad-header-{name.decode()}")
-        numbers[name] = int(said[name])
+        numbers[name] = int(value)
     key = said.get(KEY, b"").decode("latin-1")
     if len(key) > LONGEST_KEY or not key.isprintable():
         return BadRequest(400, "bad-header-idempotency-key")
@@ -56,7 +51,7 @@
     return CallerRequest(
         method,
         url.decode("latin-1"),
-        passed_on(headers),
+        head.passed_on(),
         body,
         -1.0 if budget_ms == 0 else (budget_ms or 0) / 1000,
         said.get(URGENT) == b"1",
@@ -71,7 +66,7 @@
 def trace_of(traceparent: str) -> str:
     """Return the traceparent of this hop: the caller's trace, or a new one, and a new span."""
     span = f"{random.getrandbits(64):016x}"
-    found = _TRACEPARENT.match(traceparent)
+    found = _TRACEPARENT.match(traceparent) if traceparent else None
     if found is None:
         return f"00-{random.getrandbits(128):032x}-{span}-00"
     return f"00-{found[1]}-{span}-{found[3]}"
--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -17,8 +17,7 @@
     STATE,
     TRACEPARENT,
     URGENT,
-    find,
-    passed_on,
+    HeadReader,
     write_head,
 )
 from foldhoist.delivery.owner import Broken, Result, Shed, Whole
@@ -54,7 +53,7 @@
         self._sent = False
         self._head = False
         self._complete = False
-        self._headers: Headers = []
+        self.head = HeadReader()
         self._begin(head=False)
 
     @property
@@ -121,7 +120,8 @@
         lower = name.lower()
         if lower == b"content-length" or (lower == b"transfer-encoding" and b"chunked" in value):
             self._framed = True
-        self._headers.append([name, value])
+            return
+        self.head.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Take in the status; an answer to HEAD ends here."""
@@ -151,7 +151,7 @@
         if self._complete:
             return
         if self._status < 200:
-            self._headers = []
+            self.head = HeadReader()
             self._framed = False
             return
         self._complete = True
@@ -161,7 +161,7 @@
     def _begin(self, head: bool) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._head = head
-        self._headers = []
+        self.head = HeadReader()
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._status = 0
@@ -173,9 +173,9 @@
         self._clean = True
 
     def _whole(self) -> Result:
-        if self._status == 503 and find(self._headers, NOT_RUN):
-            return Shed(_retry_after(self._headers))
-        return Whole(self._status, self._headers, b"".join(self._body))
+        if self._status == 503 and NOT_RUN in self.head.said:
+            return Shed(_retry_after(self.head.said))
+        return Whole(self._status, self.head.passed_on(), b"".join(self._body))
 
     def _finish(self, result: Result) -> None:
         if not self._running:
@@ -272,9 +272,8 @@
             self._idle.append(conn)
         elif not isinstance(result, Broken):
             conn.abort("not-reusable")
-        match result:
-            case Whole(_, headers, _) if find(headers, STATE) == b"leaving":
-                self._on_leaving()
+        if conn.head.said.get(STATE) == b"leaving":
+            self._on_leaving()
         self._on_result(conn.ticket, result)
 
     def _request_bytes(self, call: StartCall) -> bytes:
@@ -288,19 +287,17 @@
             own.append([URGENT, b"1"])
         if req["key"]:
             own.append([KEY, req["key"].encode("latin-1")])
-        kept = [pair for pair in req["headers"] if pair[0].lower() not in _REPLACED]
         first = f"{req['method']} {req['path']} HTTP/1.1\r\n".encode("latin-1")
         length = len(req["body"]) if req["body"] or req["method"] in _WITH_BODY else None
-        hops: Headers = [[HOPS, b"%d" % (req["hops"] + 1)]]
+        own.append([HOPS, b"%d" % (req["hops"] + 1)])
         if req["retried"]:
-            hops.append([RETRY, b"1"])
-        return write_head(first, passed_on(kept) + own + hops, length) + req["body"]
+            own.append([RETRY, b"1"])
+        return write_head(first, own + req["headers"], length) + req["body"]
 
 
-_REPLACED = frozenset({b"host", KEY, TRACEPARENT})
 _WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 
-def _retry_after(headers: Headers) -> float:
-    value = find(headers, b"retry-after")
+def _retry_after(said: dict[bytes, bytes]) -> float:
+    value = said.get(b"retry-after", b"")
     return float(value) if value.isdigit() else SHED_RETRY_S
--- a/foldhoist/delivery/codec.py
+++ b/foldhoist/delivery/codec.py
@@ -70,24 +70,32 @@
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
-        self._held = bytearray()
+        self._parts: list[bytes] = []
+        self._have = 0
+        self._need = HEAD.size
 
     def feed(self, data: bytes) -> list[tuple[str, Any]]:
-        """Return the messages that are whole now."""
-        if self._held:
-            self._held += data
-            data = bytes(self._held)
+        """Return the messages that are whole now; a long one is joined only when it is whole."""
+        if self._parts:
+            self._parts.append(data)
+            self._have += len(data)
+            if self._have < self._need:
+                return []
+            data = b"".join(self._parts)
         found: list[tuple[str, Any]] = []
         at = 0
         size = len(data)
+        self._need = HEAD.size
         while size - at >= HEAD.size:
             length, number = HEAD.unpack_from(data, at)
             if length > self.limit:
                 raise ProtocolError(f"message of {length} bytes, longest allowed is {self.limit}")
             end = at + HEAD.size + length
             if end > size:
+                self._need = HEAD.size + length
                 break
-            found.append(decode(number, memoryview(data)[at + HEAD.size : end]))
+            found.append(decode(number, data[at + HEAD.size : end]))
             at = end
-        self._held = bytearray(data[at:])
+        self._parts = [data[at:]] if at < size else []
+        self._have = size - at
         return found
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -8,7 +8,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias, cast
 
 from foldhoist.admission.slots import Refuse, Shape, SlotQueue, Start
 from foldhoist.delivery.keys import Deny, Join, KeyTable, Replay, fingerprint
@@ -31,6 +31,8 @@
 """Results kept for one ingress until it says that it has them."""
 KEPT_BYTES = 4 * 1024 * 1024
 """Bytes of results kept for one ingress."""
+RESULT_BYTES = 100
+"""Bytes that a kept result is counted for beside its body."""
 PEER_FORGET_S = 600.0
 """An ingress without connection or calls is forgotten after this, seconds."""
 ORPHAN_S = 1.0
@@ -547,7 +549,6 @@
 
 
 def _size(frame: Frame) -> int:
-    match frame.body:
-        case {"body": bytes(body)}:
-            return len(body) + 100
-    return 100
+    if frame.kind != "Answer":
+        return RESULT_BYTES
+    return RESULT_BYTES + len(cast("Answer", frame.body)["body"])
--- a/foldhoist/routing/picker.py
+++ b/foldhoist/routing/picker.py
@@ -5,7 +5,7 @@
 from statistics import median
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
-from foldhoist.routing.policies import Policy, Scored, choose, scored
+from foldhoist.routing.policies import Policy, Scored, choose, shown
 from foldhoist.routing.track import Track
 
 if TYPE_CHECKING:
@@ -114,8 +114,7 @@
             track = choose(self.policy, open_ones, now, self.rng)
         if not explain:
             return Choice(track.name, reason, ())
-        shown = tuple(scored(each, self.data_centre, now) for each in open_ones)
-        return Choice(track.name, reason, shown)
+        return Choice(track.name, reason, shown(open_ones, track, self.data_centre, now))
 
     def sent(self, name: str, seq: int, now: float) -> None:
         """Count a call that was sent to this upstream."""
--- a/foldhoist/routing/policies.py
+++ b/foldhoist/routing/policies.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
+from foldhoist.routing.track import UNKNOWN_SERVICE_S
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
     from random import Random
@@ -13,6 +15,12 @@
 
 REMOTE_COST_S = 0.001
 """What a call to another data centre costs beside its service time, seconds."""
+MINOR_ERRORS = 0.05
+"""A share of errors up to this costs an upstream nothing."""
+ERROR_COST = 10.0
+"""What a share of errors costs, in service times."""
+MOST_SHOWN = 4
+"""Candidates that a decision record keeps."""
 TIE = 0.05
 """Scores closer than this share of the best one count as equal and are drawn by lot."""
 
@@ -103,31 +111,55 @@
         case HotCold():
             return _hot_cold(policy, among, now, rng)
         case Mixed():
-            scores = [expected_s(track, policy.data_centre, now) for track in among]
-            return _least(among, scores, rng)
+            return _least(among, expected_s(among, policy.data_centre, now), rng)
+
 
+def expected_s(among: Sequence[Track], data_centre: str, now: float) -> list[float]:
+    """Return the expected time of one more call at each, seconds, errors and distance included.
 
-def expected_s(track: Track, data_centre: str, now: float) -> float:
-    """Return the expected time of one more call there, seconds, errors and distance included."""
+    One loop without calls for the ordinary case: it runs for every call that enters.
+    """
+    costs: list[float] = []
+    for track in among:
+        if track.in_flight or track.others or track.errors > MINOR_ERRORS:
+            cost = _busy_s(track, now)
+        else:
+            cost = track.latency_s if track.results else UNKNOWN_SERVICE_S
+        if track.data_centre != data_centre:
+            cost += REMOTE_COST_S
+        costs.append(cost)
+    return costs
+
+
+def _busy_s(track: Track, now: float) -> float:
     service = track.service_s(now)
     occupancy = track.occupancy(now)
     slots = track.slots
     cost = service * (1.0 + occupancy / slots)
     if occupancy >= slots:
         cost += service * (occupancy + 1.0 - slots) / slots
-    if track.errors > 0.05:
-        cost += service * 10.0 * track.errors
-    if track.data_centre != data_centre:
-        cost += REMOTE_COST_S
+    if track.errors > MINOR_ERRORS:
+        cost += service * ERROR_COST * track.errors
     return cost
 
 
-def scored(track: Track, data_centre: str, now: float) -> Scored:
-    """Return the inputs of a candidate for its decision record."""
+def shown(
+    among: Sequence[Track], chosen: Track, data_centre: str, now: float
+) -> tuple[Scored, ...]:
+    """Return the inputs of the choice for its record: the chosen one and the next best."""
+    scores = expected_s(among, data_centre, now)
+    best = sorted(range(len(among)), key=scores.__getitem__)[:MOST_SHOWN]
+    at = among.index(chosen)
+    if at not in best:
+        best[-1] = at
+    return tuple(_scored(among[each], scores[each], now) for each in best)
+
+
+def _scored(track: Track, score: float, now: float) -> Scored:
     load = track.load
     return Scored(
         track.name,
-        expected_s(track, data_centre, now),
+        score,
         track.in_flight,
         track.occupancy(now),
         track.latency_s,
--- a/foldhoist/routing/track.py
+++ b/foldhoist/routing/track.py
@@ -96,6 +96,8 @@
     def service_s(self, now: float) -> float:
         """Return the expected time of a call, never below the age of the oldest one in flight."""
         known = self.latency_s if self.results else UNKNOWN_SERVICE_S
+        if not self.in_flight:
+            return known
         return max(known, self.oldest_age(now))
 
     def occupancy(self, now: float) -> float:
