Prove three promises under failure with real processes, and their mutants

Seen failing without the mechanism: fate not asked (calls told not-run had run), everything retried (ran twice), no key table (ran twice), a gap in a home's history ignored (ran twice), a cut answer taken as whole (short 200).

Ruled out: counting runs in the upstream's memory, which a kill empties.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -143,6 +143,7 @@
         listen = self.upstream_address.get(name, "127.0.0.1:0")
         args = ["standins.upstream", "--listen", listen]
         args += ["--service-ms", str(target.service_ms), "--spread", str(target.spread)]
+        args += ["--journal", str(self.folder / f"{name}.journal")]
         process = Process(args, self.folder / f"{name}.upstream.log")
         self.upstreams[name] = process
         return process
@@ -228,6 +229,15 @@
         """Return what an upstream ran."""
         return request_json(f"http://{self.upstream_address[name]}/_executions")
 
+    def runs(self) -> dict[str, int]:
+        """Return how often each request id was run, over all upstreams and all their lives."""
+        counts: dict[str, int] = {}
+        for name in self.targets:
+            path = self.folder / f"{name}.journal"
+            for request_id in path.read_text().split() if path.exists() else []:
+                counts[request_id] = counts.get(request_id, 0) + 1
+        return counts
+
     def control_platform(self, **fields: Any) -> None:
         """Change the behaviour of the platform."""
         request_json(f"http://{self.platform_address}/control", fields)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import os
 import random
 import sys
 from collections import Counter
@@ -35,12 +36,19 @@
         self.running = 0
         self.most_running = 0
         self.rng = random.Random(1)
+        self.journal = -1
 
     def change(self, fields: dict[str, Any]) -> None:
         """Set some fields."""
         for name, value in fields.items():
             setattr(self, name, value)
 
+    def ran(self, request_id: str) -> None:
+        """Count one run; with a journal it is kept beyond the end of this process."""
+        self.executions[request_id] += 1
+        if self.journal >= 0:
+            os.write(self.journal, f"{request_id}\n".encode())
+
     def service_s(self) -> float:
         """Return the time of the next call, seconds."""
         if not self.spread:
@@ -114,7 +122,7 @@
         if behaviour.shed:
             self.write(503, b"shed", {"Not-Run": "shed", "Retry-After": "1"})
             return
-        behaviour.executions[headers.get("x-request-id", "")] += 1
+        behaviour.ran(headers.get("x-request-id", ""))
         behaviour.running += 1
         behaviour.most_running = max(behaviour.most_running, behaviour.running)
         try:
@@ -160,14 +168,23 @@
     await server.serve_forever()
 
 
-def main(*, listen: str = "127.0.0.1:0", service_ms: float = 2.0, spread: float = 0.0) -> None:
+def main(
+    *,
+    listen: str = "127.0.0.1:0",
+    service_ms: float = 2.0,
+    spread: float = 0.0,
+    journal: str = "",
+) -> None:
     """Run an upstream stand-in.
 
     :param listen: Address to listen on.
     :param service_ms: Mean time of a call, milliseconds.
     :param spread: Share of that time that is drawn by lot, 0 to 1.
+    :param journal: File to which the id of each run is appended at its start; empty for none.
     """
     behaviour = Behaviour()
+    if journal:
+        behaviour.journal = os.open(journal, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
     behaviour.service_ms = service_ms
     behaviour.spread = spread
     asyncio.run(serve(behaviour, listen))
--- a/tests/conftest.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Fixtures that several test groups use."""
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes behind a fault-injecting proxy."""
--- /dev/null
+++ b/tests/integration/mutants.py
@@ -0,0 +1,84 @@
+"""Runs the command line with one mechanism taken out, to show that its test fails without it."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+from foldhoist.__main__ import main
+from foldhoist.daemon.upstream import UpstreamConnection
+from foldhoist.delivery import ingress, keys, owner
+
+
+def fate_says_no() -> None:
+    """An owner that does not know a call says that it did not run, though it was restarted."""
+
+    def lost(self: ingress.Ingress, now: float, target: str) -> list[Any]:
+        actions: list[Any] = []
+        for call, live in self._at(target):
+            call.live.pop(live.seq, None)
+            self._by_seq.pop(live.seq, None)
+            actions += self._give_up(now, call, "connection-lost", 0.1)
+        return actions
+
+    ingress.Ingress.link_lost = lost  # type: ignore[method-assign]
+
+
+def retry_all() -> None:
+    """Every call is treated as repeatable."""
+    original = ingress._Call.__init__
+
+    def init(self: Any, *args: Any, **kwargs: Any) -> None:
+        original(self, *args, **kwargs)
+        self.repeatable = True
+
+    ingress._Call.__init__ = init  # type: ignore[method-assign]
+
+
+def no_key_table() -> None:
+    """A home runs every key that it is asked to run."""
+    keys.KeyTable.claim = lambda self, *args: keys.Run()  # type: ignore[method-assign]
+
+
+def no_key_history() -> None:
+    """A home believes that it knows every key, also right after its start."""
+    original = keys.KeyTable.adopt
+
+    def adopt(self: keys.KeyTable, *args: Any, **kwargs: Any) -> frozenset[str]:
+        original(self, *args, **kwargs)
+        self._own_since_ms = 0
+        self._moved_since_ms = 0
+        self._pending = set()
+        return frozenset()
+
+    keys.KeyTable.adopt = adopt  # type: ignore[method-assign]
+
+
+def no_leaving() -> None:
+    """An owner takes new work whatever it is told."""
+    owner.Owner.leave = lambda self, source: []  # type: ignore[method-assign]
+
+
+def cut_is_whole() -> None:
+    """An answer that was cut off counts as whole."""
+
+    def lost(self: UpstreamConnection, exc: Exception | None) -> None:
+        self._transport = None
+        self._complete = True
+        self._finish(self._whole())
+
+    UpstreamConnection.connection_lost = lost  # type: ignore[method-assign]
+
+
+MUTANTS = {
+    "fate-says-no": fate_says_no,
+    "retry-all": retry_all,
+    "no-key-table": no_key_table,
+    "no-key-history": no_key_history,
+    "no-leaving": no_leaving,
+    "cut-is-whole": cut_is_whole,
+}
+
+if __name__ == "__main__":
+    MUTANTS[sys.argv.pop(1)]()
+    main()
--- /dev/null
+++ b/tests/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model checking of the core protocol."""
--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the core objects; modules mirror those of the package."""
