--- a/standins/processes.py
+++ b/standins/processes.py
@@ -242,6 +242,11 @@
         """Change the behaviour of the platform."""
         request_json(f"http://{self.platform_address}/control", fields)
 
+    def post(self, url: str, data: bytes) -> None:
+        """Append a record to a stream of the platform."""
+        with urllib.request.urlopen(urllib.request.Request(url, data=data), timeout=10):
+            return
+
     def stop(self) -> None:
         """Stop every process that this fleet started."""
         for process in [*self.daemons.values(), *self.upstreams.values(), self.platform]:
--- /dev/null
+++ b/tests/integration/test_configuration.py
@@ -0,0 +1,134 @@
+"""Promise 7: an accepted configuration is in force everywhere, and never goes back.
+
+The time it takes is measured by bench/capacity, not asserted here.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+
+from foldhoist.configlog.fold import digest_of
+from foldhoist.platform.client import pack_keep
+from standins.processes import LocalFleet, request_json, wait_until
+from tests.integration.harness import NAMES, MutantFleet, make_fleet
+
+
+def generations(fleet: LocalFleet) -> list[int]:
+    return [fleet.status(name)["configuration"]["generation"] for name in NAMES]
+
+
+def change(fleet: LocalFleet, number: int) -> str:
+    """Return a configuration that differs by one option."""
+    return fleet.configuration().replace("deadline_ms = 3000", f"deadline_ms = {3000 + number}")
+
+
+def started(**options: object) -> MutantFleet:
+    fleet = make_fleet(**options)  # type: ignore[arg-type]
+    fleet.start()
+    return fleet
+
+
+def test_a_change_is_in_force_everywhere_within_seconds() -> None:
+    with started() as fleet:
+        for number in range(1, 6):
+            assert fleet.apply(change(fleet, number)).returncode == 0
+            wait_until(lambda want=number + 1: generations(fleet) == [want] * 3)
+
+
+def test_of_racing_operators_one_wins_and_the_others_are_told() -> None:
+    with started() as fleet:
+        racing = []
+        for number in range(6):
+            path = fleet.folder / f"race-{number}.ini"
+            path.write_text(change(fleet, 100 + number))
+            args = ["apply", str(path), "--log", fleet.platform_address, "--json"]
+            racing.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "foldhoist", *args], stdout=subprocess.PIPE, text=True
+                )
+            )
+        told = [json.loads(process.communicate(timeout=60)[0]) for process in racing]
+        accepted = [each for each in told if each["result"] == "accepted"]
+        assert all(each["result"] in ("accepted", "rejected") for each in told)
+        assert len(accepted) >= 1
+        assert len({each["generation"] for each in accepted}) == len(accepted)
+        last = max(each["generation"] for each in accepted)
+        wait_until(lambda: generations(fleet) == [last] * 3)
+        contents = {
+            fleet.command("config", fleet.addresses[name]["operators"]).stdout for name in NAMES
+        }
+        assert len(contents) == 1
+
+
+def test_a_lost_append_answer_is_resolved_not_guessed() -> None:
+    with started() as fleet:
+        fleet.control_platform(lose_answers=1)
+        done = fleet.apply(change(fleet, 7))
+        assert (done.returncode, done.stdout) == (0, "accepted: generation 2 is in force\n")
+        wait_until(lambda: generations(fleet) == [2] * 3)
+
+
+def test_apply_without_the_platform_changes_nothing_and_says_so() -> None:
+    with started() as fleet:
+        fleet.control_platform(down=True)
+        done = fleet.apply(change(fleet, 8))
+        assert done.returncode == 2
+        assert "nothing was sent" in done.stdout
+        fleet.control_platform(down=False)
+        assert fleet.apply(change(fleet, 8)).returncode == 0
+
+
+def test_a_daemon_that_starts_during_an_outage_gets_the_configuration_from_peers() -> None:
+    with started() as fleet:
+        fleet.control_platform(down=True)
+        fleet.daemons["depo-1"].kill()
+        fleet.restart_daemon("depo-1")
+        wait_until(lambda: generations(fleet) == [1] * 3)
+
+
+def test_a_frozen_daemon_catches_up_and_nobody_goes_back() -> None:
+    with started() as fleet:
+        fleet.daemons["depo-2"].signal(signal.SIGSTOP)
+        assert fleet.apply(change(fleet, 9)).returncode == 0
+        assert fleet.apply(change(fleet, 10)).returncode == 0
+        fleet.daemons["depo-2"].signal(signal.SIGCONT)
+        lowest = [0, 0, 0]
+
+        def reached() -> bool:
+            now = generations(fleet)
+            assert all(new >= old for new, old in zip(now, lowest, strict=True))
+            lowest[:] = now
+            return now == [3] * 3
+
+        wait_until(reached)
+
+
+def test_a_stale_record_as_the_only_one_kept_moves_nobody_back() -> None:
+    settings = "[measuring]\nprobes_per_s = 5\n"
+    with started(settings=settings) as fleet:
+        url = f"http://{fleet.platform_address}/streams/configuration"
+        first = request_json(f"http://{fleet.addresses['depo-1']['operators']}/configuration")
+        assert fleet.apply(change(fleet, 11)).returncode == 0
+        wait_until(lambda: generations(fleet) == [2] * 3)
+        fleet.control_platform(keep_s=0.0)
+        assert first["digest"] == digest_of(first["content"])
+        wait_until(lambda: request_json(f"{url}?from=0")["oldest"] >= 2)
+        fleet.control_platform(keep_s=86400.0)
+        stale = {**first, "folded": 1, "exact": True}
+        fleet.post(url, pack_keep(stale))
+        fleet.daemons["depo-3"].kill()
+        fleet.restart_daemon("depo-3")
+        wait_until(lambda: generations(fleet) == [2] * 3)
+        wait_until(lambda: _newest_kept(url) == 2)
+
+
+def _newest_kept(url: str) -> int:
+    import base64
+
+    records = request_json(f"{url}?from=0")["records"]
+    kept = [base64.b64decode(record["data"]) for record in records]
+    found = [json.loads(data[5:])["generation"] for data in kept if data.startswith(b"keep ")]
+    return max(found, default=0)
--- /dev/null
+++ b/tests/integration/test_planned_stop.py
@@ -0,0 +1,86 @@
+"""Promise 6: a planned stop cuts no request in flight, in either role."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import pytest
+
+from standins.caller import Caller, Outcome
+from tests.integration import harness
+from tests.integration.harness import NAMES, Ended, MutantFleet, load, make_fleet
+
+
+async def long_calls(fleet: MutantFleet, ingress: str, count: int) -> list[Outcome]:
+    caller = Caller()
+    address = fleet.addresses[ingress]["callers"]
+    calls = [
+        caller.call(address, "POST", "/depo/gift?sleep_ms=1000", f"{i}".encode(), {}, 20.0)
+        for i in range(count)
+    ]
+    return list(await asyncio.gather(*calls))
+
+
+@pytest.mark.parametrize("how", ["SIGTERM", "drain"])
+def test_long_calls_end_whole_in_both_roles(how: str) -> None:
+    with make_fleet() as fleet:
+        fleet.start()
+
+        async def scenario() -> list[list[Outcome]]:
+            as_ingress = asyncio.create_task(long_calls(fleet, "depo-1", 12))
+            as_owner = asyncio.create_task(long_calls(fleet, "depo-2", 12))
+            while fleet.status("depo-1")["gauges"]["owner_busy"] < 3:
+                await asyncio.sleep(0.02)
+            if how == "drain":
+                fleet.command("drain", fleet.addresses["depo-1"]["operators"])
+            else:
+                fleet.daemons["depo-1"].signal(signal.SIGTERM)
+            return [await as_ingress, await as_owner]
+
+        outcomes = asyncio.run(scenario())
+        assert fleet.daemons["depo-1"].wait(20) == 0
+    for part in outcomes:
+        assert [outcome.status for outcome in part] == [200] * 12
+
+
+def test_a_killed_daemon_does_cut_calls() -> None:
+    with make_fleet() as fleet:
+        fleet.start()
+
+        async def scenario() -> list[Outcome]:
+            running = asyncio.create_task(long_calls(fleet, "depo-1", 12))
+            while fleet.status("depo-1")["gauges"]["owner_busy"] < 3:
+                await asyncio.sleep(0.02)
+            await asyncio.to_thread(fleet.daemons["depo-1"].kill)
+            return await running
+
+        outcomes = asyncio.run(scenario())
+    assert any(outcome.status != 200 for outcome in outcomes)
+
+
+def test_rolling_restart_of_every_daemon_fails_no_call() -> None:
+    """Callers use the daemons that are not being restarted."""
+    with make_fleet() as fleet:
+        fleet.start()
+        results: list[Ended] = []
+
+        async def one_daemon(name: str) -> None:
+            others = tuple(each for each in NAMES if each != name)
+
+            async def restart() -> None:
+                await asyncio.sleep(0.1)
+                fleet.daemons[name].signal(signal.SIGTERM)
+                assert await asyncio.to_thread(fleet.daemons[name].wait, 20) == 0
+                await asyncio.to_thread(fleet.restart_daemon, name)
+
+            results.extend(
+                await load(fleet, 1500, 15, during=restart, ingresses=others, prefix=name)
+            )
+
+        for name in NAMES:
+            asyncio.run(one_daemon(name))
+            fleet.wait_generation(1)
+        ran = harness.executions(fleet)
+    assert harness.verdicts(results) == {"answered": 4500}
+    assert harness.run_twice(results, ran) == []
