--- /dev/null
+++ b/bench/capacity_slopes.py
@@ -0,0 +1,308 @@
+"""Slopes of processor time, memory and bytes, each over one size that grows."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import resource
+import time
+import tracemalloc
+import zlib
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+import psutil
+
+from bench.fitting import points
+from foldhoist.config.fleet import SectionCache, parse_fleet
+from foldhoist.configlog.fold import State, digest_of, to_snapshot
+from foldhoist.configlog.spread import place_of
+from foldhoist.delivery.codec import encode
+from foldhoist.delivery.keys import KeyTable
+from foldhoist.delivery.verdict import Response
+from foldhoist.membership.view import homes
+from foldhoist.membership.view import tracked as tracked_by
+from foldhoist.routing.picker import Choice, Member, Picker
+from foldhoist.routing.policies import Mixed
+from standins.caller import Caller
+from standins.processes import LocalFleet, Target
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SERVICES = """[service depo]
+prefix = /depo/
+
+[route depo-lookup]
+service = depo
+prefix = /depo/
+repeatable = yes
+"""
+RATES = [0.0, 100.0, 200.0, 300.0, 400.0, 600.0]
+"""Calls a second through one ingress to one owner."""
+RATE_S = 8.0
+"""Length of one rate, seconds."""
+FLEETS = [14, 140, 350, 700, 1400]
+"""Targets of a configuration."""
+SERVICES_AT_TARGET = 100
+
+
+def big_fleet(targets: int) -> str:
+    """Return a configuration with this many targets in 7 data centres, 14 for each service."""
+    count = max(1, targets // 14)
+    parts = ["[fleet]\nname = big\ndata_centres = a, b, c, d, e, f, g\n"]
+    for number in range(count):
+        parts.append(f"[service s{number}]\nprefix = /s{number}/\n")
+        parts.append(
+            f"[route r{number}]\nservice = s{number}\nprefix = /s{number}/\nrepeatable = yes\n"
+        )
+    for number in range(targets):
+        host = f"10.{number // 250}.{number % 250}.7"
+        parts.append(
+            f"[target s{number % count}-{number}]\nservice = s{number % count}\n"
+            f"data_centre = {'abcdefg'[number // count % 7]}\nslots = 12\n"
+            f"frames = {host}:7001\ncontrol = {host}:7002\noperators = {host}:7003\n"
+        )
+    return "\n".join(parts)
+
+
+def used_s(fleet: LocalFleet, name: str) -> float:
+    """Return the processor time of a daemon so far, seconds."""
+    times = psutil.Process(fleet.daemons[name].popen.pid).cpu_times()
+    return float(times.user + times.system)
+
+
+def rss_mb(fleet: LocalFleet, name: str) -> float:
+    """Return the resident memory of a daemon, megabytes."""
+    return float(psutil.Process(fleet.daemons[name].popen.pid).memory_info().rss) / 1e6
+
+
+def calls() -> dict[str, Any]:
+    """Measure processor time of an ingress and of an owner over calls a second."""
+    targets = [Target("kasa-1", "kasa", "ist-1"), Target("depo-1", "depo", "ist-1", slots=64)]
+    services = SERVICES + "\n[service kasa]\nprefix = /kasa/\n"
+    used: dict[str, list[float]] = {"kasa-1": [], "depo-1": []}
+    with LocalFleet("bench", targets, services) as fleet:
+        fleet.start()
+        fleet.control_upstream("depo-1", service_ms=1.0)
+        done: list[float] = []
+        for rate in RATES:
+            before = {name: used_s(fleet, name) for name in used}
+            began = time.monotonic()
+            count = asyncio.run(send_at(fleet.addresses["kasa-1"]["callers"], rate))
+            spent = time.monotonic() - began
+            done.append(count / spent)
+            for name in used:
+                used[name].append((used_s(fleet, name) - before[name]) / spent * 1e6)
+        memory = {name: rss_mb(fleet, name) for name in used}
+    return {
+        "ingress_us_per_s": points(done, used["kasa-1"]),
+        "owner_us_per_s": points(done, used["depo-1"]),
+        "rss_mb_after": memory,
+    }
+
+
+async def send_at(address: str, rate: float) -> int:
+    """Send calls at random times for a while; return how many were answered."""
+    if not rate:
+        await asyncio.sleep(RATE_S)
+        return 0
+    caller = Caller()
+    rng = random.Random(1)
+    loop = asyncio.get_running_loop()
+    due = began = loop.time()
+    tasks: list[asyncio.Task[Any]] = []
+    while due < began + RATE_S:
+        due += rng.expovariate(rate)
+        await asyncio.sleep(max(0.0, due - loop.time()))
+        pad = {"X-Pad": "x" * 300}
+        tasks.append(loop.create_task(caller.call(address, "GET", "/depo/a", b"", pad)))
+    outcomes = await asyncio.gather(*tasks)
+    caller.close()
+    return sum(1 for outcome in outcomes if outcome.status == 200)
+
+
+def tracked() -> dict[str, Any]:
+    """Measure the time of one choice over the upstreams that are tracked."""
+    sizes = [3, 6, 12, 24, 48]
+    spent: list[float] = []
+    for size in sizes:
+        picker = Picker(Mixed("a"), "a", 0.5, random.Random(1))
+        picker.members([Member(f"t{i}", "a", 12) for i in range(size)], 0.0)
+        for name in picker.tracks:
+            picker.linked(name, 0.0, True, fresh=True)
+        spent.append(_best_us(partial(_pick_once, picker)))
+    return {"pick_us": points([float(size) for size in sizes], spent)}
+
+
+def _pick_once(picker: Picker) -> None:
+    choice = picker.pick(10.0, ())
+    assert isinstance(choice, Choice)
+    picker.sent(choice.name, 1, 10.0)
+    picker.abandoned(choice.name, 1)
+
+
+def _best_us(run: Callable[[], object], times: int = 3000, rounds: int = 5) -> float:
+    best = float("inf")
+    for _ in range(rounds):
+        began = time.perf_counter()
+        for _ in range(times):
+            run()
+        best = min(best, (time.perf_counter() - began) / times * 1e6)
+    return best
+
+
+def fleet_size() -> dict[str, Any]:
+    """Measure what adopting a configuration costs over its targets, and how large it is."""
+    parse_ms: list[float] = []
+    again_ms: list[float] = []
+    place_ms: list[float] = []
+    kept_mb: list[float] = []
+    packed: list[float] = []
+    for size in FLEETS:
+        text = big_fleet(size)
+        parse_ms.append(_best_us(partial(parse_fleet, text, "big"), 1, 3) / 1000)
+        again_ms.append(_change_ms(text))
+        tracemalloc.start()
+        fleet, faults = parse_fleet(text, "big")
+        kept_mb.append(tracemalloc.get_traced_memory()[0] / 1e6)
+        tracemalloc.stop()
+        assert not faults, faults[0]
+        name = next(iter(fleet["targets"]))
+        by_centre: dict[str, list[str]] = {}
+        for each, target in fleet["targets"].items():
+            by_centre.setdefault(target["data_centre"], []).append(each)
+
+        def place(fleet: Any = fleet, name: str = name, by_centre: Any = by_centre) -> None:
+            tracked_by(fleet, name, "a")
+            homes(fleet)
+            place_of(name, by_centre, "a", 2, 8)
+
+        place_ms.append(_best_us(place, 1, 3) / 1000)
+        state = State(1, digest_of(text), text, 1)
+        packed.append(float(len(zlib.compress(encode("Snapshot", to_snapshot(state)), 1))))
+    sizes = [float(size) for size in FLEETS]
+    return {
+        "parse_ms": points(sizes, parse_ms),
+        "change_ms": points(sizes, again_ms),
+        "place_ms": points(sizes, place_ms),
+        "kept_mb": points(sizes, kept_mb),
+        "snapshot_bytes": points(sizes, packed),
+    }
+
+
+def _change_ms(text: str) -> float:
+    """Return the time to read a configuration in which one option has changed, milliseconds."""
+    cache = SectionCache()
+    parse_fleet(text, "big", cache)
+    best = float("inf")
+    for number in range(5):
+        changed = text.replace("slots = 12", f"slots = {13 + number}", 1)
+        began = time.perf_counter()
+        parse_fleet(changed, "big", cache)
+        best = min(best, time.perf_counter() - began)
+    return best * 1000
+
+
+def links() -> dict[str, Any]:
+    """Measure a daemon's memory over connections from ingresses and callers."""
+    sizes = [0.0, 200.0, 500.0, 1000.0]
+    memory: dict[str, list[float]] = {"frames": [], "callers": []}
+    targets = [Target("depo-1", "depo", "ist-1")]
+    with LocalFleet("bench", targets, SERVICES) as fleet:
+        fleet.start()
+        for kind in memory:
+            opened: list[Any] = []
+            for size in sizes:
+                while len(opened) < size:
+                    opened.append(_open(fleet.addresses["depo-1"][kind], kind, len(opened)))
+                time.sleep(0.5)
+                memory[kind].append(rss_mb(fleet, "depo-1"))
+            for conn in opened:
+                conn.close()
+    return {f"{kind}_mb": points(sizes, values) for kind, values in memory.items()}
+
+
+def _open(address: str, kind: str, number: int) -> Any:
+    import socket
+
+    host, _, port = address.rpartition(":")
+    conn = socket.create_connection((host, int(port)))
+    if kind == "frames":
+        hello = {"name": f"in-{number}", "incarnation": f"i{number}", "epoch": 1, "schema": 1}
+        conn.sendall(encode("Hello", hello))
+    return conn
+
+
+def idle() -> dict[str, Any]:
+    """Measure processor time, memory and control bytes of daemons without calls."""
+    count = 12
+    seconds = 20.0
+    targets = [Target(f"depo-{i}", "depo", f"ist-{i % 3 + 1}") for i in range(count)]
+    with LocalFleet("bench", targets, SERVICES) as fleet:
+        fleet.start()
+        time.sleep(3)
+        before = {name: (used_s(fleet, name), _control(fleet, name)) for name in fleet.targets}
+        time.sleep(seconds)
+        rows = []
+        for name in fleet.targets:
+            used, control = before[name]
+            now = _control(fleet, name)
+            rows.append(
+                {
+                    "core_share": (used_s(fleet, name) - used) / seconds,
+                    "rss_mb": rss_mb(fleet, name),
+                    "sent_bytes_per_s": (now["sent_bytes"] - control["sent_bytes"]) / seconds,
+                    "received_bytes_per_s": (now["received_bytes"] - control["received_bytes"])
+                    / seconds,
+                    "asks_per_s": (now["sent"] - control["sent"]) / seconds,
+                }
+            )
+        reads = {name: fleet.status(name)["counters"] for name in fleet.targets}
+    names = list(rows[0])
+    middle = {name: sorted(row[name] for row in rows)[count // 2] for name in names}
+    most = {name: max(row[name] for row in rows) for name in names}
+    readers = [r for r in reads.values() if r["configuration"]["log_reads"] > 20]
+    return {"daemons": count, "median": middle, "most": most, "readers": len(readers)}
+
+
+def _control(fleet: LocalFleet, name: str) -> dict[str, Any]:
+    counters: dict[str, Any] = fleet.status(name)["counters"]["control"]
+    return counters
+
+
+def messages() -> dict[str, Any]:
+    """Measure the bytes of each kind of message at an ordinary size."""
+    load = {"busy": 5, "queued": 2, "slots": 12, "service_us": 2000, "errors": 0.0, "state": "warm"}
+    ask = {"have": 1000, "answer_to": "10.1.100.7:7002"}
+    handover = {"service": "s1", "generation": 9, "target": "s1-100", "answer_to": ask["answer_to"]}
+    sizes = {
+        "Ask": len(zlib.compress(encode("Ask", ask), 1)) + 8,
+        "Handover": len(zlib.compress(encode("Handover", handover), 1)) + 8,
+        "Report": len(encode("Report", {"load": load})),
+    }
+    return {"bytes": sizes}
+
+
+def keys() -> dict[str, Any]:
+    """Measure memory and time of idempotency keys at their home, over keys remembered."""
+    sizes = [5000.0, 10000.0, 20000.0, 40000.0]
+    memory: list[float] = []
+    claim_us: list[float] = []
+    for size in sizes:
+        tracemalloc.start()
+        table = KeyTable("a", 600.0)
+        table.adopt(0, 1, ["a"], ["a"])
+        answer = Response(200, [[b"content-type", b"text/plain"]], b"y" * 100)
+        for number in range(int(size)):
+            table.claim(0.0, 10_000, f"0190-{number:020d}", 9_000, "m")
+            table.ended(f"0190-{number:020d}", answer, ran=True)
+        memory.append(tracemalloc.get_traced_memory()[0] / 1e6)
+        tracemalloc.stop()
+        key = "0190-" + "0" * 20
+        claim_us.append(_best_us(partial(table.claim, 0.0, 10_000, key, 9_000, "m"), 2000))
+    return {
+        "memory_mb": points(sizes, memory),
+        "claim_us": points(sizes, claim_us),
+        "own_rss_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1000,
+    }
--- a/foldhoist/config/fleet.py
+++ b/foldhoist/config/fleet.py
@@ -2,34 +2,61 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any, NamedTuple, cast
 
 from foldhoist.config.faults import Fault
-from foldhoist.config.ini import read_section, read_sections
+from foldhoist.config.ini import read_section, read_sections, split_sections
 from foldhoist.config.options import close_to, load_schema
 
 if TYPE_CHECKING:
-    from configparser import ConfigParser
-
     from foldhoist.schema.fleet import Fleet, Service, Target
 
 KINDS = {"service": "Service", "route": "Route", "target": "Target"}
 """Kinds of sections that carry a name, with their entry in the schema."""
 
 
-def parse_fleet(text: str, file: str) -> tuple[Fleet, list[Fault]]:
+class Section(NamedTuple):
+    """A section as read: its values, and its faults without the file's name."""
+
+    name: str
+    values: dict[str, Any]
+    faults: tuple[Fault, ...]
+
+
+class SectionCache:
+    """Sections by their text: most of a changed configuration has been read before."""
+
+    def __init__(self) -> None:
+        self._sections: dict[str, Section] = {}
+
+    def read(self, texts: list[str], file: str) -> list[Section]:
+        """Return the sections, in order; forgets those that are no longer there."""
+        schema = load_schema("fleet")
+        kept: dict[str, Section] = {}
+        for text in texts:
+            section = self._sections.get(text)
+            kept[text] = section if section is not None else _read_text(text, schema, file)
+        self._sections = kept
+        return [kept[text] for text in texts]
+
+
+def parse_fleet(
+    text: str, file: str, cache: SectionCache | None = None
+) -> tuple[Fleet, list[Fault]]:
     """Return the configuration and faults of a text; with errors it is not to be used."""
-    parser, faults = read_sections(text, file)
-    if faults:
-        return cast("Fleet", {}), faults
-    schema = load_schema("fleet")
-    fleet: dict[str, Any] = {"services": {}, "routes": {}, "targets": {}}
-    fleet["fleet"], found = read_section(parser, "fleet", schema["$defs"]["FleetSection"], file)
-    faults += found
-    for section in parser.sections():
-        if section == "fleet":
-            continue
-        faults += _read_named(parser, section, schema, fleet, file)
+    texts, faults = split_sections(text, file)
+    sections = (cache or SectionCache()).read(texts, file)
+    fleet: dict[str, Any] = {"fleet": {}, "services": {}, "routes": {}, "targets": {}}
+    for section in sections:
+        faults += [fault._replace(file=file) for fault in section.faults]
+        kind, _, name = section.name.partition(" ")
+        if section.name == "fleet":
+            fleet["fleet"] = section.values
+        elif kind in KINDS:
+            fleet[f"{kind}s"][name.strip()] = section.values
+    if not any(section.name == "fleet" for section in sections):
+        mend = "add it with name = ... and data_centres = ..."
+        faults.append(Fault(file, "fleet", "", "", "is missing", mend))
     checked = cast("Fleet", fleet)
     if not faults:
         faults += check_whole(checked, file)
@@ -39,8 +66,10 @@
 def check_whole(fleet: Fleet, file: str) -> list[Fault]:
     """Return the faults that show only when sections are seen together."""
     faults = _check_references(fleet, file)
+    by_service = group_targets(fleet)
     for name, service in fleet["services"].items():
-        faults += _check_service(fleet, name, service, file)
+        faults += _check_service(fleet, by_service.get(name, {}), name, service, file)
+    faults += _check_prefixes(fleet, file)
     faults += _check_addresses(fleet, file)
     return faults
 
@@ -66,6 +95,15 @@
     return faults
 
 
+def group_targets(fleet: Fleet) -> dict[str, dict[str, Target]]:
+    """Return the targets that are not retired, by service and name."""
+    grouped: dict[str, dict[str, Target]] = {}
+    for name, target in fleet["targets"].items():
+        if target["state"] != "retired":
+            grouped.setdefault(target["service"], {})[name] = target
+    return grouped
+
+
 def targets_of(fleet: Fleet, service: str) -> dict[str, Target]:
     """Return the targets of a service that are not retired, by name."""
     return {
@@ -86,17 +124,19 @@
     return [part.strip() for part in fleet["fleet"]["data_centres"].split(",") if part.strip()]
 
 
-def _read_named(
-    parser: ConfigParser, section: str, schema: dict[str, Any], fleet: dict[str, Any], file: str
-) -> list[Fault]:
-    kind, _, name = section.partition(" ")
-    name = name.strip()
-    if kind not in KINDS or not name:
+def _read_text(text: str, schema: dict[str, Any], file: str) -> Section:
+    parser, faults = read_sections(text, file)
+    if faults:
+        return Section("", {}, tuple(faults))
+    name = parser.sections()[0]
+    kind, _, rest = name.partition(" ")
+    if name != "fleet" and (kind not in KINDS or not rest.strip()):
         mend = close_to(kind, list(KINDS)) + " (a section is written as [target kasa-1])"
-        return [Fault(file, section, "", "", "is no section of a configuration", mend)]
-    values, faults = read_section(parser, section, schema["$defs"][KINDS[kind]], file)
-    fleet[f"{kind}s"][name] = values
-    return faults
+        fault = Fault(file, name, "", "", "is no section of a configuration", mend)
+        return Section(name, {}, (fault,))
+    entry = schema["$defs"]["FleetSection" if name == "fleet" else KINDS[kind]]
+    values, faults = read_section(parser, name, entry, file)
+    return Section(name, values, tuple(faults))
 
 
 def _check_references(fleet: Fleet, file: str) -> list[Fault]:
@@ -121,15 +161,25 @@
     return faults
 
 
-def _check_service(fleet: Fleet, name: str, service: Service, file: str) -> list[Fault]:
+def _check_prefixes(fleet: Fleet, file: str) -> list[Fault]:
     faults: list[Fault] = []
-    where = f"service {name}"
-    for other, cfg in fleet["services"].items():
-        if other < name and cfg["prefix"] == service["prefix"]:
-            problem = f"is the prefix of service {other}, too"
+    seen: dict[str, str] = {}
+    for name, service in fleet["services"].items():
+        prefix = service["prefix"]
+        if prefix in seen:
+            problem = f"is the prefix of service {seen[prefix]}, too"
             mend = "give each service a prefix of its own"
-            faults.append(Fault(file, where, "prefix", service["prefix"], problem, mend))
-    targets = targets_of(fleet, name)
+            faults.append(Fault(file, f"service {name}", "prefix", prefix, problem, mend))
+            continue
+        seen[prefix] = name
+    return faults
+
+
+def _check_service(
+    fleet: Fleet, targets: dict[str, Target], name: str, service: Service, file: str
+) -> list[Fault]:
+    faults: list[Fault] = []
+    where = f"service {name}"
     if not targets:
         problem = "has no target that is not retired"
         faults.append(Fault(file, where, "", "", problem, "add a [target NAME] section", "warning"))
--- a/foldhoist/config/ini.py
+++ b/foldhoist/config/ini.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from configparser import ConfigParser, Error
 from typing import Any
 
@@ -22,6 +23,24 @@
     return parser, []
 
 
+def split_sections(text: str, file: str) -> tuple[list[str], list[Fault]]:
+    """Return the text of each section, and faults of what is between or twice."""
+    parts = re.split(r"(?m)^(?=\[)", text)
+    faults: list[Fault] = []
+    for line in parts[0].splitlines():
+        if line.strip() and not line.lstrip().startswith(("#", ";")):
+            mend = "begin with a [section] line"
+            faults.append(Fault(file, "", "", line.strip(), "stands before any section", mend))
+    seen: set[str] = set()
+    for part in parts[1:]:
+        name = part[1:].partition("]")[0]
+        if name in seen:
+            mend = "keep one of them, or give the other a name of its own"
+            faults.append(Fault(file, name, "", "", "is there twice", mend))
+        seen.add(name)
+    return parts[1:], faults
+
+
 def read_section(
     parser: ConfigParser, section: str, entry: dict[str, Any], file: str
 ) -> tuple[dict[str, Any], list[Fault]]:
--- a/foldhoist/daemon/configuration.py
+++ b/foldhoist/daemon/configuration.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
 from foldhoist.config.faults import errors
-from foldhoist.config.fleet import parse_fleet
+from foldhoist.config.fleet import SectionCache, parse_fleet
 from foldhoist.configlog.fold import (
     State,
     digest_of,
@@ -63,6 +64,7 @@
         self.fleet: Fleet | None = None
         self.count = Counters()
         self.log_ok = False
+        self.adopted_at = 0.0
         self.place = Place(True, (), ())
         self._cfg = cfg
         self._client = client
@@ -71,6 +73,7 @@
         self._rng = rng
         self._log_state = State(exact=False)
         self._keeper = Keeper(cfg["platform"]["keep_s"], rng)
+        self._sections = SectionCache()
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -218,19 +221,21 @@
             return
         self.state = merged
         if newer:
+            self._pass_on(merged)
             self._adopt(merged)
 
     def _adopt(self, state: State) -> None:
-        fleet, faults = parse_fleet(state.content, f"generation {state.generation}")
+        name = f"generation {state.generation}"
+        fleet, faults = parse_fleet(state.content, name, self._sections)
         if errors(faults):
             logger.error("generation {} cannot be used: {}", state.generation, faults[0].problem)
             return
         self.fleet = fleet
         self.count.adopted += 1
+        self.adopted_at = time.time()
         logger.info("generation {} in force", state.generation)
         self._place(fleet)
         self._on_adopt(state, fleet)
-        self._pass_on(state, fleet)
 
     def _place(self, fleet: Fleet) -> None:
         by_data_centre: dict[str, list[str]] = {}
@@ -242,10 +247,14 @@
             daemon["name"], by_data_centre, daemon["data_centre"], peers["readers"], peers["fanout"]
         )
 
-    def _pass_on(self, state: State, fleet: Fleet) -> None:
+    def _pass_on(self, state: State) -> None:
+        """Pass a generation on before reading it here, by the places of the one before."""
+        if self.fleet is None:
+            return
         snapshot = to_snapshot(state)
         for name in self.place.children:
-            if self._control.send(fleet["targets"][name]["control"], "Snapshot", snapshot):
+            control = self.fleet["targets"][name]["control"]
+            if self._control.send(control, "Snapshot", snapshot):
                 self.count.passed_on += 1
 
 
--- a/foldhoist/daemon/operators.py
+++ b/foldhoist/daemon/operators.py
@@ -111,6 +111,7 @@
         "draining": daemon.draining,
         "addresses": daemon.addresses,
         "configuration": describe(state),
+        "adopted_at": daemon.configuration.adopted_at,
         "reader": daemon.configuration.place.reader,
         "log_reachable": daemon.configuration.log_ok,
         "load": daemon.owner.load(),
--- a/foldhoist/membership/view.py
+++ b/foldhoist/membership/view.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from foldhoist.config.fleet import homes_of, targets_of
+from foldhoist.config.fleet import group_targets
 from foldhoist.routing.picker import Member
 from foldhoist.routing.rendezvous import ranked
 
@@ -18,10 +18,11 @@
 def tracked(fleet: Fleet, name: str, data_centre: str) -> dict[str, list[Member]]:
     """Return the upstreams that the daemon of this name tracks, by service."""
     chosen: dict[str, list[Member]] = {}
+    by_service = group_targets(fleet)
     for service, cfg in fleet["services"].items():
         serving = {
             target_name: target
-            for target_name, target in targets_of(fleet, service).items()
+            for target_name, target in by_service.get(service, {}).items()
             if target["state"] == "serving"
         }
         near = [each for each in serving if serving[each]["data_centre"] == data_centre]
@@ -35,7 +36,12 @@
 
 def homes(fleet: Fleet) -> dict[str, tuple[str, ...]]:
     """Return the homes of idempotency keys, by service."""
-    return {service: homes_of(fleet, service) for service in fleet["services"]}
+    by_service = group_targets(fleet)
+    found: dict[str, tuple[str, ...]] = {}
+    for service in fleet["services"]:
+        targets = by_service.get(service, {})
+        found[service] = tuple(n for n, target in targets.items() if target["state"] == "serving")
+    return found
 
 
 def _bounded(near: list[str], far: list[str], most: int) -> list[str]:
