Read the log in place of dead readers

Cause: with six daemons of 140 dead, readers first, a change did not reach the rest within 60 s: nobody in a data centre without readers read the log, since a question to a peer had no answer, and silence looks like 'nothing newer'.

Change: every question is answered with the generation held and how long ago whom read the log; a daemon that hears nothing fresh reads itself, in order of rank, and keeps doing so while the only reader it hears of is itself. Silent peers are passed over, a quarter of the questions go to anybody of the data centre.

Seen failing before: test_a_change_arrives_though_every_reader_of_the_data_centre_is_dead (30 s without the change); passing after, with the other 7 of its file.

Ruled out: an election (one reader too many is harmless); waiting for an operator.

--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -274,10 +274,12 @@
 def messages() -> dict[str, Any]:
     """Measure the bytes of each kind of message at an ordinary size."""
     load = {"busy": 5, "queued": 2, "slots": 12, "service_us": 2000, "errors": 0.0, "state": "warm"}
-    ask = {"have": 1000, "answer_to": "10.1.100.7:7002"}
+    ask = {"have": 1000, "name": "s1-100", "answer_to": "10.1.100.7:7002"}
+    held = {"generation": 1000, "name": "s1-100", "reader": "s1-200", "age_ms": 300}
     handover = {"service": "s1", "generation": 9, "target": "s1-100", "answer_to": ask["answer_to"]}
     sizes = {
         "Ask": len(zlib.compress(encode("Ask", ask), 1)) + 8,
+        "Held": len(zlib.compress(encode("Held", held), 1)) + 8,
         "Handover": len(zlib.compress(encode("Handover", handover), 1)) + 8,
         "Report": len(encode("Report", {"load": load})),
     }
--- a/foldhoist/configlog/spread.py
+++ b/foldhoist/configlog/spread.py
@@ -1,4 +1,7 @@
-"""How a generation spreads: readers per data centre, a fan-out tree, and questions to peers."""
+"""How a generation spreads: readers per data centre, a fan-out tree, and questions to peers.
+
+Answers tell how long ago somebody read the log. Where that gets old, the next in order read it.
+"""
 
 from __future__ import annotations
 
@@ -10,36 +13,114 @@
     from collections.abc import Mapping
     from random import Random
 
+    from foldhoist.schema.messages import Held
+
+
+SENIORS = 6
+"""Daemons of each data centre, first in its order, that the others ask."""
+RANDOM_SHARE = 0.25
+"""Share of questions that go to anybody of the data centre."""
+SILENT = 2
+"""Questions in a row without an answer after which a peer is passed over for a while."""
+SILENT_S = 10.0
+"""How long a silent peer is passed over, seconds."""
+PATIENCE = 2.5
+"""A daemon reads the log itself when what it hears of it is older than this many questions."""
+PATIENCE_RANK = 0.05
+"""For each place behind the readers it waits this many questions longer."""
+
 
 class Place(NamedTuple):
-    """One daemon's place in the spread: names of the daemons that it deals with."""
+    """One daemon's place in the spread; everyone with the same configuration finds the same."""
 
+    rank: int
     reader: bool
     children: tuple[str, ...]
-    partners: tuple[str, ...]
+    seniors: tuple[str, ...]
+    others: tuple[str, ...]
+
+
+NOWHERE = Place(0, True, (), (), ())
+"""The place of a daemon without configuration: it reads the log."""
 
 
 def place_of(
     name: str, by_data_centre: Mapping[str, list[str]], own: str, readers: int, fanout: int
 ) -> Place:
-    """Return a daemon's place; everyone with the same configuration finds the same tree."""
+    """Return a daemon's place: readers push to the others through a tree with this fan-out."""
     order = ranked(by_data_centre.get(own, []), own)
+    others = tuple(each for each in order if each != name)
     if name not in order:
-        return Place(True, (), tuple(order[:readers]))
+        return Place(len(order), True, (), others[:SENIORS], others)
     at = order.index(name)
     first = readers + at * fanout
     children = tuple(order[first : first + fanout])
-    near = [*_parent(order, at, readers, fanout), *order[:readers], order[(at + 1) % len(order)]]
-    far = _far_readers(by_data_centre, own, readers) if at < readers else []
-    partners = tuple(dict.fromkeys(each for each in [*near, *far] if each != name))
-    return Place(at < readers, children, partners)
+    seniors = [*_parent(order, at, readers, fanout), *order[:SENIORS]]
+    if at < SENIORS:
+        seniors += _far_seniors(by_data_centre, own)
+    asked = tuple(dict.fromkeys(each for each in seniors if each != name))
+    return Place(at, at < readers, children, asked, others)
+
+
+class Peers:
+    """Whom to ask next, and what the answers tell of the log; `now` is monotonic seconds."""
+
+    def __init__(self, name: str, ask_s: float, rng: Random) -> None:
+        self.name = name
+        self.ask_s = ask_s
+        self.place = NOWHERE
+        self._rng = rng
+        self._unanswered: dict[str, int] = {}
+        self._silent_until: dict[str, float] = {}
+        self._fresh_at = float("-inf")
+        self._reader = ""
+
+    def next(self, now: float) -> str | None:
+        """Return the peer to ask now, or None if there is none."""
+        anybody = self._rng.random() < RANDOM_SHARE
+        names = self.place.others if anybody else self.place.seniors
+        names = names or self.place.others
+        willing = [each for each in names if self._silent_until.get(each, 0.0) <= now]
+        if not willing:
+            willing = [*self.place.others]
+        if not willing:
+            return None
+        asked = willing[int(self._rng.random() * len(willing))]
+        self._ask(asked, now)
+        return asked
+
+    def answered(self, now: float, held: Held, behind: bool) -> None:
+        """Take in an answer; one of a peer that is `behind` tells nothing of the log."""
+        self._unanswered.pop(held["name"], None)
+        self._silent_until.pop(held["name"], None)
+        if behind or not held["reader"] or held["reader"] == self.name:
+            return
+        at = now - held["age_ms"] / 1000
+        if at > self._fresh_at:
+            self._fresh_at = at
+            self._reader = held["reader"]
+
+    def reads(self, now: float) -> bool:
+        """Return whether this daemon reads the log: by its place, or since others seem not to."""
+        if self.place.reader:
+            return True
+        patience = PATIENCE + PATIENCE_RANK * self.place.rank
+        return now - self._fresh_at > patience * self.ask_s
 
+    def freshness(self, now: float, own_read: float) -> tuple[str, int]:
+        """Return who read the log last, and how long ago in milliseconds."""
+        at, reader = self._fresh_at, self._reader
+        if own_read > at:
+            at, reader = own_read, self.name
+        if not reader:
+            return "", 0
+        return reader, int((now - at) * 1000)
 
-def next_partner(place: Place, rng: Random) -> str | None:
-    """Return the peer to ask next, or None if there is none."""
-    if not place.partners:
-        return None
-    return place.partners[int(rng.random() * len(place.partners))]
+    def _ask(self, name: str, now: float) -> None:
+        count = self._unanswered.get(name, 0) + 1
+        self._unanswered[name] = count
+        if count >= SILENT:
+            self._silent_until[name] = now + SILENT_S
 
 
 def _parent(order: list[str], at: int, readers: int, fanout: int) -> list[str]:
@@ -48,9 +129,9 @@
     return [order[(at - readers) // fanout]]
 
 
-def _far_readers(by_data_centre: Mapping[str, list[str]], own: str, readers: int) -> list[str]:
+def _far_seniors(by_data_centre: Mapping[str, list[str]], own: str) -> list[str]:
     far: list[str] = []
     for data_centre, names in sorted(by_data_centre.items()):
         if data_centre != own:
-            far += ranked(names, data_centre)[:readers]
+            far += ranked(names, data_centre)[:2]
     return far
--- a/foldhoist/daemon/configuration.py
+++ b/foldhoist/daemon/configuration.py
@@ -21,7 +21,7 @@
     to_snapshot,
 )
 from foldhoist.configlog.keep import Keeper
-from foldhoist.configlog.spread import Place, next_partner, place_of
+from foldhoist.configlog.spread import Peers, place_of
 from foldhoist.platform.client import pack_keep, unpack
 
 if TYPE_CHECKING:
@@ -32,7 +32,7 @@
     from foldhoist.daemon.control import Control
     from foldhoist.platform.client import Page, PlatformClient
     from foldhoist.schema.fleet import Fleet
-    from foldhoist.schema.messages import Ask, Snapshot
+    from foldhoist.schema.messages import Ask, Held, Snapshot
     from foldhoist.schema.settings import Settings
 
 
@@ -65,7 +65,8 @@
         self.count = Counters()
         self.log_ok = False
         self.adopted_at = 0.0
-        self.place = Place(True, (), ())
+        self.peers = Peers(cfg["daemon"]["name"], cfg["peers"]["ask_ms"] / 1000, rng)
+        self._own_read = float("-inf")
         self._cfg = cfg
         self._client = client
         self._control = control
@@ -95,17 +96,32 @@
 
     def on_ask(self, ask: Ask) -> None:
         """Answer a peer that may have an older generation, or ask it for its newer one."""
+        now = asyncio.get_running_loop().time()
+        reader, age_ms = self.peers.freshness(now, self._own_read)
+        held: Held = {
+            "generation": self.state.generation,
+            "name": self._cfg["daemon"]["name"],
+            "reader": reader,
+            "age_ms": age_ms,
+        }
+        self._control.send(ask["answer_to"], "Held", held)
         if ask["have"] < self.state.generation:
             self._control.send(ask["answer_to"], "Snapshot", to_snapshot(self.state))
         elif ask["have"] > self.state.generation:
             self._ask(ask["answer_to"])
 
+    def on_held(self, held: Held) -> None:
+        """Take in a peer's answer; what it knows of the log counts only if it is not behind."""
+        behind = held["generation"] < self.state.generation
+        self.peers.answered(asyncio.get_running_loop().time(), held, behind)
+
     # The log
 
     async def _read_log(self) -> None:
         poll_s = self._cfg["platform"]["poll_ms"] / 1000
         while True:
-            if self.place.reader or not self.state.generation:
+            now = asyncio.get_running_loop().time()
+            if self.peers.reads(now) or not self.state.generation:
                 await self._read_once()
             await asyncio.sleep(poll_s * (0.75 + 0.5 * self._rng.random()))
 
@@ -165,6 +181,7 @@
         self.count.log_reads += 1
         answer = await self._client.read(offset)
         if answer.is_ok():
+            self._own_read = asyncio.get_running_loop().time()
             self._log_is(True)
             return answer.ok
         self.count.log_errors += 1
@@ -201,14 +218,18 @@
             if seeds:
                 self._ask(seeds[int(self._rng.random() * len(seeds))])
             return
-        partner = next_partner(self.place, self._rng)
+        partner = self.peers.next(asyncio.get_running_loop().time())
         target = self.fleet["targets"].get(partner) if partner else None
         if target is not None:
             self._ask(target["control"])
 
     def _ask(self, address: str) -> None:
         self.count.asked += 1
-        ask: Ask = {"have": self.state.generation, "answer_to": self._control.address}
+        ask: Ask = {
+            "have": self.state.generation,
+            "name": self._cfg["daemon"]["name"],
+            "answer_to": self._control.address,
+        }
         self._control.send(address, "Ask", ask)
 
     # Adoption
@@ -243,7 +264,7 @@
             if target["state"] != "retired":
                 by_data_centre.setdefault(target["data_centre"], []).append(name)
         daemon, peers = self._cfg["daemon"], self._cfg["peers"]
-        self.place = place_of(
+        self.peers.place = place_of(
             daemon["name"], by_data_centre, daemon["data_centre"], peers["readers"], peers["fanout"]
         )
 
@@ -252,7 +273,7 @@
         if self.fleet is None:
             return
         snapshot = to_snapshot(state)
-        for name in self.place.children:
+        for name in self.peers.place.children:
             control = self.fleet["targets"][name]["control"]
             if self._control.send(control, "Snapshot", snapshot):
                 self.count.passed_on += 1
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -231,6 +231,8 @@
                 self.configuration.on_snapshot(body)
             case "Ask":
                 self.configuration.on_ask(body)
+            case "Held":
+                self.configuration.on_held(body)
             case "Handover":
                 self.handover.on_handover(body)
             case "Handed":
--- a/foldhoist/delivery/codec.py
+++ b/foldhoist/delivery/codec.py
@@ -29,6 +29,7 @@
     "Ask": (9, messages.Ask),
     "Handover": (10, messages.Handover),
     "Handed": (11, messages.Handed),
+    "Held": (12, messages.Held),
 }
 _NUMBERS = {name: number for name, (number, _) in _KINDS.items()}
 _DECODERS: dict[int, tuple[str, Any]] = {
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -251,12 +251,36 @@
     """
     Generation held by the asker; 0 for none.
     """
+    name: str
+    """
+    Name of the asker.
+    """
     answer_to: str
     """
     Control address of the asker.
     """
 
 
+class Held(TypedDict):
+    """
+    Control: answer to a question; the generation held, and how fresh that knowledge is.
+    """
+
+    generation: int
+    name: str
+    """
+    Name of the answerer.
+    """
+    reader: str
+    """
+    Who read the log; empty if nobody is known to have.
+    """
+    age_ms: int
+    """
+    Time since that reader read the log, milliseconds.
+    """
+
+
 class Handover(TypedDict):
     """
     Control: the new home of some keys asks a former home to stop and to tell what it knows.
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -12,8 +12,8 @@
 
 from foldhoist.configlog.fold import digest_of
 from foldhoist.platform.client import pack_keep
-from standins.processes import LocalFleet, request_json, wait_until
-from tests.integration.harness import NAMES, MutantFleet, make_fleet
+from standins.processes import LocalFleet, Target, request_json, wait_until
+from tests.integration.harness import NAMES, QUICK, SERVICES, MutantFleet, make_fleet
 
 
 def generations(fleet: LocalFleet) -> list[int]:
@@ -132,3 +132,21 @@
     kept = [base64.b64decode(record["data"]) for record in records]
     found = [json.loads(data[5:])["generation"] for data in kept if data.startswith(b"keep ")]
     return max(found, default=0)
+
+
+def test_a_change_arrives_though_every_reader_of_the_data_centre_is_dead() -> None:
+    targets = [Target(f"depo-{i}", "depo", "ist-1") for i in range(7)]
+    with LocalFleet("istanbul", targets, SERVICES, QUICK) as fleet:
+        fleet.start()
+        readers = [name for name in fleet.targets if fleet.status(name)["reader"]]
+        for name in readers:
+            fleet.daemons[name].kill()
+        left = [name for name in fleet.targets if name not in readers]
+        assert left
+        assert fleet.apply(change(fleet, 12)).returncode == 0
+        for name in left:
+            wait_until(lambda name=name: _generation(fleet, name) == 2, 30)
+
+
+def _generation(fleet: LocalFleet, name: str) -> int:
+    return int(fleet.status(name)["configuration"]["generation"])
