Let what is old fade, and try recovered upstreams

Cause: two unit tests found that an upstream left out for errors never came back, since its remembered errors and slowness outweighed everything, and that a daemon whose seniors are silent asked silent others as often as living ones.

Change: what was measured loses weight with silence; a returning upstream gets one call at a time, chosen for that reason and shown so; questions go to peers that are not silent first.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,7 +12,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from bench import capacity_slopes, capacity_spread
+from bench import capacity_page, capacity_slopes, capacity_spread
 from bench.figures import RESULTS, write_results
 
 if TYPE_CHECKING:
@@ -22,6 +22,7 @@
     "calls": capacity_slopes.calls,
     "tracked": capacity_slopes.tracked,
     "fleet": capacity_slopes.fleet_size,
+    "big": capacity_slopes.big,
     "links": capacity_slopes.links,
     "idle": capacity_slopes.idle,
     "messages": capacity_slopes.messages,
@@ -49,7 +50,7 @@
     if what in ("all", "measure"):
         measure(names)
     if what in ("all", "page"):
-        pass
+        capacity_page.write()
 
 
 if __name__ == "__main__":
--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import resource
 import time
@@ -25,7 +26,7 @@
 from foldhoist.routing.picker import Choice, Member, Picker
 from foldhoist.routing.policies import Mixed
 from standins.caller import Caller
-from standins.processes import LocalFleet, Target
+from standins.processes import LocalFleet, Target, wait_until
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -308,3 +309,38 @@
         "claim_us": points(sizes, claim_us),
         "own_rss_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1000,
     }
+
+
+def big() -> dict[str, Any]:
+    """Measure memory and adoption time of one real daemon over the targets of its configuration."""
+    memory: list[float] = []
+    adopt_ms: list[float] = []
+    targets = [Target("depo-1", "depo", "a")]
+    with LocalFleet("bench", targets, SERVICES) as fleet:
+        fleet.start()
+        for size in FLEETS:
+            text = _with_others(fleet, size)
+            assert fleet.apply(text).returncode == 0
+            times: list[float] = []
+            for number in range(3):
+                changed = text.replace("slots = 12", f"slots = {13 + number}", 1)
+                done = fleet.apply(changed, "--json")
+                wait_until(partial(_has, fleet, json.loads(done.stdout)["generation"]))
+                time.sleep(1.0)
+                times.append(fleet.status("depo-1")["adopt_ms"])
+            adopt_ms.append(min(times))
+            memory.append(rss_mb(fleet, "depo-1"))
+    sizes = [float(size) for size in FLEETS]
+    return {"rss_mb": points(sizes, memory), "adopt_ms": points(sizes, adopt_ms)}
+
+
+def _has(fleet: LocalFleet, generation: int) -> bool:
+    found = fleet.status("depo-1")["configuration"]["generation"]
+    return bool(found >= generation)
+
+
+def _with_others(fleet: LocalFleet, size: int) -> str:
+    """Return a large configuration that holds the running daemon, too."""
+    text = big_fleet(size - 1)
+    own = fleet.configuration()
+    return text + "\n" + SERVICES + "\n" + own[own.index("[target depo-1]") :]
--- a/foldhoist/commands/explain.py
+++ b/foldhoist/commands/explain.py
@@ -16,6 +16,7 @@
     "least-cost": "it had the least expected time",
     "only-one-open": "no other upstream was open to new calls",
     "only-ejected-left": "only upstreams that are left out for errors or slowness remained",
+    "trial": "it was left out before, and one call finds out whether it has recovered",
     "home-of-the-key": "every call with this idempotency key goes there",
 }
 """Reasons of a choice, as sentences."""
--- a/foldhoist/configlog/spread.py
+++ b/foldhoist/configlog/spread.py
@@ -79,8 +79,7 @@
         """Return the peer to ask now, or None if there is none."""
         anybody = self._rng.random() < RANDOM_SHARE
         names = self.place.others if anybody else self.place.seniors
-        names = names or self.place.others
-        willing = [each for each in names if self._silent_until.get(each, 0.0) <= now]
+        willing = self._not_silent(names, now) or self._not_silent(self.place.others, now)
         if not willing:
             willing = [*self.place.others]
         if not willing:
@@ -116,6 +115,9 @@
             return "", 0
         return reader, int((now - at) * 1000)
 
+    def _not_silent(self, names: tuple[str, ...], now: float) -> list[str]:
+        return [each for each in names if self._silent_until.get(each, 0.0) <= now]
+
     def _ask(self, name: str, now: float) -> None:
         count = self._unanswered.get(name, 0) + 1
         self._unanswered[name] = count
--- a/foldhoist/daemon/configuration.py
+++ b/foldhoist/daemon/configuration.py
@@ -65,6 +65,7 @@
         self.count = Counters()
         self.log_ok = False
         self.adopted_at = 0.0
+        self.adopt_ms = 0.0
         self.peers = Peers(cfg["daemon"]["name"], cfg["peers"]["ask_ms"] / 1000, rng)
         self._own_read = float("-inf")
         self._cfg = cfg
@@ -246,6 +247,7 @@
             self._adopt(merged)
 
     def _adopt(self, state: State) -> None:
+        began = time.perf_counter()
         name = f"generation {state.generation}"
         fleet, faults = parse_fleet(state.content, name, self._sections)
         if errors(faults):
@@ -257,6 +259,7 @@
         logger.info("generation {} in force", state.generation)
         self._place(fleet)
         self._on_adopt(state, fleet)
+        self.adopt_ms = (time.perf_counter() - began) * 1000
 
     def _place(self, fleet: Fleet) -> None:
         by_data_centre: dict[str, list[str]] = {}
--- a/foldhoist/daemon/operators.py
+++ b/foldhoist/daemon/operators.py
@@ -112,6 +112,7 @@
         "addresses": daemon.addresses,
         "configuration": describe(state),
         "adopted_at": daemon.configuration.adopted_at,
+        "adopt_ms": daemon.configuration.adopt_ms,
         "reader": daemon.configuration.peers.place.reader,
         "log_reachable": daemon.configuration.log_ok,
         "load": daemon.owner.load(),
--- a/foldhoist/routing/picker.py
+++ b/foldhoist/routing/picker.py
@@ -30,6 +30,8 @@
 """Longest ejection, seconds."""
 TRIAL_CALLS = 3
 """Good answers that a returning upstream must give, one at a time."""
+TRIAL_PAUSE_S = 0.05
+"""Time between two of these, seconds."""
 RAMP_S = 2.0
 """A new upstream is given its full share after this long, seconds."""
 REFUSED_S = 0.02
@@ -91,6 +93,7 @@
         """Choose an upstream for one call, other than the excluded ones."""
         open_ones: list[Track] = []
         ejected: list[Track] = []
+        trial: Track | None = None
         for track in self.tracks.values():
             if not track.linked or not track.standing or track.name in excluded:
                 continue
@@ -99,11 +102,16 @@
             if track.ejected_until > now:
                 ejected.append(track)
                 continue
+            if track.trial_left:
+                trial = trial or self._trial(track, now)
+                continue
             if self._has_room(track, now):
                 open_ones.append(track)
+        if trial is not None:
+            return self._chosen(trial, "trial", [*open_ones, trial], now, explain)
         reason = "least-cost"
         if not open_ones:
-            open_ones = ejected
+            open_ones = ejected or self._on_trial(excluded)
             reason = "only-ejected-left"
         if not open_ones:
             return self._none(now, excluded)
@@ -112,9 +120,21 @@
             reason = "only-one-open" if reason == "least-cost" else reason
         else:
             track = choose(self.policy, open_ones, now, self.rng)
+        return self._chosen(track, reason, open_ones, now, explain)
+
+    def _on_trial(self, excluded: Container[str]) -> list[Track]:
+        return [
+            track
+            for track in self.tracks.values()
+            if track.trial_left and track.linked and track.standing and track.name not in excluded
+        ]
+
+    def _chosen(
+        self, track: Track, reason: str, among: list[Track], now: float, explain: bool
+    ) -> Choice:
         if not explain:
             return Choice(track.name, reason, ())
-        return Choice(track.name, reason, shown(open_ones, track, self.data_centre, now))
+        return Choice(track.name, reason, shown(among, track, self.data_centre, now))
 
     def sent(self, name: str, seq: int, now: float) -> None:
         """Count a call that was sent to this upstream."""
@@ -189,16 +209,18 @@
     def _take_state(self, track: Track, load: Load) -> None:
         track.standing = load["state"] not in ("leaving", "down")
 
+    def _trial(self, track: Track, now: float) -> Track | None:
+        """Return the upstream if a call is to find out now whether it has recovered."""
+        return track if track.in_flight == 0 and now - track.last_at >= TRIAL_PAUSE_S else None
+
     def _has_room(self, track: Track, now: float) -> bool:
-        if track.trial_left:
-            return track.in_flight == 0
         age = now - track.since
         if age >= RAMP_S:
             return True
         return track.in_flight < max(1.0, track.slots * age / RAMP_S)
 
     def _judge(self, track: Track, now: float, latency_s: float, failed: bool) -> None:
-        track.measured(latency_s, failed)
+        track.measured(now, latency_s, failed)
         if track.trial_left:
             self._judge_trial(track, now, latency_s, failed)
             return
--- a/foldhoist/routing/policies.py
+++ b/foldhoist/routing/policies.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
-from foldhoist.routing.track import UNKNOWN_SERVICE_S
+from foldhoist.routing.track import STALE_S, UNKNOWN_SERVICE_S
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -121,7 +121,8 @@
     """
     costs: list[float] = []
     for track in among:
-        if track.in_flight or track.others or track.errors > MINOR_ERRORS:
+        stale = now - track.last_at > STALE_S
+        if stale or track.in_flight or track.others or track.errors > MINOR_ERRORS:
             cost = _busy_s(track, now)
         else:
             cost = track.latency_s if track.results else UNKNOWN_SERVICE_S
@@ -138,8 +139,9 @@
     cost = service * (1.0 + occupancy / slots)
     if occupancy >= slots:
         cost += service * (occupancy + 1.0 - slots) / slots
-    if track.errors > MINOR_ERRORS:
-        cost += service * ERROR_COST * track.errors
+    errors = track.errors_now(now)
+    if errors > MINOR_ERRORS:
+        cost += service * ERROR_COST * errors
     return cost
 
 
--- a/foldhoist/routing/track.py
+++ b/foldhoist/routing/track.py
@@ -12,6 +12,10 @@
 """Service time assumed of an upstream that has not answered yet, seconds."""
 SMOOTHING = 0.2
 """Weight of the newest answer in the running means."""
+STALE_S = 1.0
+"""What was measured keeps its full weight for this long without a new result, seconds."""
+FORGET_HALF_LIFE_S = 2.0
+"""After that, slowness and errors count half each time this long passes, seconds."""
 REPORT_HALF_LIFE_S = 0.05
 """A reported load counts half after this long, seconds; measured in docs/design/choosing.md."""
 LN_2 = 0.6931471805599453
@@ -27,6 +31,7 @@
         "ejections",
         "errors",
         "in_flight",
+        "last_at",
         "latency_s",
         "linked",
         "load",
@@ -52,6 +57,7 @@
         self.sent_at: dict[int, float] = {}
         self.latency_s = 0.0
         self.errors = 0.0
+        self.last_at = now
         self.results = 0
         self.load: Load | None = None
         self.load_at = 0.0
@@ -80,13 +86,26 @@
         self.slots = load["slots"] or self.slots
         self.others = max(0, load["busy"] + load["queued"] - self.in_flight)
 
-    def measured(self, latency_s: float, failed: bool) -> None:
-        """Add one result to the running means."""
+    def measured(self, now: float, latency_s: float, failed: bool) -> None:
+        """Add one result to the running means; `latency_s` is the time of the whole attempt."""
+        self.errors = self.errors_now(now)
+        self.last_at = now
         self.results += 1
         weight = max(SMOOTHING, 1.0 / self.results)
         self.latency_s += weight * (latency_s - self.latency_s)
         self.errors += weight * ((1.0 if failed else 0.0) - self.errors)
 
+    def fade(self, now: float) -> float:
+        """Return the weight of what was measured, 1 while it is fresh."""
+        silence = now - self.last_at - STALE_S
+        if silence <= 0:
+            return 1.0
+        return exp(-LN_2 * silence / FORGET_HALF_LIFE_S)
+
+    def errors_now(self, now: float) -> float:
+        """Return the share of errors, which fades while nothing is heard."""
+        return self.errors * self.fade(now)
+
     def oldest_age(self, now: float) -> float:
         """Return how long the oldest call in flight has been without a result, seconds."""
         for sent in self.sent_at.values():
@@ -96,6 +115,8 @@
     def service_s(self, now: float) -> float:
         """Return the expected time of a call, never below the age of the oldest one in flight."""
         known = self.latency_s if self.results else UNKNOWN_SERVICE_S
+        if now - self.last_at > STALE_S:
+            known = max(min(known, UNKNOWN_SERVICE_S), known * self.fade(now))
         if not self.in_flight:
             return known
         return max(known, self.oldest_age(now))
--- /dev/null
+++ b/tests/integration/test_commands.py
@@ -0,0 +1,82 @@
+"""The command line as an operator uses it: exit codes, texts, JSON."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.integration.harness import make_fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from standins.processes import LocalFleet
+
+
+@pytest.fixture(scope="module")
+def fleet() -> Iterator[LocalFleet]:
+    with make_fleet() as running:
+        running.start()
+        yield running
+
+
+def operators(fleet: LocalFleet) -> str:
+    return fleet.addresses["depo-1"]["operators"]
+
+
+def test_status_for_a_person_and_for_a_program(fleet: LocalFleet) -> None:
+    assert "generation 1" in fleet.command("status", operators(fleet)).stdout
+    told = json.loads(fleet.command("status", operators(fleet), "--json").stdout)
+    assert told["name"] == "depo-1"
+
+
+def test_config_gives_back_what_was_applied(fleet: LocalFleet) -> None:
+    told = json.loads(fleet.command("config", operators(fleet), "--json").stdout)
+    assert told["content"] == fleet.configuration()
+
+
+def test_a_faulty_file_lists_every_fault_and_applies_nothing(fleet: LocalFleet) -> None:
+    text = fleet.configuration().replace("slots = 12", "slots = none")
+    done = fleet.apply(text)
+    assert done.returncode == 1
+    assert done.stderr.count("is not a whole number") == 3
+    assert "[target depo-1] slots = none" in done.stderr
+    assert fleet.status("depo-1")["configuration"]["generation"] == 1
+
+
+def test_a_target_that_vanishes_is_refused_with_the_mend(fleet: LocalFleet) -> None:
+    text = fleet.configuration()
+    done = fleet.apply(text[: text.index("[target depo-3]")])
+    assert done.returncode == 1
+    assert "apply `state = retired`, then remove the section" in done.stderr
+
+
+def test_no_daemon_at_an_address(fleet: LocalFleet) -> None:
+    done = fleet.command("status", "127.0.0.1:1")
+    assert done.returncode == 4
+    assert "give the operators address of one" in done.stderr
+
+
+def test_explaining_what_nobody_knows(fleet: LocalFleet) -> None:
+    assert fleet.command("explain", "f" * 32, "--daemon", operators(fleet)).returncode == 5
+    assert fleet.command("explain", "short", "--daemon", operators(fleet)).returncode == 1
+
+
+def test_metrics_are_in_the_usual_text_format(fleet: LocalFleet) -> None:
+    import urllib.request
+
+    with urllib.request.urlopen(f"http://{operators(fleet)}/metrics", timeout=10) as answer:
+        text = answer.read().decode()
+    assert "# TYPE foldhoist_ingress_calls_total counter" in text
+    assert 'foldhoist_call_seconds{quantile="0.99"}' in text
+
+
+def test_a_daemon_with_faulty_settings_says_so_and_ends(fleet: LocalFleet) -> None:
+    path = fleet.folder / "faulty.ini"
+    path.write_text("[daemon]\nname = depo-1\n")
+    done = fleet.command("daemon", str(path))
+    assert done.returncode == 1
+    assert "[daemon] data_centre: is missing" in done.stderr
+    assert "[platform] log: is missing" in done.stderr
--- /dev/null
+++ b/tests/unit/delivery/test_ingress.py
@@ -0,0 +1,140 @@
+"""Tests of the ingress's side of delivery."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any
+
+from bench.stages import fleet_text
+from foldhoist.config.fleet import parse_fleet
+from foldhoist.delivery.ingress import CallerRequest, Ingress, Reply, SendTo
+from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun
+from foldhoist.membership.view import homes, tracked
+
+if TYPE_CHECKING:
+    from foldhoist.schema.messages import Load
+
+LOAD: Load = {
+    "busy": 0,
+    "queued": 0,
+    "slots": 4,
+    "service_us": 0,
+    "errors": 0.0,
+    "state": "warm",
+}
+TRACE = "00-" + "1" * 32 + "-" + "2" * 16 + "-00"
+
+
+def make(targets: int = 3, linked: bool = True) -> Ingress:
+    fleet, _ = parse_fleet(fleet_text(targets), "x")
+    ingress = Ingress("a", 100, random.Random(1))
+    ingress.adopt(0.0, 1, fleet, tracked(fleet, "me", "a"), homes(fleet))
+    for name in fleet["targets"] if linked else []:
+        ingress.link_up(0.0, name, "life-1")
+    return ingress
+
+
+def request(method: str = "GET", **fields: Any) -> CallerRequest:
+    plain = CallerRequest(method, "/depo/x", [], b"", 0.0, False, "", 0, 0, False, TRACE)
+    return plain._replace(**fields)
+
+
+def sent(actions: list[Any]) -> list[SendTo]:
+    return [each for each in actions if isinstance(each, SendTo)]
+
+
+def replies(actions: list[Any]) -> list[Any]:
+    return [each.verdict for each in actions if isinstance(each, Reply)]
+
+
+def refusal(seq: int, ran: str) -> Any:
+    return {"seq": seq, "ran": ran, "reason": "why", "retry_after_ms": 50, "load": LOAD}
+
+
+def test_not_run_is_tried_elsewhere_and_maybe_only_if_repeatable() -> None:
+    for method, ran, tries in (("GET", "no", 1), ("GET", "maybe", 1), ("POST", "no", 1)):
+        ingress = make()
+        (first,) = sent(ingress.arrive(1.0, 1, request(method)))
+        again = ingress.refusal(1.1, first.target, refusal(first.frame.body["seq"], ran))
+        assert len(sent(again)) == tries
+        assert sent(again)[0].target != first.target
+    ingress = make()
+    (first,) = sent(ingress.arrive(1.0, 1, request("POST")))
+    ended = ingress.refusal(1.1, first.target, refusal(first.frame.body["seq"], "maybe"))
+    assert replies(ended) == [MayHaveRun("why")]
+
+
+def test_a_call_inside_a_retried_one_is_not_retried() -> None:
+    ingress = make()
+    (first,) = sent(ingress.arrive(1.0, 1, request(retried=True)))
+    ended = ingress.refusal(1.1, first.target, refusal(first.frame.body["seq"], "no"))
+    assert replies(ended) == [NotRun("why", 0.05)]
+
+
+def test_retries_stay_a_share_of_calls_when_everything_fails() -> None:
+    ingress = make(12)
+    attempts = 0
+    for number in range(1000):
+        waiting = sent(ingress.arrive(float(number), number, request()))
+        while waiting:
+            attempts += 1
+            one = waiting.pop()
+            body = refusal(one.frame.body["seq"], "maybe")
+            waiting += sent(ingress.refusal(float(number), one.target, body))
+    assert attempts <= 1000 * 1.1 + 5
+
+
+def test_a_late_answer_is_nobodys() -> None:
+    ingress = make()
+    (first,) = sent(ingress.arrive(1.0, 1, request()))
+    seq = first.frame.body["seq"]
+    ended = ingress.tick(1.0 + 2.0)
+    assert replies(ended) == [MayHaveRun("deadline-passed", status=504)]
+    answer: Any = {"seq": seq, "status": 200, "headers": [], "body": b"", "load": LOAD}
+    assert ingress.answer(3.1, first.target, {**answer, "waited_us": 0, "served_us": 0}) == []
+    assert ingress.count.late == 1
+
+
+def test_a_call_parked_for_a_first_connection_goes_when_it_stands() -> None:
+    ingress = make(linked=False)
+    assert replies(ingress.arrive(1.0, 1, request())) == []
+    assert len(sent(ingress.link_up(1.1, "depo-1", "life-1"))) == 1
+
+
+def test_a_parked_call_is_refused_soon_and_truly() -> None:
+    ingress = make(linked=False)
+    ingress.arrive(1.0, 1, request())
+    at = ingress.next_at()
+    assert at is not None
+    assert replies(ingress.tick(at)) == [NotRun("no-upstream-connected", 1.0)]
+
+
+def test_an_owner_of_another_life_cannot_say_no() -> None:
+    ingress = make()
+    (first,) = sent(ingress.arrive(1.0, 1, request("POST")))
+    assert ingress.link_lost(1.1, first.target) == []
+    ended = ingress.link_up(1.2, first.target, "life-2")
+    assert replies(ended) == [MayHaveRun("owner-restarted")]
+
+
+def test_an_owner_of_the_same_life_is_asked() -> None:
+    ingress = make()
+    (first,) = sent(ingress.arrive(1.0, 1, request("POST")))
+    ingress.link_lost(1.1, first.target)
+    (asked,) = sent(ingress.link_up(1.2, first.target, "life-1"))
+    assert asked.frame.kind == "FateAsk"
+    assert asked.frame.body == {"seqs": [first.frame.body["seq"]]}
+
+
+def test_a_hedge_is_sent_for_a_slow_repeatable_call_and_the_loser_withdrawn() -> None:
+    ingress = make()
+    ingress._services["depo"].cfg["hedge_ms"] = 20
+    (first,) = sent(ingress.arrive(1.0, 1, request()))
+    (second,) = sent(ingress.tick(1.021))
+    assert second.target != first.target
+    answer: Any = {"seq": second.frame.body["seq"], "status": 200, "headers": [], "body": b""}
+    answer |= {"waited_us": 0, "served_us": 0, "load": LOAD}
+    ended = ingress.answer(1.03, second.target, answer)
+    assert isinstance(replies(ended)[0], Answered)
+    (withdrawn,) = sent(ended)
+    assert (withdrawn.target, withdrawn.frame.kind) == (first.target, "Withdraw")
