Trust reports as far as they foretell, and judge alike times alike

Calls that were hedged away taught nothing of the upstream that hung.

Change: an answer says how many calls it met; reports count only as far as they foretold that better than the mean does. Service times within a factor of 2 count as alike. An abandoned call counts with the time it had. A new generation is announced to four peers.

--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -140,7 +140,7 @@
     choice = picker.pick(10.0, ())
     assert isinstance(choice, Choice)
     picker.sent(choice.name, 1, 10.0)
-    picker.abandoned(choice.name, 1)
+    picker.abandoned(choice.name, 1, 10.0)
 
 
 def _best_us(run: Callable[[], object], times: int = 3000, rounds: int = 5) -> float:
--- a/foldhoist/configlog/spread.py
+++ b/foldhoist/configlog/spread.py
@@ -88,6 +88,11 @@
         self._ask(asked, now)
         return asked
 
+    def some(self, count: int) -> list[str]:
+        """Return some peers of the data centre, drawn by lot."""
+        others = self.place.others
+        return self._rng.sample(others, min(count, len(others)))
+
     def answered(self, now: float, held: Held, behind: bool) -> None:
         """Take in an answer; one of a peer that is `behind` tells nothing of the log."""
         self._unanswered.pop(held["name"], None)
--- a/foldhoist/daemon/configuration.py
+++ b/foldhoist/daemon/configuration.py
@@ -35,6 +35,11 @@
     from foldhoist.schema.messages import Ask, Held, Snapshot
     from foldhoist.schema.settings import Settings
 
+ANNOUNCED = 4
+"""Peers that are told of a new generation beside the tree; they ask if they have it not."""
+ANNOUNCE_S = 0.2
+"""Mean time that the tree is given before that, seconds."""
+
 
 @dataclass(slots=True)
 class Counters:
@@ -97,15 +102,7 @@
 
     def on_ask(self, ask: Ask) -> None:
         """Answer a peer that may have an older generation, or ask it for its newer one."""
-        now = asyncio.get_running_loop().time()
-        reader, age_ms = self.peers.freshness(now, self._own_read)
-        held: Held = {
-            "generation": self.state.generation,
-            "name": self._cfg["daemon"]["name"],
-            "reader": reader,
-            "age_ms": age_ms,
-        }
-        self._control.send(ask["answer_to"], "Held", held)
+        self._control.send(ask["answer_to"], "Held", self._held())
         if ask["have"] < self.state.generation:
             self._control.send(ask["answer_to"], "Snapshot", to_snapshot(self.state))
         elif ask["have"] > self.state.generation:
@@ -115,6 +112,10 @@
         """Take in a peer's answer; what it knows of the log counts only if it is not behind."""
         behind = held["generation"] < self.state.generation
         self.peers.answered(asyncio.get_running_loop().time(), held, behind)
+        if held["generation"] > self.state.generation and self.fleet is not None:
+            target = self.fleet["targets"].get(held["name"])
+            if target is not None:
+                self._ask(target["control"])
 
     # The log
 
@@ -233,6 +234,25 @@
         }
         self._control.send(address, "Ask", ask)
 
+    def _held(self) -> Held:
+        now = asyncio.get_running_loop().time()
+        reader, age_ms = self.peers.freshness(now, self._own_read)
+        return {
+            "generation": self.state.generation,
+            "name": self._cfg["daemon"]["name"],
+            "reader": reader,
+            "age_ms": age_ms,
+        }
+
+    def _announce(self) -> None:
+        """Tell some of the data centre which generation is held: a dead relay leaves gaps."""
+        if self.fleet is None:
+            return
+        for name in self.peers.some(ANNOUNCED):
+            target = self.fleet["targets"].get(name)
+            if target is not None:
+                self._control.send(target["control"], "Held", self._held())
+
     # Adoption
 
     def _take(self, state: State) -> None:
@@ -260,6 +280,8 @@
         self._place(fleet)
         self._on_adopt(state, fleet)
         self.adopt_ms = (time.perf_counter() - began) * 1000
+        wait = ANNOUNCE_S * (0.5 + self._rng.random())
+        asyncio.get_running_loop().call_later(wait, self._announce)
 
     def _place(self, fleet: Fleet) -> None:
         by_data_centre: dict[str, list[str]] = {}
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -280,7 +280,7 @@
         failed = message["status"] >= SERVER_ERROR
         picker = self._services[call.service].picker if call.service in self._services else None
         if picker is not None:
-            picker.answered(live.target, seq, now, failed, message["load"])
+            picker.answered(live.target, seq, now, failed, message["load"], message["ahead"])
         self._note(now, call, live, "answered", message["waited_us"], message["served_us"])
         response = Response(message["status"], message["headers"], message["body"])
         return self._finish(now, call, Answered(response))
@@ -345,7 +345,7 @@
             return []
         self._parked.pop(call_id, None)
         self.count.gone += 1
-        return self._withdraw_all(call)
+        return self._withdraw_all(now, call)
 
     def tick(self, now: float) -> list[Action]:
         """Give the final answer to calls whose time is up, and send hedges."""
@@ -548,15 +548,15 @@
         reply = Reply(call.call_id, verdict, self._record(now, call, verdict))
         if not call.live:
             return [reply]
-        return [reply, *self._withdraw_all(call)]
+        return [reply, *self._withdraw_all(now, call)]
 
-    def _withdraw_all(self, call: _Call) -> list[Action]:
+    def _withdraw_all(self, now: float, call: _Call) -> list[Action]:
         actions: list[Action] = []
         state = self._services.get(call.service)
         for seq, live in call.live.items():
             self._by_seq.pop(seq, None)
             if state is not None:
-                state.picker.abandoned(live.target, seq)
+                state.picker.abandoned(live.target, seq, now)
             actions.append(SendTo(live.target, Outgoing("Withdraw", {"seq": seq})))
         call.live = {}
         return actions
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -148,7 +148,16 @@
 
 
 class _Ticket:
-    __slots__ = ("arrived", "deadline", "incarnation", "key", "request", "running", "started")
+    __slots__ = (
+        "ahead",
+        "arrived",
+        "deadline",
+        "incarnation",
+        "key",
+        "request",
+        "running",
+        "started",
+    )
 
     def __init__(self, incarnation: str, request: Dispatch, now: float, deadline: float) -> None:
         self.incarnation = incarnation
@@ -157,6 +166,7 @@
         self.deadline = deadline
         self.running = False
         self.started = 0.0
+        self.ahead = 0
         self.key = request["key"]
 
 
@@ -398,7 +408,7 @@
                 return [self._send(peer, seq, frame)]
             case Replay():
                 self.count.key_replayed += 1
-                return [self._send(peer, seq, self._answer(seq, claim.response, 0, 0))]
+                return [self._send(peer, seq, self._answer(seq, claim.response, -1, 0, 0))]
             case Join():
                 self._joined.setdefault(req["key"], []).append((incarnation, seq))
                 return []
@@ -409,6 +419,7 @@
         self._next_ticket += 1
         deadline = now + req["budget_ms"] / 1000
         ticket = _Ticket(incarnation, req, now, deadline)
+        ticket.ahead = self.queue.busy + self.queue.queued
         self._tickets[ticket_id] = ticket
         peer.live[req["seq"]] = ticket_id
         decision = self.queue.submit(now, ticket_id, req["urgent"], deadline)
@@ -444,7 +455,7 @@
             peer = self._peers.get(incarnation)
             if peer is None:
                 continue
-            frame = self._answer(seq, response, waited_us, served_us)
+            frame = self._answer(seq, response, ticket.ahead, waited_us, served_us)
             actions.append(self._end(peer, seq, frame))
         if ticket.key:
             self.keys.ended(ticket.key, response, ran=True)
@@ -517,12 +528,15 @@
     def _report(self) -> Frame:
         return Frame("Report", {"load": self.load()})
 
-    def _answer(self, seq: int, response: Response, waited_us: int, served_us: int) -> Frame:
+    def _answer(
+        self, seq: int, response: Response, ahead: int, waited_us: int, served_us: int
+    ) -> Frame:
         body: Answer = {
             "seq": seq,
             "status": response.status,
             "headers": response.headers,
             "body": response.body,
+            "ahead": ahead,
             "waited_us": waited_us,
             "served_us": served_us,
             "load": self.load(),
--- a/foldhoist/routing/picker.py
+++ b/foldhoist/routing/picker.py
@@ -5,13 +5,14 @@
 from statistics import median
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
-from foldhoist.routing.policies import Policy, Scored, choose, shown
+from foldhoist.routing.policies import Mixed, Policy, Scored, choose, shown
 from foldhoist.routing.track import Track
 
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable
     from random import Random
 
+    from foldhoist.routing.track import Sent
     from foldhoist.schema.messages import Load
 
 NO_CONNECTION = "no-upstream-connected"
@@ -142,16 +143,21 @@
         if track is not None:
             track.sent(seq, now)
 
-    def answered(self, name: str, seq: int, now: float, failed: bool, load: Load) -> None:
-        """Take in an answer; `failed` marks an error of the server's."""
+    def answered(
+        self, name: str, seq: int, now: float, failed: bool, load: Load, ahead: int = -1
+    ) -> None:
+        """Take in an answer; `ahead` is the number of calls that it met, -1 if unknown."""
         track = self.tracks.get(name)
         if track is None:
             return
         sent = track.ended(seq)
         track.learned(load, now)
         self._take_state(track, load)
-        if sent is not None:
-            self._judge(track, now, now - sent, failed)
+        if sent is None:
+            return
+        if ahead >= 0:
+            self._learn(sent, ahead)
+        self._judge(track, now, now - sent.at, failed)
 
     def refused(self, name: str, seq: int, now: float, retry_after_s: float, load: Load) -> None:
         """Take in a refusal: leave the upstream out until it may have room again."""
@@ -171,13 +177,14 @@
             return
         sent = track.ended(seq)
         if sent is not None:
-            self._judge(track, now, now - sent, failed=True)
+            self._judge(track, now, now - sent.at, failed=True)
 
-    def abandoned(self, name: str, seq: int) -> None:
-        """Take in a call that nobody waits for any more."""
+    def abandoned(self, name: str, seq: int, now: float) -> None:
+        """Take in a call that nobody waits for any more; it took at least as long as until now."""
         track = self.tracks.get(name)
-        if track is not None:
-            track.ended(seq)
+        sent = track.ended(seq) if track is not None else None
+        if track is not None and sent is not None and now - sent.at > track.latency_s:
+            self._judge(track, now, now - sent.at, failed=False)
 
     def reported(self, name: str, now: float, load: Load) -> None:
         """Take in a report of the owner's that came by itself."""
@@ -196,6 +203,11 @@
         if up and fresh:
             self._forget(track, now)
 
+    def _learn(self, sent: Sent, ahead: int) -> None:
+        match self.policy:
+            case Mixed(trust=trust):
+                trust.learned(sent.own, sent.others, ahead)
+
     def _forget(self, track: Track, now: float) -> None:
         if track.load is not None or track.results:
             track.since = now
--- a/foldhoist/routing/policies.py
+++ b/foldhoist/routing/policies.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
 from foldhoist.routing.track import STALE_S, UNKNOWN_SERVICE_S
+from foldhoist.routing.trust import Trust
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -21,6 +22,8 @@
 """What a share of errors costs, in service times."""
 MOST_SHOWN = 4
 """Candidates that a decision record keeps."""
+ALIKE = 2.0
+"""Service times within this factor of the fastest count as alike; docs/design/choosing.md."""
 TIE = 0.05
 """Scores closer than this share of the best one count as equal and are drawn by lot."""
 
@@ -63,6 +66,7 @@
     """The least expected time, from own calls in flight, aged reports and distance."""
 
     data_centre: str = ""
+    trust: Trust = field(default_factory=Trust)
 
 
 Policy: TypeAlias = RandomChoice | RoundRobin | LeastInFlight | TwoChoices | HotCold | Mixed
@@ -111,38 +115,46 @@
         case HotCold():
             return _hot_cold(policy, among, now, rng)
         case Mixed():
-            return _least(among, expected_s(among, policy.data_centre, now), rng)
+            scores = expected_s(among, policy.data_centre, now, policy.trust.weight)
+            return _least(among, scores, rng)
 
 
-def expected_s(among: Sequence[Track], data_centre: str, now: float) -> list[float]:
+def expected_s(
+    among: Sequence[Track], data_centre: str, now: float, trust: float = 1.0
+) -> list[float]:
     """Return the expected time of one more call at each, seconds, errors and distance included.
 
-    One loop without calls for the ordinary case: it runs for every call that enters.
+    Upstreams whose answers take about as long as those of the fastest are taken for equally fast:
+    what is left of the difference is chance, and calls would flock to the luckiest.
     """
+    times = [_service_s(track, now) for track in among]
+    usual = min(times)
     costs: list[float] = []
-    for track in among:
-        stale = now - track.last_at > STALE_S
-        if stale or track.in_flight or track.others or track.errors > MINOR_ERRORS:
-            cost = _busy_s(track, now)
-        else:
-            cost = track.latency_s if track.results else UNKNOWN_SERVICE_S
+    for track, service in zip(among, times, strict=True):
+        cost = usual if service <= usual * ALIKE else service
+        if track.in_flight or track.others:
+            cost *= _crowding(track, now, trust)
+        if track.errors > MINOR_ERRORS:
+            cost *= 1.0 + ERROR_COST * track.errors_now(now)
         if track.data_centre != data_centre:
             cost += REMOTE_COST_S
         costs.append(cost)
     return costs
 
 
-def _busy_s(track: Track, now: float) -> float:
-    service = track.service_s(now)
-    occupancy = track.occupancy(now)
+def _service_s(track: Track, now: float) -> float:
+    if track.in_flight or now - track.last_at > STALE_S:
+        return track.service_s(now)
+    return track.latency_s if track.results else UNKNOWN_SERVICE_S
+
+
+def _crowding(track: Track, now: float, trust: float) -> float:
+    occupancy = track.occupancy(now, trust)
     slots = track.slots
-    cost = service * (1.0 + occupancy / slots)
+    factor = 1.0 + occupancy / slots
     if occupancy >= slots:
-        cost += service * (occupancy + 1.0 - slots) / slots
-    errors = track.errors_now(now)
-    if errors > MINOR_ERRORS:
-        cost += service * ERROR_COST * errors
-    return cost
+        factor += (occupancy + 1.0 - slots) / slots
+    return factor
 
 
 def shown(
--- a/foldhoist/routing/track.py
+++ b/foldhoist/routing/track.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from math import exp
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from foldhoist.schema.messages import Load
@@ -21,6 +21,14 @@
 LN_2 = 0.6931471805599453
 
 
+class Sent(NamedTuple):
+    """When a call was sent, and what was believed of its upstream then."""
+
+    at: float
+    own: int
+    others: float
+
+
 class Track:
     """One upstream as this daemon sees it; times are seconds, monotonic."""
 
@@ -54,7 +62,7 @@
         self.linked = False
         self.standing = True
         self.in_flight = 0
-        self.sent_at: dict[int, float] = {}
+        self.sent_at: dict[int, Sent] = {}
         self.latency_s = 0.0
         self.errors = 0.0
         self.last_at = now
@@ -68,12 +76,12 @@
         self.trial_left = 0
 
     def sent(self, seq: int, now: float) -> None:
-        """Count a call that was just sent."""
-        self.sent_at[seq] = now
+        """Count a call that was just sent, with what was expected of it."""
+        self.sent_at[seq] = Sent(now, self.in_flight, self.faded_others(now))
         self.in_flight += 1
 
-    def ended(self, seq: int) -> float | None:
-        """Count the end of a call; return when it was sent, or None if it was not counted."""
+    def ended(self, seq: int) -> Sent | None:
+        """Count the end of a call; return what was noted of it, or None if it was not counted."""
         sent = self.sent_at.pop(seq, None)
         if sent is not None:
             self.in_flight -= 1
@@ -109,7 +117,7 @@
     def oldest_age(self, now: float) -> float:
         """Return how long the oldest call in flight has been without a result, seconds."""
         for sent in self.sent_at.values():
-            return now - sent
+            return now - sent.at
         return 0.0
 
     def service_s(self, now: float) -> float:
@@ -121,9 +129,14 @@
             return known
         return max(known, self.oldest_age(now))
 
-    def occupancy(self, now: float) -> float:
-        """Return the calls expected there now: our own, and others by an ageing report."""
+    def faded_others(self, now: float) -> float:
+        """Return the calls of others that the last report told of, less as it gets older."""
+        if not self.others:
+            return 0.0
+        return self.others * exp(-LN_2 * (now - self.load_at) / REPORT_HALF_LIFE_S)
+
+    def occupancy(self, now: float, trust: float = 1.0) -> float:
+        """Return the calls expected there now: our own, and others as far as trusted."""
         if not self.others:
             return float(self.in_flight)
-        faded = exp(-LN_2 * (now - self.load_at) / REPORT_HALF_LIFE_S)
-        return self.in_flight + self.others * faded
+        return self.in_flight + trust * self.faded_others(now)
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -130,6 +130,10 @@
     status: int
     headers: list[list[bytes]]
     body: bytes
+    ahead: int
+    """
+    Calls that ran or waited at the owner when this one arrived; -1 if it was not admitted anew.
+    """
     waited_us: int
     """
     Time in the owner's queue, microseconds.
--- a/tests/unit/delivery/test_ingress.py
+++ b/tests/unit/delivery/test_ingress.py
@@ -90,7 +90,7 @@
     seq = first.frame.body["seq"]
     ended = ingress.tick(1.0 + 2.0)
     assert replies(ended) == [MayHaveRun("deadline-passed", status=504)]
-    answer: Any = {"seq": seq, "status": 200, "headers": [], "body": b"", "load": LOAD}
+    answer: Any = {"seq": seq, "status": 200, "headers": [], "body": b"", "ahead": 0, "load": LOAD}
     assert ingress.answer(3.1, first.target, {**answer, "waited_us": 0, "served_us": 0}) == []
     assert ingress.count.late == 1
 
@@ -133,7 +133,7 @@
     (second,) = sent(ingress.tick(1.021))
     assert second.target != first.target
     answer: Any = {"seq": second.frame.body["seq"], "status": 200, "headers": [], "body": b""}
-    answer |= {"waited_us": 0, "served_us": 0, "load": LOAD}
+    answer |= {"ahead": 0, "waited_us": 0, "served_us": 0, "load": LOAD}
     ended = ingress.answer(1.03, second.target, answer)
     assert isinstance(replies(ended)[0], Answered)
     (withdrawn,) = sent(ended)
