Reference pages from the schemas, and experiments that write their pages

Cause: options were documented only in the schemas; the decision bench printed a table that no page quoted; the time in which an upstream's leaving is known was not measured. Measured: nothing yet; the runs follow.

--- a/bench/latency.py
+++ b/bench/latency.py
@@ -30,6 +30,8 @@
 """Rounds of one rate; figures are the median of the rounds."""
 CALLS = 1500
 """Calls of each kind in a round at higher rates."""
+SLOW_RATE, FEW_CALLS = 10.0, 120
+"""Below this rate a round has so few calls; its p99 is nearly its slowest call."""
 BODY = "x" * 300
 """What a call carries, bytes."""
 SHARES = (50, 99, 99.9)
@@ -115,9 +117,8 @@
         asyncio.run(measure_round(fleet, names, 200, 500, 99))
         print("calls/s  added p50  p99 (least..most)  p99.9 us  direct p99  cpu us/call  failed")
         for rate in rates:
-            calls = 150 if rate < 10 else CALLS
-            row = measure_rate(fleet, names, rate if rate >= 10 else 10, calls)
-            row["rate"] = rate
+            calls = FEW_CALLS if rate < SLOW_RATE else CALLS
+            row = measure_rate(fleet, names, rate, calls)
             rows.append(row)
             show(row)
     print(write_results("latency", {"at": time.strftime("%Y-%m-%d"), "rows": rows}))
--- /dev/null
+++ b/bench/leaving.py
@@ -0,0 +1,92 @@
+"""Time from a source's word that an upstream is leaving until its last call begins."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+from bench.figures import spread, write_results
+from standins.caller import Caller
+from standins.processes import LocalFleet, Target
+
+SERVICES = """[service depo]
+prefix = /depo/
+urgent_slots = 0
+
+[route depo-lookup]
+service = depo
+prefix = /depo/
+repeatable = yes
+"""
+NAMES = ("depo-1", "depo-2", "depo-3")
+SOURCES = ("upstream health", "upstream answer", "host list", "configuration", "drain command")
+ROUNDS = 3
+WATCH_S = 5.0
+"""How long the leaving upstream is watched, seconds."""
+RATE = 150.0
+"""Calls a second meanwhile."""
+
+
+def say(fleet: LocalFleet, source: str) -> None:
+    """Let one source say that depo-1 is leaving."""
+    match source:
+        case "upstream health":
+            fleet.control_upstream("depo-1", health_state="leaving")
+        case "upstream answer":
+            fleet.control_upstream("depo-1", leave_header=True)
+        case "host list":
+            fleet.control_platform(hosts={"depo-1": "leaving"})
+        case "configuration":
+            fleet.states["depo-1"] = "leaving"
+            fleet.apply()
+        case "drain command":
+            fleet.command("drain", fleet.addresses["depo-1"]["operators"])
+
+
+async def last_call(fleet: LocalFleet, source: str) -> float:
+    """Return the seconds from the end of the word's sending to the last call's start."""
+    caller = Caller()
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    tasks: list[asyncio.Task[Any]] = []
+    said_at = 0.0
+    last, runs, number = 0.0, -1, 0
+    word: asyncio.Task[Any] | None = None
+    while loop.time() < began + 1.0 + WATCH_S:
+        number += 1
+        address = fleet.addresses[NAMES[1 + number % 2]]["callers"]
+        tasks.append(loop.create_task(caller.call(address, "GET", "/depo/a")))
+        await asyncio.sleep(1 / RATE)
+        if word is None and loop.time() > began + 1.0:
+            said_at = time.monotonic()
+            word = loop.create_task(asyncio.to_thread(say, fleet, source))
+        if number % 3 == 0:
+            found = await asyncio.to_thread(fleet.executions, "depo-1")
+            count = sum(found["executions"].values())
+            if count != runs:
+                runs, last = count, time.monotonic()
+    await asyncio.gather(*tasks)
+    caller.close()
+    return max(0.0, last - said_at)
+
+
+def main() -> None:
+    """Measure every source, print and write."""
+    found: dict[str, Any] = {}
+    for source in SOURCES:
+        times: list[float] = []
+        for _ in range(ROUNDS):
+            targets = [Target(name, "depo", "ist-1", service_ms=3.0) for name in NAMES]
+            with LocalFleet("bench", targets, SERVICES) as fleet:
+                fleet.start()
+                times.append(asyncio.run(last_call(fleet, source)))
+        found[source] = spread(times)
+        figures = found[source]
+        span = f"{figures['least']:.2f}..{figures['most']:.2f}"
+        print(f"{source:18} {figures['median']:.2f} s ({span})", flush=True)
+    write_results("leaving", {"at": time.strftime("%Y-%m-%d"), "seconds": found})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,22 @@
+"""Runs every experiment but the capacity slopes: stages, latency, leaving, decisions."""
+
+from __future__ import annotations
+
+from bench import decisions, latency, leaving, report, stages
+
+
+def main() -> None:
+    """Run them one after the other."""
+    for name, run in (
+        ("stages of a call", stages.main),
+        ("added latency", latency.main),
+        ("leaving upstreams", leaving.main),
+        ("decisions", decisions.main),
+    ):
+        print(f"\n# {name}", flush=True)
+        run()
+    report.write()
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,5 +1,6 @@
-"""Writes foldhoist/schema/*.py from the JSON Schemas beside them; --check only compares."""
+"""Writes code and reference pages from the JSON Schemas; --check only compares."""
 
+import json
 import subprocess
 import sys
 import tempfile
@@ -36,6 +37,71 @@
     subprocess.run(command, check=True)
 
 
+PAGES = {
+    "settings": ("settings.md", "Settings", "Each daemon reads one INI file with these sections."),
+    "fleet": ("fleet-options.md", "Fleet options", "The fleet configuration has these sections."),
+}
+"""Reference pages: file, title and first sentence, by schema."""
+
+
+def reference(name: str) -> str:
+    """Return the reference page of a schema."""
+    schema = json.loads((SCHEMAS / f"{name}.json").read_text())
+    _, title, first = PAGES[name]
+    lines = [f"# {title}", "", f"{first} Generated from `foldhoist/schema/{name}.json`.", ""]
+    for section, entry in schema["$defs"].items():
+        lines += [f"## {section_title(name, section)}", "", entry["description"], ""]
+        lines += ["| option | kind | default | meaning |", "|---|---|---|---|"]
+        for option, about in entry["properties"].items():
+            cells = (f"`{option}`", kind_of(about), default_of(about), about["description"])
+            lines.append(f"| {' | '.join(cells)} |")
+        lines.append("")
+    return "\n".join(lines)
+
+
+def section_title(name: str, section: str) -> str:
+    """Return the section as it is written in a file."""
+    if section == "FleetSection":
+        return "[fleet]"
+    if name == "fleet":
+        return f"[{section.lower()} NAME]"
+    return f"[{section.lower()}]"
+
+
+def kind_of(about: dict) -> str:
+    """Return what an option takes."""
+    if "enum" in about:
+        return ", ".join(about["enum"])
+    if "minimum" in about:
+        return f"{about['type']}, {about['minimum']} to {about['maximum']}"
+    return str(about.get("x-kind", about["type"]))
+
+
+def default_of(about: dict) -> str:
+    """Return the default of an option."""
+    if "default" not in about:
+        return "must be given"
+    value = about["default"]
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return f"`{value}`" if value != "" else "empty"
+
+
+def stale_pages(check: bool) -> list[str]:
+    """Write the reference pages, or return those that are not current."""
+    stale = []
+    for name, (file, _, _) in PAGES.items():
+        page = SCHEMAS.parent.parent / "docs" / "operators" / file
+        text = reference(name)
+        if page.exists() and page.read_text() == text:
+            continue
+        if check:
+            stale.append(str(page.name))
+            continue
+        page.write_text(text)
+    return stale
+
+
 def main() -> int:
     """Return 1 if --check is given and a file differs from what would be generated."""
     stale = []
@@ -50,8 +116,9 @@
                 stale.append(name)
                 continue
             kept.write_text(made.read_text())
+    stale = [f"foldhoist/schema/{name}.py" for name in stale] + stale_pages("--check" in sys.argv)
     for name in stale:
-        print(f"foldhoist/schema/{name}.py is not what its schema gives: run `make generate`")
+        print(f"{name} is not what its schema gives: run `make generate`")
     return 1 if stale else 0
 
 
