Read the whole log in one place, end an attempt in one place

Cause: reading everything that the log keeps stood in the daemon and in the commands; answer and refusal began with the same lines; two files said 'leaving' for a test. Change: platform.state.read_kept serves both; one step ends an attempt; the local fleet says it. A keyed refusal no longer counts as an error of its upstream. Conclusion: behaviour kept but for the keyed refusal.

--- a/foldhoist/daemon/configuration.py
+++ b/foldhoist/daemon/configuration.py
@@ -15,7 +15,6 @@
     State,
     digest_of,
     fold,
-    fold_all,
     from_snapshot,
     merge,
     to_snapshot,
@@ -23,6 +22,7 @@
 from foldhoist.configlog.keep import Keeper
 from foldhoist.configlog.spread import Peers, place_of
 from foldhoist.platform.client import pack_keep, unpack
+from foldhoist.platform.state import read_kept
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,7 +30,7 @@
 
     from foldhoist.configlog.fold import LogRecord
     from foldhoist.daemon.control import Control
-    from foldhoist.platform.client import Page, PlatformClient
+    from foldhoist.platform.client import Page, PlatformClient, PlatformError
     from foldhoist.schema.fleet import Fleet
     from foldhoist.schema.messages import Ask, Held, Snapshot
     from foldhoist.schema.settings import Settings
@@ -135,24 +135,16 @@
         await self._keep()
 
     async def _read_whole(self) -> None:
-        records: list[LogRecord] = []
-        offset, oldest = 0, -1
-        while True:
-            page = await self._page(offset)
-            if page is None:
-                return
-            oldest = page["oldest"] if oldest < 0 else oldest
-            records += _unpacked(page)
-            offset = max(offset, page["oldest"]) + len(page["records"])
-            if not page["records"]:
-                break
-        state = fold_all(records, oldest)
-        if state.folded < offset:
-            state = state._replace(folded=offset)
-        self._log_state = state
-        for record in records:
+        self.count.log_reads += 1
+        answer = await read_kept(self._client)
+        if answer.is_error():
+            self._log_failed(answer.error)
+            return
+        self._log_answered()
+        self._log_state = answer.ok.state()
+        for record in answer.ok.records:
             self._saw(record)
-        self._take(state)
+        self._take(self._log_state)
 
     async def _read_on(self) -> None:
         while True:
@@ -182,13 +174,19 @@
     async def _page(self, offset: int) -> Page | None:
         self.count.log_reads += 1
         answer = await self._client.read(offset)
-        if answer.is_ok():
-            self._own_read = asyncio.get_running_loop().time()
-            self._log_is(True)
-            return answer.ok
+        if answer.is_error():
+            self._log_failed(answer.error)
+            return None
+        self._log_answered()
+        return answer.ok
+
+    def _log_answered(self) -> None:
+        self._own_read = asyncio.get_running_loop().time()
+        self._log_is(True)
+
+    def _log_failed(self, error: PlatformError) -> None:
         self.count.log_errors += 1
-        self._log_is(False, answer.error.what)
-        return None
+        self._log_is(False, error.what)
 
     def _log_is(self, ok: bool, what: str = "") -> None:
         if ok != self.log_ok:
@@ -304,15 +302,6 @@
                 self.count.passed_on += 1
 
 
-def _unpacked(page: Page) -> list[LogRecord]:
-    records: list[LogRecord] = []
-    for stored in page["records"]:
-        record = unpack(stored)
-        if record is not None:
-            records.append(record)
-    return records
-
-
 def describe(state: State) -> dict[str, Any]:
     """Return the state without its content, for operators."""
     return {
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -271,34 +271,31 @@
 
     def answer(self, now: float, target: str, message: Answer) -> list[Action]:
         """Take in an owner's answer; a late one is counted and dropped."""
-        seq = message["seq"]
-        call = self._by_seq.pop(seq, None)
-        if call is None:
-            self.count.late += 1
+        ended = self._end_attempt(message["seq"])
+        if ended is None:
             return []
-        live = call.live.pop(seq)
+        call, live, picker = ended
         failed = message["status"] >= SERVER_ERROR
-        picker = self._services[call.service].picker if call.service in self._services else None
         if picker is not None:
-            picker.answered(live.target, seq, now, failed, message["load"], message["ahead"])
+            load, ahead = message["load"], message["ahead"]
+            picker.answered(live.target, live.seq, now, failed, load, ahead)
         self._note(now, call, live, "answered", message["waited_us"], message["served_us"])
         response = Response(message["status"], message["headers"], message["body"])
         return self._finish(now, call, Answered(response))
 
     def refusal(self, now: float, target: str, message: Refusal) -> list[Action]:
         """Take in an owner's refusal: try elsewhere, or give the final answer."""
-        seq = message["seq"]
-        call = self._by_seq.pop(seq, None)
-        if call is None:
-            self.count.late += 1
+        ended = self._end_attempt(message["seq"])
+        if ended is None:
             return []
-        live = call.live.pop(seq)
+        call, live, picker = ended
         retry_after_s = message["retry_after_ms"] / 1000
-        picker = self._services[call.service].picker if call.service in self._services else None
         if picker is not None and message["ran"] == "no" and not call.req.key:
-            picker.refused(live.target, seq, now, retry_after_s, message["load"])
+            picker.refused(live.target, live.seq, now, retry_after_s, message["load"])
+        elif picker is not None and message["ran"] == "no":
+            picker.abandoned(live.target, live.seq, now)
         elif picker is not None:
-            picker.lost(live.target, seq, now)
+            picker.lost(live.target, live.seq, now)
         self._note(now, call, live, f"{message['ran']}:{message['reason']}", 0, 0)
         if message["ran"] == "maybe":
             call.maybe = message["reason"]
@@ -377,6 +374,15 @@
 
     # Steps
 
+    def _end_attempt(self, seq: int) -> tuple[_Call, _Live, Picker | None] | None:
+        """Return the call and the attempt that a result is for, or None if it comes too late."""
+        call = self._by_seq.pop(seq, None)
+        if call is None:
+            self.count.late += 1
+            return None
+        state = self._services.get(call.service)
+        return call, call.live.pop(seq), state.picker if state is not None else None
+
     def _on_timer(self, now: float, call: _Call, kind: _Timer) -> list[Action]:
         if now >= call.deadline:
             return self._expire(now, call)
--- a/foldhoist/platform/state.py
+++ b/foldhoist/platform/state.py
@@ -1,20 +1,33 @@
-"""Reads the whole log of a stream and folds it, for commands."""
+"""Reads the whole log of a stream and folds it."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from expression import Error, Ok, Result
 
-from foldhoist.configlog.fold import State, fold_all
-from foldhoist.platform.client import PlatformClient, PlatformError, unpack
+from foldhoist.configlog.fold import LogRecord, State, fold_all
+from foldhoist.platform.client import unpack
 
 if TYPE_CHECKING:
-    from foldhoist.configlog.fold import LogRecord
+    from foldhoist.platform.client import PlatformClient, PlatformError
 
 
-async def read_state(client: PlatformClient) -> Result[State, PlatformError]:
-    """Return what the records that the log keeps add up to."""
+class Kept(NamedTuple):
+    """All records of ours that a log keeps, its oldest offset and the next to be written."""
+
+    records: list[LogRecord]
+    oldest: int
+    end: int
+
+    def state(self) -> State:
+        """Return what the records add up to."""
+        state = fold_all(self.records, self.oldest)
+        return state._replace(folded=max(state.folded, self.end))
+
+
+async def read_kept(client: PlatformClient) -> Result[Kept, PlatformError]:
+    """Return everything that the log keeps."""
     records: list[LogRecord] = []
     offset, oldest = 0, -1
     while True:
@@ -23,12 +36,18 @@
             return Error(answer.error)
         page = answer.ok
         oldest = page["oldest"] if oldest < 0 else oldest
+        offset = max(offset, page["oldest"]) + len(page["records"])
         for stored in page["records"]:
             record = unpack(stored)
             if record is not None:
                 records.append(record)
-        offset = max(offset, page["oldest"]) + len(page["records"])
         if not page["records"]:
-            break
-    state = fold_all(records, oldest)
-    return Ok(state._replace(folded=max(state.folded, offset)))
+            return Ok(Kept(records, oldest, offset))
+
+
+async def read_state(client: PlatformClient) -> Result[State, PlatformError]:
+    """Return what the records that the log keeps add up to."""
+    answer = await read_kept(client)
+    if answer.is_error():
+        return Error(answer.error)
+    return Ok(answer.ok.state())
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -247,6 +247,21 @@
         with urllib.request.urlopen(urllib.request.Request(url, data=data), timeout=10):
             return
 
+    def say_leaving(self, name: str, source: str) -> None:
+        """Let one source say that a target is leaving; the others say that all is well."""
+        match source:
+            case "upstream health":
+                self.control_upstream(name, health_state="leaving")
+            case "upstream answer":
+                self.control_upstream(name, leave_header=True)
+            case "host list":
+                self.control_platform(hosts={name: "leaving"})
+            case "drain command":
+                self.command("drain", self.addresses[name]["operators"])
+            case "configuration":
+                self.states[name] = "leaving"
+                self.apply()
+
     def stop(self) -> None:
         """Stop every process that this fleet started."""
         for process in [*self.daemons.values(), *self.upstreams.values(), self.platform]:
