--- a/bench/world.py
+++ b/bench/world.py
@@ -15,17 +15,19 @@
 
 from foldhoist.admission.slots import Shape
 from foldhoist.config.fleet import parse_fleet
+from foldhoist.delivery.call import CallerRequest, Connect, Reply, SendTo
 from foldhoist.delivery.codec import SCHEMA_VERSION
-from foldhoist.delivery.ingress import CallerRequest, Connect, Ingress, Reply, SendTo
-from foldhoist.delivery.owner import CancelCall, Owner, StartCall, Whole
-from foldhoist.delivery.owner import SendTo as OwnerSendTo
+from foldhoist.delivery.dispatch import CancelCall, StartCall, Whole
+from foldhoist.delivery.dispatch import SendTo as OwnerSendTo
+from foldhoist.delivery.ingress import Ingress
+from foldhoist.delivery.owner import Owner
 from foldhoist.delivery.verdict import Answered, NotRun
 from foldhoist.membership.view import homes, tracked
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from foldhoist.delivery.ingress import Record
+    from foldhoist.delivery.call import Record
     from foldhoist.delivery.verdict import Verdict
 
 NEAR_S, FAR_S = 0.00025, 0.0005
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from foldhoist.delivery.ingress import CallerRequest
+    from foldhoist.delivery.call import CallerRequest
     from foldhoist.schema.settings import Limits
 
 LOOK_S = 0.1
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -34,7 +34,7 @@
     from collections.abc import Callable
 
     from foldhoist.configlog.fold import State
-    from foldhoist.delivery.owner import Ended
+    from foldhoist.delivery.dispatch import Ended
     from foldhoist.schema.fleet import Fleet
     from foldhoist.schema.messages import Hello
     from foldhoist.schema.settings import Settings
--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -6,14 +6,15 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from foldhoist.delivery.ingress import Connect, Reply, SendTo
+from foldhoist.delivery.call import Connect, Reply, SendTo
 from foldhoist.observe.records import trace_id
 
 if TYPE_CHECKING:
     from foldhoist.daemon.callers import CallerConnection
     from foldhoist.daemon.links import Links
     from foldhoist.daemon.owner_task import OwnerTask
-    from foldhoist.delivery.ingress import Action, CallerRequest, Ingress, Record
+    from foldhoist.delivery.call import Action, CallerRequest, Record
+    from foldhoist.delivery.ingress import Ingress
     from foldhoist.observe.metrics import Latencies
     from foldhoist.observe.records import Ring
     from foldhoist.observe.spans import Spans
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -11,18 +11,14 @@
 from foldhoist.daemon.frames import FrameConnection
 from foldhoist.daemon.upstream import UpstreamPool
 from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
-from foldhoist.delivery.owner import (
-    LOCAL_LINK,
-    CancelCall,
-    CloseLink,
-    SendTo,
-    StartCall,
-)
+from foldhoist.delivery.dispatch import CancelCall, CloseLink, SendTo, StartCall
+from foldhoist.delivery.owner import LOCAL_LINK
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from foldhoist.delivery.owner import Action, Ended, Owner, Result
+    from foldhoist.delivery.dispatch import Action, Ended, Result
+    from foldhoist.delivery.owner import Owner
     from foldhoist.schema.messages import Hello
     from foldhoist.schema.settings import Settings
 
--- a/foldhoist/daemon/request.py
+++ b/foldhoist/daemon/request.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from foldhoist.daemon.http import BUDGET, HOPS, ISSUED, KEY, RETRY, TRACEPARENT, URGENT
-from foldhoist.delivery.ingress import CallerRequest
+from foldhoist.delivery.call import CallerRequest
 
 if TYPE_CHECKING:
     from foldhoist.daemon.http import HeadReader
--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -20,12 +20,12 @@
     HeadReader,
     write_head,
 )
-from foldhoist.delivery.owner import Broken, Result, Shed, Whole
+from foldhoist.delivery.dispatch import Broken, Result, Shed, Whole
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from foldhoist.delivery.owner import StartCall
+    from foldhoist.delivery.dispatch import StartCall
     from foldhoist.delivery.verdict import Headers
 
 IDLE_S = 20.0
--- /dev/null
+++ b/foldhoist/delivery/call.py
@@ -0,0 +1,196 @@
+"""What an ingress takes, gives, and remembers of a call: requests, actions, attempts, records."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+
+from foldhoist.delivery.verdict import Answered, Headers, MayHaveRun, NotRun, Verdict
+
+if TYPE_CHECKING:
+    from foldhoist.routing.picker import Choice
+    from foldhoist.routing.policies import Scored
+    from foldhoist.routing.routes import Routed
+    from foldhoist.schema.messages import Dispatch, FateAsk, Withdraw
+
+
+class CallerRequest(NamedTuple):
+    """A request as a caller sent it; `budget_s` and `key_issued_ms` are 0 if not given."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    budget_s: float
+    urgent: bool
+    key: str
+    key_issued_ms: int
+    hops: int
+    retried: bool
+    trace: str
+
+
+class Outgoing(NamedTuple):
+    """A message to an owner: its kind and its fields."""
+
+    kind: str
+    body: Dispatch | Withdraw | FateAsk
+
+
+class SendTo(NamedTuple):
+    """Write a frame to the owner of this name."""
+
+    target: str
+    frame: Outgoing
+
+
+class Reply(NamedTuple):
+    """Give the caller its final answer, now."""
+
+    call_id: int
+    verdict: Verdict
+    record: Record
+
+
+class Connect(NamedTuple):
+    """Open connections to these owners: calls wait for one."""
+
+    targets: tuple[str, ...]
+
+
+Action: TypeAlias = SendTo | Reply | Connect
+
+
+class Attempt(NamedTuple):
+    """One try of a call at one upstream; times are monotonic seconds, parts microseconds."""
+
+    seq: int
+    target: str
+    reason: str
+    candidates: tuple[Scored, ...]
+    sent: float
+    ended: float
+    result: str
+    waited_us: int
+    served_us: int
+
+
+class Record(NamedTuple):
+    """The whole story of a call at its ingress."""
+
+    trace: str
+    service: str
+    method: str
+    path: str
+    urgent: bool
+    repeatable: bool
+    key: str
+    generation: int
+    arrived: float
+    ended: float
+    verdict: str
+    reason: str
+    status: int
+    attempts: tuple[Attempt, ...]
+
+
+@dataclass(slots=True)
+class Counters:
+    """What this ingress has counted since it started."""
+
+    answered: int = 0
+    calls: int = 0
+    fate_asked: int = 0
+    gone: int = 0
+    hedged: int = 0
+    late: int = 0
+    may_have_run: int = 0
+    not_run: int = 0
+    retried: int = 0
+
+
+class Timer(IntEnum):
+    """What is to be done with a call at a set time."""
+
+    EXPIRE = 0
+    HEDGE = 1
+    UNASKED = 2
+    UNPARK = 3
+
+
+class Live:
+    """An attempt that has no result yet."""
+
+    __slots__ = ("asking", "candidates", "reason", "sent", "seq", "target")
+
+    def __init__(self, seq: int, target: str, choice: Choice, now: float) -> None:
+        self.seq = seq
+        self.target = target
+        self.reason = choice.reason
+        self.candidates = choice.candidates
+        self.sent = now
+        self.asking = 0.0
+
+
+class Call:
+    """A call that has no final answer yet; times are monotonic seconds."""
+
+    __slots__ = (
+        "arrived",
+        "attempts",
+        "call_id",
+        "deadline",
+        "excluded",
+        "live",
+        "maybe",
+        "repeatable",
+        "req",
+        "service",
+        "tries",
+        "urgent",
+    )
+
+    def __init__(
+        self, call_id: int, req: CallerRequest, routed: Routed, now: float, deadline: float
+    ) -> None:
+        self.call_id = call_id
+        self.req = req
+        self.service = routed.service
+        self.urgent = routed.urgent or req.urgent
+        self.repeatable = routed.repeatable
+        self.arrived = now
+        self.deadline = deadline
+        self.live: dict[int, Live] = {}
+        self.excluded: set[str] = set()
+        self.attempts: list[Attempt] = []
+        self.tries = 0
+        self.maybe = ""
+
+
+def record_of(call: Call, now: float, verdict: Verdict, generation: int) -> Record:
+    """Return the story of a call that ends now."""
+    match verdict:
+        case Answered(response):
+            name, reason, status = "answered", "", response.status
+        case NotRun(reason, _, status):
+            name = "not-run"
+        case MayHaveRun(reason, status):
+            name = "may-have-run"
+    req = call.req
+    return Record(
+        req.trace,
+        call.service,
+        req.method,
+        req.path,
+        call.urgent,
+        call.repeatable,
+        req.key,
+        generation,
+        call.arrived,
+        now,
+        name,
+        reason,
+        status,
+        tuple(call.attempts),
+    )
--- /dev/null
+++ b/foldhoist/delivery/dispatch.py
@@ -0,0 +1,140 @@
+"""What an owner takes, gives, and remembers of a call: results, actions, tickets, peers."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+
+if TYPE_CHECKING:
+    from foldhoist.delivery.verdict import Headers
+    from foldhoist.schema.messages import Answer, Dispatch, Refusal, Report
+
+
+class Frame(NamedTuple):
+    """A message to an ingress: its kind and its fields."""
+
+    kind: str
+    body: Answer | Refusal | Report
+
+
+class SendTo(NamedTuple):
+    """Write a frame to a connection."""
+
+    link: int
+    frame: Frame
+
+
+class CloseLink(NamedTuple):
+    """Close a connection whose ingress has a newer one."""
+
+    link: int
+
+
+class StartCall(NamedTuple):
+    """Send this call to the upstream; at most `budget_s` seconds are left for it."""
+
+    ticket: int
+    request: Dispatch
+    budget_s: float
+
+
+class CancelCall(NamedTuple):
+    """Stop this call at the upstream: nobody waits for it."""
+
+    ticket: int
+
+
+Action: TypeAlias = SendTo | CloseLink | StartCall | CancelCall
+
+
+class Whole(NamedTuple):
+    """The upstream's whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class Shed(NamedTuple):
+    """The upstream says that it did not run the call."""
+
+    retry_after_s: float
+
+
+class Broken(NamedTuple):
+    """No whole answer; `sent` tells whether any byte of the call may have reached the upstream."""
+
+    sent: bool
+    reason: str
+
+
+Result: TypeAlias = Whole | Shed | Broken
+
+
+class Ended(NamedTuple):
+    """What a call did at this owner, for its record; times are microseconds."""
+
+    trace: str
+    seq: int
+    waited_us: int
+    served_us: int
+    result: str
+    busy: int
+    queued: int
+
+
+@dataclass(slots=True)
+class Counters:
+    """What this owner has counted since it started."""
+
+    answered: int = 0
+    cancelled: int = 0
+    dispatched: int = 0
+    fenced: int = 0
+    key_denied: int = 0
+    key_replayed: int = 0
+    lost: int = 0
+    refused: int = 0
+    withdrawn: int = 0
+
+
+class Peer:
+    """One life of one ingress process."""
+
+    __slots__ = ("epoch", "forgotten", "kept", "kept_bytes", "link", "live", "lost_at", "name")
+
+    def __init__(self, name: str, epoch: int, link: int) -> None:
+        self.name = name
+        self.epoch = epoch
+        self.link: int | None = link
+        self.live: dict[int, int] = {}
+        self.kept: OrderedDict[int, Frame] = OrderedDict()
+        self.kept_bytes = 0
+        self.forgotten = 0
+        self.lost_at = 0.0
+
+
+class Ticket:
+    """A call that waits or runs here; times are monotonic seconds."""
+
+    __slots__ = (
+        "ahead",
+        "arrived",
+        "deadline",
+        "incarnation",
+        "key",
+        "request",
+        "running",
+        "started",
+    )
+
+    def __init__(self, incarnation: str, request: Dispatch, now: float, deadline: float) -> None:
+        self.incarnation = incarnation
+        self.request = request
+        self.arrived = now
+        self.deadline = deadline
+        self.running = False
+        self.started = 0.0
+        self.ahead = 0
+        self.key = request["key"]
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -6,16 +6,28 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import IntEnum
 from heapq import heappop, heappush
-from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+from typing import TYPE_CHECKING
 
 from foldhoist.admission.bucket import RetryBudget
+from foldhoist.delivery.call import (
+    Action,
+    Attempt,
+    Call,
+    CallerRequest,
+    Connect,
+    Counters,
+    Live,
+    Outgoing,
+    Reply,
+    SendTo,
+    Timer,
+    record_of,
+)
 from foldhoist.delivery.keys import issued_by_uuid7
-from foldhoist.delivery.verdict import Answered, Headers, MayHaveRun, NotRun, Response, Verdict
+from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response, Verdict
 from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice, Picker
-from foldhoist.routing.policies import Scored, make_policy
+from foldhoist.routing.policies import make_policy
 from foldhoist.routing.rendezvous import home
 from foldhoist.routing.routes import Routed, RouteTable
 
@@ -25,7 +37,7 @@
 
     from foldhoist.routing.picker import Member
     from foldhoist.schema.fleet import Fleet, Service
-    from foldhoist.schema.messages import Answer, Dispatch, FateAsk, Refusal, Report, Withdraw
+    from foldhoist.schema.messages import Answer, Dispatch, Refusal, Report
 
 FATE_S = 1.0
 """Longest wait for an owner to say what became of a call, seconds."""
@@ -39,157 +51,6 @@
 """Statuses from this on count against an upstream."""
 
 
-class CallerRequest(NamedTuple):
-    """A request as a caller sent it; `budget_s` and `key_issued_ms` are 0 if not given."""
-
-    method: str
-    path: str
-    headers: Headers
-    body: bytes
-    budget_s: float
-    urgent: bool
-    key: str
-    key_issued_ms: int
-    hops: int
-    retried: bool
-    trace: str
-
-
-class Outgoing(NamedTuple):
-    """A message to an owner: its kind and its fields."""
-
-    kind: str
-    body: Dispatch | Withdraw | FateAsk
-
-
-class SendTo(NamedTuple):
-    """Write a frame to the owner of this name."""
-
-    target: str
-    frame: Outgoing
-
-
-class Reply(NamedTuple):
-    """Give the caller its final answer, now."""
-
-    call_id: int
-    verdict: Verdict
-    record: Record
-
-
-class Connect(NamedTuple):
-    """Open connections to these owners: calls wait for one."""
-
-    targets: tuple[str, ...]
-
-
-Action: TypeAlias = SendTo | Reply | Connect
-
-
-class Attempt(NamedTuple):
-    """One try of a call at one upstream; times are monotonic seconds, parts microseconds."""
-
-    seq: int
-    target: str
-    reason: str
-    candidates: tuple[Scored, ...]
-    sent: float
-    ended: float
-    result: str
-    waited_us: int
-    served_us: int
-
-
-class Record(NamedTuple):
-    """The whole story of a call at its ingress."""
-
-    trace: str
-    service: str
-    method: str
-    path: str
-    urgent: bool
-    repeatable: bool
-    key: str
-    generation: int
-    arrived: float
-    ended: float
-    verdict: str
-    reason: str
-    status: int
-    attempts: tuple[Attempt, ...]
-
-
-@dataclass(slots=True)
-class Counters:
-    """What this ingress has counted since it started."""
-
-    answered: int = 0
-    calls: int = 0
-    fate_asked: int = 0
-    gone: int = 0
-    hedged: int = 0
-    late: int = 0
-    may_have_run: int = 0
-    not_run: int = 0
-    retried: int = 0
-
-
-class _Timer(IntEnum):
-    """What is to be done with a call at a set time."""
-
-    EXPIRE = 0
-    HEDGE = 1
-    UNASKED = 2
-    UNPARK = 3
-
-
-class _Live:
-    """An attempt that has no result yet."""
-
-    __slots__ = ("asking", "candidates", "reason", "sent", "seq", "target")
-
-    def __init__(self, seq: int, target: str, choice: Choice, now: float) -> None:
-        self.seq = seq
-        self.target = target
-        self.reason = choice.reason
-        self.candidates = choice.candidates
-        self.sent = now
-        self.asking = 0.0
-
-
-class _Call:
-    __slots__ = (
-        "arrived",
-        "attempts",
-        "call_id",
-        "deadline",
-        "excluded",
-        "live",
-        "maybe",
-        "repeatable",
-        "req",
-        "service",
-        "tries",
-        "urgent",
-    )
-
-    def __init__(
-        self, call_id: int, req: CallerRequest, routed: Routed, now: float, deadline: float
-    ) -> None:
-        self.call_id = call_id
-        self.req = req
-        self.service = routed.service
-        self.urgent = routed.urgent or req.urgent
-        self.repeatable = routed.repeatable
-        self.arrived = now
-        self.deadline = deadline
-        self.live: dict[int, _Live] = {}
-        self.excluded: set[str] = set()
-        self.attempts: list[Attempt] = []
-        self.tries = 0
-        self.maybe = ""
-
-
 class _ServiceState:
     """A service of the configuration in force, with what this ingress knows of it."""
 
@@ -216,13 +77,13 @@
         self._hops = 32
         self._routes: RouteTable | None = None
         self._services: dict[str, _ServiceState] = {}
-        self._calls: dict[int, _Call] = {}
-        self._by_seq: dict[int, _Call] = {}
+        self._calls: dict[int, Call] = {}
+        self._by_seq: dict[int, Call] = {}
         self._linked: dict[str, str] = {}
         self._up: set[str] = set()
         self._next_seq = 1
-        self._timers: list[tuple[float, int, _Timer]] = []
-        self._parked: dict[int, _Call] = {}
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._parked: dict[int, Call] = {}
 
     # What the tasks tell it
 
@@ -259,14 +120,14 @@
         state = self._services[routed.service]
         limit = state.cfg["deadline_ms"] / 1000
         budget = min(req.budget_s, limit) if req.budget_s > 0 else limit
-        call = _Call(call_id, req, routed, now, now + budget)
+        call = Call(call_id, req, routed, now, now + budget)
         self._calls[call_id] = call
         state.budget.call()
-        heappush(self._timers, (call.deadline, call_id, _Timer.EXPIRE))
+        heappush(self._timers, (call.deadline, call_id, Timer.EXPIRE))
         actions = self._attempt(now, call)
         hedge_ms = state.cfg["hedge_ms"]
         if hedge_ms and call.repeatable and not req.retried:
-            heappush(self._timers, (now + hedge_ms / 1000, call_id, _Timer.HEDGE))
+            heappush(self._timers, (now + hedge_ms / 1000, call_id, Timer.HEDGE))
         return actions
 
     def answer(self, now: float, target: str, message: Answer) -> list[Action]:
@@ -328,7 +189,7 @@
                 actions += self._lose(now, call, live, "owner-connection-lost")
                 continue
             live.asking = now + FATE_S
-            heappush(self._timers, (min(live.asking, call.deadline), call.call_id, _Timer.UNASKED))
+            heappush(self._timers, (min(live.asking, call.deadline), call.call_id, Timer.UNASKED))
         return actions
 
     def link_refused(self, now: float, target: str) -> list[Action]:
@@ -374,7 +235,7 @@
 
     # Steps
 
-    def _end_attempt(self, seq: int) -> tuple[_Call, _Live, Picker | None] | None:
+    def _end_attempt(self, seq: int) -> tuple[Call, Live, Picker | None] | None:
         """Return the call and the attempt that a result is for, or None if it comes too late."""
         call = self._by_seq.pop(seq, None)
         if call is None:
@@ -383,23 +244,23 @@
         state = self._services.get(call.service)
         return call, call.live.pop(seq), state.picker if state is not None else None
 
-    def _on_timer(self, now: float, call: _Call, kind: _Timer) -> list[Action]:
+    def _on_timer(self, now: float, call: Call, kind: Timer) -> list[Action]:
         if now >= call.deadline:
             return self._expire(now, call)
         match kind:
-            case _Timer.HEDGE:
+            case Timer.HEDGE:
                 return self._hedge(now, call)
-            case _Timer.UNASKED:
+            case Timer.UNASKED:
                 return self._end_unasked(now, call)
-            case _Timer.UNPARK if call.call_id in self._parked:
+            case Timer.UNPARK if call.call_id in self._parked:
                 del self._parked[call.call_id]
                 return self._give_up(now, call, NO_CONNECTION, 1.0)
         return []
 
-    def _park(self, now: float, call: _Call) -> list[Action]:
+    def _park(self, now: float, call: Call) -> list[Action]:
         state = self._services[call.service]
         self._parked[call.call_id] = call
-        heappush(self._timers, (now + PARK_S, call.call_id, _Timer.UNPARK))
+        heappush(self._timers, (now + PARK_S, call.call_id, Timer.UNPARK))
         if call.req.key:
             name = home(state.homes, call.req.key)
             return [Connect((name,) if name else ())]
@@ -444,10 +305,10 @@
     ) -> Reply:
         self.count.not_run += 1
         routed = routed or Routed("", repeatable=False, urgent=False)
-        call = _Call(call_id, req, routed, now, now)
-        return Reply(call_id, verdict, self._record(now, call, verdict))
+        call = Call(call_id, req, routed, now, now)
+        return Reply(call_id, verdict, record_of(call, now, verdict, self.generation))
 
-    def _attempt(self, now: float, call: _Call, first_reason: str = "") -> list[Action]:
+    def _attempt(self, now: float, call: Call, first_reason: str = "") -> list[Action]:
         pick = self._pick(now, call)
         if isinstance(pick, NoChoice):
             if pick.reason == NO_CONNECTION and not call.tries:
@@ -460,12 +321,12 @@
         self._next_seq += 1
         call.tries += 1
         call.excluded.add(pick.name)
-        call.live[seq] = _Live(seq, pick.name, pick, now)
+        call.live[seq] = Live(seq, pick.name, pick, now)
         self._by_seq[seq] = call
         self._services[call.service].picker.sent(pick.name, seq, now)
         return [SendTo(pick.name, Outgoing("Dispatch", self._dispatch(call, seq, left)))]
 
-    def _pick(self, now: float, call: _Call) -> Choice | NoChoice:
+    def _pick(self, now: float, call: Call) -> Choice | NoChoice:
         state = self._services.get(call.service)
         if state is None:
             return NoChoice("service-removed", 0.0)
@@ -478,7 +339,7 @@
             return NoChoice(NO_CONNECTION, 1.0)
         return Choice(name, "home-of-the-key", ())
 
-    def _dispatch(self, call: _Call, seq: int, left_s: float) -> Dispatch:
+    def _dispatch(self, call: Call, seq: int, left_s: float) -> Dispatch:
         req = call.req
         margin = DEADLINE_MARGIN_S if left_s > 4 * DEADLINE_MARGIN_S else 0.0
         return {
@@ -500,7 +361,7 @@
             "trace": req.trace,
         }
 
-    def _go_on(self, now: float, call: _Call, reason: str, retry_after_s: float) -> list[Action]:
+    def _go_on(self, now: float, call: Call, reason: str, retry_after_s: float) -> list[Action]:
         if call.live:
             return []
         if not self._may_retry(now, call):
@@ -508,7 +369,7 @@
         self.count.retried += 1
         return self._attempt(now, call, first_reason=reason)
 
-    def _may_retry(self, now: float, call: _Call) -> bool:
+    def _may_retry(self, now: float, call: Call) -> bool:
         state = self._services.get(call.service)
         if state is None or call.req.key or call.req.retried:
             return False
@@ -520,27 +381,27 @@
             return False
         return state.budget.spend()
 
-    def _hedge(self, now: float, call: _Call) -> list[Action]:
+    def _hedge(self, now: float, call: Call) -> list[Action]:
         if len(call.live) != 1 or not self._may_retry(now, call):
             return []
         self.count.hedged += 1
         return self._attempt(now, call)
 
-    def _give_up(self, now: float, call: _Call, reason: str, retry_after_s: float) -> list[Action]:
+    def _give_up(self, now: float, call: Call, reason: str, retry_after_s: float) -> list[Action]:
         if call.live:
             return []
         if call.maybe:
             return self._finish(now, call, MayHaveRun(call.maybe))
         return self._finish(now, call, NotRun(reason, retry_after_s))
 
-    def _expire(self, now: float, call: _Call) -> list[Action]:
+    def _expire(self, now: float, call: Call) -> list[Action]:
         if call.live or call.maybe:
             for live in call.live.values():
                 self._note(now, call, live, "maybe:deadline-passed", 0, 0)
             return self._finish(now, call, MayHaveRun("deadline-passed", status=504))
         return self._finish(now, call, NotRun("deadline-passed", 0.0, status=504))
 
-    def _finish(self, now: float, call: _Call, verdict: Verdict) -> list[Action]:
+    def _finish(self, now: float, call: Call, verdict: Verdict) -> list[Action]:
         if self._calls.pop(call.call_id, None) is None:
             return []
         self._parked.pop(call.call_id, None)
@@ -551,12 +412,12 @@
                 self.count.not_run += 1
             case MayHaveRun():
                 self.count.may_have_run += 1
-        reply = Reply(call.call_id, verdict, self._record(now, call, verdict))
+        reply = Reply(call.call_id, verdict, record_of(call, now, verdict, self.generation))
         if not call.live:
             return [reply]
         return [reply, *self._withdraw_all(now, call)]
 
-    def _withdraw_all(self, now: float, call: _Call) -> list[Action]:
+    def _withdraw_all(self, now: float, call: Call) -> list[Action]:
         actions: list[Action] = []
         state = self._services.get(call.service)
         for seq, live in call.live.items():
@@ -567,15 +428,15 @@
         call.live = {}
         return actions
 
-    def _at(self, target: str) -> list[tuple[_Call, _Live]]:
-        found: list[tuple[_Call, _Live]] = []
+    def _at(self, target: str) -> list[tuple[Call, Live]]:
+        found: list[tuple[Call, Live]] = []
         for call in self._calls.values():
             for live in call.live.values():
                 if live.target == target:
                     found.append((call, live))
         return found
 
-    def _asking(self, target: str) -> list[tuple[_Call, _Live]]:
+    def _asking(self, target: str) -> list[tuple[Call, Live]]:
         return [(call, live) for call, live in self._at(target) if live.asking]
 
     def _ask_fate(self, now: float, target: str, fresh: bool) -> list[Action]:
@@ -594,14 +455,14 @@
             actions += self._lose(now, call, live, reason)
         return actions
 
-    def _end_unasked(self, now: float, call: _Call) -> list[Action]:
+    def _end_unasked(self, now: float, call: Call) -> list[Action]:
         actions: list[Action] = []
         for live in list(call.live.values()):
             if live.asking and now >= live.asking:
                 actions += self._lose(now, call, live, "owner-unreachable")
         return actions
 
-    def _lose(self, now: float, call: _Call, live: _Live, reason: str) -> list[Action]:
+    def _lose(self, now: float, call: Call, live: Live, reason: str) -> list[Action]:
         call.live.pop(live.seq, None)
         self._by_seq.pop(live.seq, None)
         state = self._services.get(call.service)
@@ -612,7 +473,7 @@
         return self._go_on(now, call, reason, 0.5)
 
     def _note(
-        self, now: float, call: _Call, live: _Live, result: str, waited_us: int, served_us: int
+        self, now: float, call: Call, live: Live, result: str, waited_us: int, served_us: int
     ) -> None:
         call.attempts.append(
             Attempt(
@@ -627,29 +488,3 @@
                 served_us,
             )
         )
-
-    def _record(self, now: float, call: _Call, verdict: Verdict) -> Record:
-        match verdict:
-            case Answered(response):
-                name, reason, status = "answered", "", response.status
-            case NotRun(reason, _, status):
-                name = "not-run"
-            case MayHaveRun(reason, status):
-                name = "may-have-run"
-        req = call.req
-        return Record(
-            req.trace,
-            call.service,
-            req.method,
-            req.path,
-            call.urgent,
-            call.repeatable,
-            req.key,
-            self.generation,
-            call.arrived,
-            now,
-            name,
-            reason,
-            status,
-            tuple(call.attempts),
-        )
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -6,13 +6,27 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, NamedTuple, TypeAlias, cast
+from typing import TYPE_CHECKING, cast
 
 from foldhoist.admission.slots import Refuse, Shape, SlotQueue, Start
+from foldhoist.delivery.dispatch import (
+    Action,
+    Broken,
+    CancelCall,
+    CloseLink,
+    Counters,
+    Ended,
+    Frame,
+    Peer,
+    Result,
+    SendTo,
+    Shed,
+    StartCall,
+    Ticket,
+    Whole,
+)
 from foldhoist.delivery.keys import Deny, Join, KeyTable, Replay, fingerprint
-from foldhoist.delivery.verdict import Headers, Response
+from foldhoist.delivery.verdict import Response
 
 if TYPE_CHECKING:
     from foldhoist.admission.slots import Decision
@@ -23,7 +37,6 @@
         Hello,
         Load,
         Refusal,
-        Report,
         Withdraw,
     )
 
@@ -43,133 +56,6 @@
 """Link number of the ingress in the owner's own process."""
 
 
-class Frame(NamedTuple):
-    """A message to an ingress: its kind and its fields."""
-
-    kind: str
-    body: Answer | Refusal | Report
-
-
-class SendTo(NamedTuple):
-    """Write a frame to a connection."""
-
-    link: int
-    frame: Frame
-
-
-class CloseLink(NamedTuple):
-    """Close a connection whose ingress has a newer one."""
-
-    link: int
-
-
-class StartCall(NamedTuple):
-    """Send this call to the upstream; at most `budget_s` seconds are left for it."""
-
-    ticket: int
-    request: Dispatch
-    budget_s: float
-
-
-class CancelCall(NamedTuple):
-    """Stop this call at the upstream: nobody waits for it."""
-
-    ticket: int
-
-
-Action: TypeAlias = SendTo | CloseLink | StartCall | CancelCall
-
-
-class Whole(NamedTuple):
-    """The upstream's whole answer."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-class Shed(NamedTuple):
-    """The upstream says that it did not run the call."""
-
-    retry_after_s: float
-
-
-class Broken(NamedTuple):
-    """No whole answer; `sent` tells whether any byte of the call may have reached the upstream."""
-
-    sent: bool
-    reason: str
-
-
-Result: TypeAlias = Whole | Shed | Broken
-
-
-class Ended(NamedTuple):
-    """What a call did at this owner, for its record; times are microseconds."""
-
-    trace: str
-    seq: int
-    waited_us: int
-    served_us: int
-    result: str
-    busy: int
-    queued: int
-
-
-@dataclass(slots=True)
-class Counters:
-    """What this owner has counted since it started."""
-
-    answered: int = 0
-    cancelled: int = 0
-    dispatched: int = 0
-    fenced: int = 0
-    key_denied: int = 0
-    key_replayed: int = 0
-    lost: int = 0
-    refused: int = 0
-    withdrawn: int = 0
-
-
-class _Peer:
-    """One life of one ingress process."""
-
-    __slots__ = ("epoch", "forgotten", "kept", "kept_bytes", "link", "live", "lost_at", "name")
-
-    def __init__(self, name: str, epoch: int, link: int) -> None:
-        self.name = name
-        self.epoch = epoch
-        self.link: int | None = link
-        self.live: dict[int, int] = {}
-        self.kept: OrderedDict[int, Frame] = OrderedDict()
-        self.kept_bytes = 0
-        self.forgotten = 0
-        self.lost_at = 0.0
-
-
-class _Ticket:
-    __slots__ = (
-        "ahead",
-        "arrived",
-        "deadline",
-        "incarnation",
-        "key",
-        "request",
-        "running",
-        "started",
-    )
-
-    def __init__(self, incarnation: str, request: Dispatch, now: float, deadline: float) -> None:
-        self.incarnation = incarnation
-        self.request = request
-        self.arrived = now
-        self.deadline = deadline
-        self.running = False
-        self.started = 0.0
-        self.ahead = 0
-        self.key = request["key"]
-
-
 class Owner:
     """Admission, dispatch and the memory of results for one upstream."""
 
@@ -184,9 +70,9 @@
         self.errors = 0.0
         self.waits_us: list[int] = []
         self._answered_any = False
-        self._peers: dict[str, _Peer] = {}
+        self._peers: dict[str, Peer] = {}
         self._by_link: dict[int, str] = {}
-        self._tickets: dict[int, _Ticket] = {}
+        self._tickets: dict[int, Ticket] = {}
         self._joined: dict[str, list[tuple[str, int]]] = {}
         self._next_ticket = 1
 
@@ -197,7 +83,7 @@
         incarnation = hello["incarnation"]
         peer = self._peers.get(incarnation)
         if peer is None:
-            self._peers[incarnation] = _Peer(hello["name"], hello["epoch"], link)
+            self._peers[incarnation] = Peer(hello["name"], hello["epoch"], link)
             self._by_link[link] = incarnation
             return [SendTo(link, self._report())]
         if hello["epoch"] <= peer.epoch:
@@ -414,11 +300,11 @@
                 return []
         return None
 
-    def _admit(self, now: float, incarnation: str, peer: _Peer, req: Dispatch) -> list[Action]:
+    def _admit(self, now: float, incarnation: str, peer: Peer, req: Dispatch) -> list[Action]:
         ticket_id = self._next_ticket
         self._next_ticket += 1
         deadline = now + req["budget_ms"] / 1000
-        ticket = _Ticket(incarnation, req, now, deadline)
+        ticket = Ticket(incarnation, req, now, deadline)
         ticket.ahead = self.queue.busy + self.queue.queued
         self._tickets[ticket_id] = ticket
         peer.live[req["seq"]] = ticket_id
@@ -477,17 +363,17 @@
             self.keys.ended(ticket.key, None, ran=ran != "no")
         return actions
 
-    def _waiters(self, ticket: _Ticket) -> list[tuple[str, int]]:
+    def _waiters(self, ticket: Ticket) -> list[tuple[str, int]]:
         first = (ticket.incarnation, ticket.request["seq"])
         if not ticket.key:
             return [first]
         return [first, *self._joined.pop(ticket.key, [])]
 
-    def _end(self, peer: _Peer, seq: int, frame: Frame) -> Action:
+    def _end(self, peer: Peer, seq: int, frame: Frame) -> Action:
         peer.live.pop(seq, None)
         return self._send(peer, seq, frame)
 
-    def _send(self, peer: _Peer, seq: int, frame: Frame) -> Action:
+    def _send(self, peer: Peer, seq: int, frame: Frame) -> Action:
         if peer.link == LOCAL_LINK:
             return SendTo(LOCAL_LINK, frame)
         peer.kept[seq] = frame
@@ -498,14 +384,14 @@
             peer.forgotten = max(peer.forgotten, old)
         return SendTo(-1 if peer.link is None else peer.link, frame)
 
-    def _refuse(self, peer: _Peer, seq: int, reason: str, retry_after_s: float) -> Action:
+    def _refuse(self, peer: Peer, seq: int, reason: str, retry_after_s: float) -> Action:
         self.count.refused += 1
         return self._send(peer, seq, self._refusal(seq, "no", reason, retry_after_s))
 
     def _is_joined(self, incarnation: str, seq: int) -> bool:
         return any((incarnation, seq) in waiters for waiters in self._joined.values())
 
-    def _drop_waiting(self, peer: _Peer) -> None:
+    def _drop_waiting(self, peer: Peer) -> None:
         for ticket_id in list(peer.live.values()):
             ticket = self._tickets[ticket_id]
             if ticket.running:
@@ -554,7 +440,7 @@
         return Frame("Refusal", body)
 
 
-def _drop_acked(peer: _Peer, acked: int) -> None:
+def _drop_acked(peer: Peer, acked: int) -> None:
     while peer.kept:
         seq = next(iter(peer.kept))
         if seq >= acked:
--- a/foldhoist/observe/records.py
+++ b/foldhoist/observe/records.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 if TYPE_CHECKING:
-    from foldhoist.delivery.ingress import Attempt, Record
-    from foldhoist.delivery.owner import Ended
+    from foldhoist.delivery.call import Attempt, Record
+    from foldhoist.delivery.dispatch import Ended
 
 
 class Hop(NamedTuple):
--- a/foldhoist/observe/spans.py
+++ b/foldhoist/observe/spans.py
@@ -15,7 +15,7 @@
 from foldhoist.observe.records import trace_id
 
 if TYPE_CHECKING:
-    from foldhoist.delivery.ingress import Record
+    from foldhoist.delivery.call import Record
     from foldhoist.observe.records import Hop
 
 NANO = 1_000_000_000
--- a/tests/unit/daemon/test_callers.py
+++ b/tests/unit/daemon/test_callers.py
@@ -13,7 +13,7 @@
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response
 
 if TYPE_CHECKING:
-    from foldhoist.delivery.ingress import CallerRequest
+    from foldhoist.delivery.call import CallerRequest
 
 
 class Wire:
--- a/tests/unit/daemon/test_upstream.py
+++ b/tests/unit/daemon/test_upstream.py
@@ -6,7 +6,7 @@
 
 from bench.stages import FakeTransport
 from foldhoist.daemon.upstream import UpstreamConnection
-from foldhoist.delivery.owner import Broken, Result, Shed, Whole
+from foldhoist.delivery.dispatch import Broken, Result, Shed, Whole
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
 
--- a/tests/unit/delivery/test_ingress.py
+++ b/tests/unit/delivery/test_ingress.py
@@ -7,7 +7,8 @@
 
 from bench.stages import fleet_text
 from foldhoist.config.fleet import parse_fleet
-from foldhoist.delivery.ingress import CallerRequest, Ingress, Reply, SendTo
+from foldhoist.delivery.call import CallerRequest, Reply, SendTo
+from foldhoist.delivery.ingress import Ingress
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun
 from foldhoist.membership.view import homes, tracked
 
