--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import signal
 import subprocess
@@ -13,7 +14,15 @@
 from foldhoist.configlog.fold import digest_of
 from foldhoist.platform.client import pack_keep
 from standins.processes import LocalFleet, Target, request_json, wait_until
-from tests.integration.harness import NAMES, QUICK, SERVICES, MutantFleet, make_fleet
+from tests.integration.harness import (
+    NAMES,
+    QUICK,
+    SERVICES,
+    MutantFleet,
+    load,
+    make_fleet,
+    verdicts,
+)
 
 
 def generations(fleet: LocalFleet) -> list[int]:
@@ -150,3 +159,12 @@
 
 def _generation(fleet: LocalFleet, name: str) -> int:
     return int(fleet.status(name)["configuration"]["generation"])
+
+
+def test_a_slow_platform_delays_a_change_but_no_call() -> None:
+    with started() as fleet:
+        fleet.control_platform(delay_s=1.0)
+        assert fleet.apply(change(fleet, 13)).returncode == 0
+        ended = asyncio.run(load(fleet, 200, 10))
+        assert verdicts(ended) == {"answered": 200}
+        wait_until(lambda: generations(fleet) == [2] * 3)
--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -84,3 +84,25 @@
         ran = harness.executions(fleet)
     assert harness.verdicts(results) == {"answered": 4500}
     assert harness.run_twice(results, ran) == []
+
+
+def test_a_draining_daemon_serves_its_upstreams_own_calls_until_those_are_done() -> None:
+    """While a long call runs at the upstream, a call of it to another service must get through."""
+    with make_fleet() as fleet:
+        fleet.start()
+
+        async def scenario() -> tuple[list[Outcome], Outcome]:
+            long = asyncio.create_task(long_calls(fleet, "depo-1", 30))
+            while fleet.status("depo-1")["gauges"]["owner_busy"] < 3:
+                await asyncio.sleep(0.02)
+            fleet.daemons["depo-1"].signal(signal.SIGTERM)
+            while not fleet.status("depo-1")["draining"]:
+                await asyncio.sleep(0.02)
+            address = fleet.addresses["depo-1"]["callers"]
+            nested = await Caller().call(address, "POST", "/depo/gift", b"nested", {}, 20.0)
+            return await long, nested
+
+        outcomes, nested = asyncio.run(scenario())
+        assert fleet.daemons["depo-1"].wait(20) == 0
+    assert (nested.status, nested.body) == (200, b"nested")
+    assert [outcome.status for outcome in outcomes] == [200] * 30
--- a/tools/binary.py
+++ b/tools/binary.py
@@ -1,17 +1,28 @@
 """Builds the program as a folder that needs no interpreter: dist/foldhoist/foldhoist.
 
-The folder, unlike PyInstaller's single file, runs as one process and unpacks nothing.
+The folder, unlike PyInstaller's single file, runs as one process and unpacks nothing. What was
+built is then run as a daemon and looked at.
 """
 
+import json
+import signal
 import subprocess
 import sys
+import tempfile
 from pathlib import Path
 
+import psutil
+
+from standins.processes import SETTINGS
+
 ROOT = Path(__file__).resolve().parent.parent
+LISTEN = "\n".join(
+    f"{name} = 127.0.0.1:0" for name in ("callers", "frames", "control", "operators")
+)
 
 
-def main() -> int:
-    """Build, and run the result once."""
+def build() -> Path:
+    """Build; return the program's path."""
     command = [
         *(sys.executable, "-m", "PyInstaller", "--noconfirm", "--onedir", "--log-level", "ERROR"),
         *("--name", "foldhoist", "--distpath", str(ROOT / "dist")),
@@ -23,9 +34,45 @@
         str(ROOT / "foldhoist" / "__main__.py"),
     ]
     subprocess.run(command, check=True, cwd=ROOT)
-    binary = ROOT / "dist" / "foldhoist" / "foldhoist"
-    return subprocess.run([str(binary), "version"], check=False).returncode
+    return ROOT / "dist" / "foldhoist" / "foldhoist"
+
+
+def run_daemon(binary: Path) -> None:
+    """Run a daemon of it; fail unless it is one process and stops as planned."""
+    with tempfile.TemporaryDirectory() as scratch:
+        settings = Path(scratch) / "daemon.ini"
+        address = "127.0.0.1:1"
+        text = SETTINGS.format(
+            name="depo-1",
+            data_centre="ist-1",
+            listen=LISTEN,
+            upstream=address,
+            platform=address,
+            seeds="",
+            more="",
+        )
+        settings.write_text(text)
+        daemon = subprocess.Popen([binary, "daemon", settings], stdout=subprocess.PIPE)
+        assert daemon.stdout is not None
+        ready = json.loads(daemon.stdout.readline())
+        process = psutil.Process(daemon.pid)
+        children = process.children(recursive=True)
+        threads, memory = process.num_threads(), process.memory_info().rss / 1e6
+        daemon.send_signal(signal.SIGTERM)
+        code = daemon.wait(30)
+    print(
+        f"{ready['ready']} listened, {len(children)} children, {threads} threads, {memory:.0f} MB"
+    )
+    if children or code:
+        raise SystemExit(f"children {children}, exit code {code}")
+
+
+def main() -> None:
+    """Build, and look at what was built."""
+    binary = build()
+    subprocess.run([binary, "version"], check=True)
+    run_daemon(binary)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
