Bound the results that an owner keeps for all ingresses together

Cause: writing the capacity page showed 4 MiB of kept results for each ingress, which at 1,200 connected ingresses is no bound against 256 MB. Change: 32 MiB for all, an equal part for each; what is dropped is answered 'may-have-run' when asked for, as before. Tests of the owner's side of delivery. Conclusion: kept; the page's memory row counts it.

--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -14,6 +14,8 @@
 DAEMONS, SERVICES, CALLS_PER_S, CENTRES = 1400, 100, 430_000, 7
 CHANGES_A_DAY, DEPTH, DAY_S = 490, 29, 86_400
 READERS, POLL_S, FANOUT, ASKS_PER_S, TRACK = 3, 0.4, 8, 1.0, 12
+KEY_ANSWERS_MB, KEPT_RESULTS_MB = 34, 34
+"""Bounds of 32 MiB each, megabytes."""
 HOSTS_POLL_S, KEEP_S, ATTEMPTS, RETRY_SHARE = 2.0, 3600.0, 3, 0.1
 
 
@@ -52,7 +54,8 @@
     asks = ASKS_PER_S * (sizes["Ask"] + sizes["Held"])
     passed = CHANGES_A_DAY / DAY_S * snapshot * FANOUT
     links = 2 * SERVICES * TRACK * found["links"]["frames_mb"]["slope"]
-    memory = at(big["rss_mb"], DAEMONS) + links + at(found["keys"]["memory_mb"], 50_000) + 32
+    keys = at(found["keys"]["memory_mb"], 50_000) + KEY_ANSWERS_MB
+    memory = at(big["rss_mb"], DAEMONS) + links + keys + KEPT_RESULTS_MB
     row300 = next((row for row in latency["rows"] if row["rate"] == 300), latency["rows"][-1])
     added = row300["added_us"]["p99"]["median"] / 1000
     rows = [
@@ -148,6 +151,7 @@
         for row in latency["rows"]
     )
     idle = found["idle"]
+    stages = json.loads((RESULTS / "stages.json").read_text())
     return TEMPLATE.read_text().format(
         table=table,
         slopes="\n".join(slope_rows(found)),
@@ -160,6 +164,7 @@
         idle_sent=idle["most"]["sent_bytes_per_s"],
         idle_received=idle["most"]["received_bytes_per_s"],
         idle_daemons=idle["daemons"],
+        stages_ms=stages["total_us"] / 1000,
         leaf_worst=1 + DEPTH * (ATTEMPTS - 1),
         leaf_budget=1 + DEPTH * RETRY_SHARE,
         links=SERVICES * TRACK,
--- a/foldhoist/commands/fetch.py
+++ b/foldhoist/commands/fetch.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import msgspec
-from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from foldhoist.exceptions import UnreachableError
 
@@ -15,8 +15,6 @@
 
 async def fetch_json(address: str, path: str, method: str = "GET") -> Any:
     """Return what a daemon answers; raises UnreachableError if it does not."""
-    from tornado.httpclient import AsyncHTTPClient
-
     body = b"" if method == "POST" else None
     url = f"http://{address}{path}"
     req = HTTPRequest(
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -44,6 +44,8 @@
 """Results kept for one ingress until it says that it has them."""
 KEPT_BYTES = 4 * 1024 * 1024
 """Bytes of results kept for one ingress."""
+KEPT_TOTAL_BYTES = 32 * 1024 * 1024
+"""Bytes of results kept for all ingresses, an equal part for each."""
 RESULT_BYTES = 100
 """Bytes that a kept result is counted for beside its body."""
 PEER_FORGET_S = 600.0
@@ -378,7 +380,8 @@
             return SendTo(LOCAL_LINK, frame)
         peer.kept[seq] = frame
         peer.kept_bytes += _size(frame)
-        while len(peer.kept) > KEPT_RESULTS or peer.kept_bytes > KEPT_BYTES:
+        limit = min(KEPT_BYTES, KEPT_TOTAL_BYTES // len(self._peers))
+        while len(peer.kept) > KEPT_RESULTS or peer.kept_bytes > limit:
             old, dropped = peer.kept.popitem(last=False)
             peer.kept_bytes -= _size(dropped)
             peer.forgotten = max(peer.forgotten, old)
--- /dev/null
+++ b/tests/unit/delivery/test_owner.py
@@ -0,0 +1,139 @@
+"""Tests of the owner's side of delivery."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from foldhoist.admission.slots import Shape
+from foldhoist.delivery import owner as owner_module
+from foldhoist.delivery.dispatch import Broken, CancelCall, CloseLink, SendTo, StartCall, Whole
+from foldhoist.delivery.owner import Owner
+
+if TYPE_CHECKING:
+    import pytest
+
+ANSWER = Whole(200, [], b"x" * 1000)
+
+
+def make(slots: int = 2) -> Owner:
+    owner = Owner("depo-1", "depo", Shape(slots, 10, 0, 1), 600.0)
+    owner.hello(0.0, 1, hello("in-1", 1))
+    return owner
+
+
+def hello(incarnation: str, epoch: int) -> Any:
+    return {"name": "in", "incarnation": incarnation, "epoch": epoch, "schema": 1}
+
+
+def dispatch(seq: int, acked: int = 0, **fields: Any) -> Any:
+    plain = {
+        "seq": seq,
+        "acked": acked,
+        "service": "depo",
+        "method": "POST",
+        "path": "/depo/x",
+        "headers": [],
+        "body": b"",
+        "budget_ms": 1000,
+        "urgent": False,
+        "repeatable": False,
+        "key": "",
+        "key_issued_ms": 0,
+        "generation": 1,
+        "hops": 0,
+        "retried": False,
+        "trace": "",
+    }
+    return {**plain, **fields}
+
+
+def said(actions: list[Any]) -> list[tuple[int, str, Any]]:
+    found = []
+    for action in actions:
+        if isinstance(action, SendTo):
+            body: Any = action.frame.body
+            found.append((body.get("seq", 0), action.frame.kind, body.get("ran", "")))
+    return found
+
+
+def test_a_newer_connection_fences_the_older_one() -> None:
+    owner = make()
+    assert CloseLink(1) in owner.hello(0.1, 2, hello("in-1", 2))
+    assert owner.dispatch(0.2, 0, 1, dispatch(1)) == []
+    assert owner.hello(0.3, 3, hello("in-1", 1)) == [CloseLink(3)]
+    assert owner.count.fenced == 2
+
+
+def test_what_never_arrived_did_not_run_and_what_was_forgotten_may_have() -> None:
+    owner = make()
+    assert said(owner.fate(0.1, 1, {"seqs": [7]})) == [(7, "Refusal", "no")]
+    for seq in range(1, owner_module.KEPT_RESULTS + 10):
+        (start,) = owner.dispatch(0.2, 0, 1, dispatch(seq))
+        assert isinstance(start, StartCall)
+        owner.finished(0.3, start.ticket, ANSWER)
+    assert said(owner.fate(0.4, 1, {"seqs": [1]})) == [(1, "Refusal", "maybe")]
+    newest = owner_module.KEPT_RESULTS + 9
+    assert said(owner.fate(0.4, 1, {"seqs": [newest]})) == [(newest, "Answer", "")]
+
+
+def test_results_kept_for_all_ingresses_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(owner_module, "KEPT_TOTAL_BYTES", 20_000)
+    owner = make()
+    for link in range(1, 11):
+        owner.hello(0.0, link, hello(f"in-{link}", 2))
+    for link in range(1, 11):
+        for seq in range(20):
+            (start,) = owner.dispatch(0.2, 0, link, dispatch(seq))
+            assert isinstance(start, StartCall)
+            owner.finished(0.3, start.ticket, ANSWER)
+    assert sum(peer.kept_bytes for peer in owner._peers.values()) <= 20_000
+
+
+def test_acknowledged_results_go() -> None:
+    owner = make()
+    (start,) = owner.dispatch(0.2, 0, 1, dispatch(1))
+    assert isinstance(start, StartCall)
+    owner.finished(0.3, start.ticket, ANSWER)
+    owner.dispatch(0.4, 0, 1, dispatch(2, acked=2))
+    assert len(owner._peers["in-1"].kept) == 0
+
+
+def test_a_waiting_call_that_is_withdrawn_did_not_run_a_running_one_is_cancelled() -> None:
+    owner = make(slots=1)
+    (start,) = owner.dispatch(0.1, 0, 1, dispatch(1))
+    assert owner.dispatch(0.1, 0, 1, dispatch(2)) == []
+    assert said(owner.withdraw(0.2, 1, {"seq": 2})) == [(2, "Refusal", "no")]
+    assert isinstance(start, StartCall)
+    assert owner.withdraw(0.2, 1, {"seq": 1}) == [CancelCall(start.ticket)]
+    ended = owner.finished(0.3, start.ticket, Broken(True, "cancelled"))
+    assert said(ended) == [(1, "Refusal", "maybe")]
+
+
+def test_a_call_that_never_left_for_the_upstream_did_not_run() -> None:
+    owner = make()
+    (start,) = owner.dispatch(0.1, 0, 1, dispatch(1))
+    assert isinstance(start, StartCall)
+    ended = owner.finished(0.2, start.ticket, Broken(False, "upstream-unreachable"))
+    assert said(ended) == [(1, "Refusal", "no")]
+
+
+def test_waiting_calls_of_an_ingress_that_is_gone_are_dropped_and_it_can_learn_so() -> None:
+    owner = make(slots=1)
+    owner.dispatch(0.1, 0, 1, dispatch(1))
+    owner.dispatch(0.1, 0, 1, dispatch(2, budget_ms=60_000))
+    owner.link_lost(0.2, 1)
+    owner.tick(5.0)
+    assert owner.queue.queued == 0
+    owner.hello(5.1, 2, hello("in-1", 2))
+    assert said(owner.fate(5.2, 2, {"seqs": [2]})) == [(2, "Refusal", "no")]
+
+
+def test_leaving_by_any_source_refuses_and_tells_and_one_taken_back_leaves_the_others() -> None:
+    owner = make()
+    assert len(said(owner.leave("host-list"))) == 1
+    owner.leave("drain")
+    assert said(owner.dispatch(0.1, 0, 1, dispatch(1))) == [(1, "Refusal", "no")]
+    owner.stay("host-list")
+    assert owner.leaving
+    owner.stay("drain")
+    assert not owner.leaving
