Keep loads going until the failure is over; mend a mutant after a rename

Cause: in a fresh clone, test_retrying_what_may_not_be_repeated_is_found failed: the mutant named _Call, which became Call when calls got a module of their own, and its daemons did not start. Looking at it showed that a load could end before its failures did, so that a fast machine would test less.

Ruled out first: the mutant being missed for lack of calls in flight. Change: the mutant's name; a load goes on until 'during' has ended; upstreams take 20 ms there, so that every failure meets running calls. Counts that were equal are now lower bounds with every verdict answered, since more calls are sent.

--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -96,14 +97,20 @@
     ingresses: tuple[str, ...] = NAMES,
     prefix: str = "r",
 ) -> list[Ended]:
-    """Send calls with unique ids and bodies through the ingresses in turn; tell their ends."""
+    """Send calls with unique ids and bodies through the ingresses in turn; tell their ends.
+
+    At least `calls` are sent, and as many more as come until `during` has ended.
+    """
     caller = Caller()
     ended: list[Ended] = []
-    numbers = iter(range(calls))
+    numbers = itertools.count()
+    broken = asyncio.Event()
     rng = random.Random(1)
 
     async def worker() -> None:
         for number in numbers:
+            if number >= calls and broken.is_set():
+                return
             request_id = f"{prefix}{number}"
             ingress = ingresses[number % len(ingresses)]
             body = b"" if method == "GET" else f"{request_id}:{rng.random()}".encode()
@@ -115,6 +122,7 @@
     tasks = [asyncio.create_task(worker()) for _ in range(at_once)]
     if during is not None:
         await during()
+    broken.set()
     await asyncio.gather(*tasks)
     caller.close()
     return ended
--- a/tests/integration/mutants.py
+++ b/tests/integration/mutants.py
@@ -26,13 +26,13 @@
 
 def retry_all() -> None:
     """Every call is treated as repeatable."""
-    original = ingress._Call.__init__
+    original = ingress.Call.__init__
 
     def init(self: Any, *args: Any, **kwargs: Any) -> None:
         original(self, *args, **kwargs)
         self.repeatable = True
 
-    ingress._Call.__init__ = init  # type: ignore[method-assign]
+    ingress.Call.__init__ = init  # type: ignore[method-assign]
 
 
 def no_key_table() -> None:
--- a/tests/integration/test_measuring_budget.py
+++ b/tests/integration/test_measuring_budget.py
@@ -44,7 +44,7 @@
         sent = sum(proxy.bytes_forth for proxy in control.values()) - bytes_before
         for proxy in control.values():
             proxy.close()
-    assert len(ended) == 3000
+    assert len(ended) >= 3000
     for name in ("depo-1", "depo-2"):
         assert probes[name] <= spent_s * PROBES_PER_S + 2
     assert probes["depo-3"] <= spent_s * PROBES_PER_S + 4
--- a/tests/integration/test_not_run_is_true.py
+++ b/tests/integration/test_not_run_is_true.py
@@ -12,6 +12,8 @@
 
 CALLS = 1500
 AT_ONCE = 60
+SERVICE_MS = 20.0
+"""Long enough that all slots are taken, and every failure meets calls that run."""
 LONGER_THAN_DEADLINES_S = 4.0
 """Longer than the service's deadline, the wait for a fate, and every timeout of a connection."""
 WITHOUT_FIRST = ("kill owner", "freeze owner", "freeze owner long")
@@ -28,7 +30,7 @@
 
 def faults_under(fault: str, mutant: str = "") -> tuple[dict[str, list[str]], dict[str, int]]:
     """Run a load with one kind of failure in its middle; return the faults and the verdicts."""
-    with make_fleet(mutant) as fleet:
+    with make_fleet(mutant, service_ms=SERVICE_MS) as fleet:
         proxies = with_proxies(fleet)
 
         async def break_things() -> None:
--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -82,7 +82,8 @@
             asyncio.run(one_daemon(name))
             fleet.wait_generation(1)
         ran = harness.executions(fleet)
-    assert harness.verdicts(results) == {"answered": 4500}
+    assert set(harness.verdicts(results)) == {"answered"}
+    assert len(results) >= 4500
     assert harness.run_twice(results, ran) == []
 
 
