--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -151,6 +151,7 @@
         for row in latency["rows"]
     )
     idle = found["idle"]
+    runs = json.loads((RESULTS / "latency-300.json").read_text())["runs"]
     stages = json.loads((RESULTS / "stages.json").read_text())
     return TEMPLATE.read_text().format(
         table=table,
@@ -164,6 +165,11 @@
         idle_sent=idle["most"]["sent_bytes_per_s"],
         idle_received=idle["most"]["received_bytes_per_s"],
         idle_daemons=idle["daemons"],
+        runs="\n".join(
+            f"| {run['when']} | {run['added_p50']} | {run['added_p99']} | "
+            f"{run['least']} to {run['most']} | {run['direct_p99']} |"
+            for run in runs
+        ),
         stages_ms=stages["total_us"] / 1000,
         leaf_worst=1 + DEPTH * (ATTEMPTS - 1),
         leaf_budget=1 + DEPTH * RETRY_SHARE,
