Tell of the attempt that a hedge overtook

Cause: the demonstration explained a call of 52 ms by one attempt sent at 41 ms: the first one, still without a result when the second answered, was in no record. Change: attempts that are withdrawn at the end of a call are recorded as such, and shown in the order in which they were sent. Seen failing first: the hedge test of test_ingress with the new assertion. Measured: 13 tests of ingress and records, 13 over processes pass.

--- a/foldhoist/commands/explain.py
+++ b/foldhoist/commands/explain.py
@@ -85,7 +85,7 @@
         f"0.00 ms  {daemon}: {call['method']} {call['path']} arrived for service "
         f"{call['service'] or '(none)'}, {kind}, generation {call['generation']}"
     ]
-    for attempt in call["attempts"]:
+    for attempt in sorted(call["attempts"], key=lambda each: each["sent_us"]):
         lines += _attempt_lines(daemon, attempt, hops)
     reason = f": {call['reason']}" if call["reason"] else ""
     end = f"{call['verdict']}{reason}, status {call['status']}"
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -396,8 +396,6 @@
 
     def _expire(self, now: float, call: Call) -> list[Action]:
         if call.live or call.maybe:
-            for live in call.live.values():
-                self._note(now, call, live, "maybe:deadline-passed", 0, 0)
             return self._finish(now, call, MayHaveRun("deadline-passed", status=504))
         return self._finish(now, call, NotRun("deadline-passed", 0.0, status=504))
 
@@ -405,6 +403,8 @@
         if self._calls.pop(call.call_id, None) is None:
             return []
         self._parked.pop(call.call_id, None)
+        for live in call.live.values():
+            self._note(now, call, live, "withdrawn", 0, 0)
         match verdict:
             case Answered():
                 self.count.answered += 1
--- a/tests/unit/delivery/test_ingress.py
+++ b/tests/unit/delivery/test_ingress.py
@@ -139,3 +139,6 @@
     assert isinstance(replies(ended)[0], Answered)
     (withdrawn,) = sent(ended)
     assert (withdrawn.target, withdrawn.frame.kind) == (first.target, "Withdraw")
+    (reply,) = [each for each in ended if isinstance(each, Reply)]
+    told = [(attempt.target, attempt.result) for attempt in reply.record.attempts]
+    assert told == [(second.target, "answered"), (first.target, "withdrawn")]
