--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -102,7 +102,7 @@
 def install_oracle(world: World) -> None:
     """Replace the pickers of every ingress by ones that know the truth."""
     for ingress in world.ingresses.values():
-        for state in ingress._services.values():
+        for state in ingress._services.all():
             old = state.picker
             picker = OraclePicker(old.policy, old.data_centre, old.eject_share, old.rng)
             picker.tracks = old.tracks
--- a/foldhoist/admission/bucket.py
+++ b/foldhoist/admission/bucket.py
@@ -41,11 +41,17 @@
 
     def __init__(self, share: float) -> None:
         self.share = share
+        self.cap = self.CAP
         self._tokens = self.RESERVE if share > 0 else 0.0
 
+    def bound(self, cap: float) -> None:
+        """Hold at most `cap` attempts: this daemon's part of what all together may make."""
+        self.cap = cap
+        self._tokens = min(self._tokens, cap)
+
     def call(self) -> None:
         """Count a first attempt, which earns `share` of a further one."""
-        self._tokens = min(self.CAP, self._tokens + self.share)
+        self._tokens = min(self.cap, self._tokens + self.share)
 
     def spend(self) -> bool:
         """Take one further attempt if the budget has it."""
--- a/foldhoist/commands/daemon.py
+++ b/foldhoist/commands/daemon.py
@@ -12,10 +12,11 @@
 
 from foldhoist.commands.output import EXIT_FAULTS, EXIT_OK, EXIT_UNREACHABLE, print_faults
 from foldhoist.config.settings import load_settings
-from foldhoist.daemon.daemon import Daemon
 from foldhoist.observe.logs import set_up_logs
 
 if TYPE_CHECKING:
+    from foldhoist.daemon.daemon import Daemon
+    from foldhoist.daemon.mesh import MeshDaemon
     from foldhoist.schema.settings import Settings
 
 
@@ -36,7 +37,7 @@
 
 
 async def _run(cfg: Settings) -> int:
-    running = Daemon(cfg)
+    running = _make(cfg)
     try:
         await running.start()
     except OSError as exc:
@@ -51,3 +52,14 @@
     sys.stdout.flush()
     await running.stopped.wait()
     return EXIT_OK
+
+
+def _make(cfg: Settings) -> Daemon | MeshDaemon:
+    """Return the kind of daemon that the settings ask for; only its libraries are loaded."""
+    if cfg["platform"]["adapter"]:
+        from foldhoist.daemon.mesh import MeshDaemon
+
+        return MeshDaemon(cfg)
+    from foldhoist.daemon.daemon import Daemon
+
+    return Daemon(cfg)
--- /dev/null
+++ b/foldhoist/configlog/versions.py
@@ -0,0 +1,71 @@
+"""Which version of the configuration a daemon holds, and who reads the store; no I/O.
+
+A few daemons of each data centre wait at the store for news and pass them on. Who they are follows
+from the list of peers; whoever hears of no reader that hears from the store steps in.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from foldhoist.routing.rendezvous import ranked
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+READERS = 2
+"""Daemons of each data centre that wait at the store."""
+TELL_S = 0.5
+"""Time between two words of a reader to its data centre, seconds."""
+SILENT_S = 1.3
+"""A reader that has said nothing for this long does not count, seconds."""
+STEP_S = 0.25
+"""Each place in the order waits this much longer before it steps in, seconds."""
+NEVER_MS = 3_600_000
+"""Age told by a daemon that the store does not answer, milliseconds."""
+
+
+class Version(NamedTuple):
+    """A whole configuration as the store keeps it; number 0 is none."""
+
+    number: int
+    content: bytes
+
+
+class Readers:
+    """Who reads the store, as one daemon sees it; `now` is in seconds, monotonic."""
+
+    def __init__(self, name: str, longest_s: float) -> None:
+        self.name = name
+        self._longest_s = longest_s
+        self._order: list[str] = [name]
+        self._heard: dict[str, tuple[float, float]] = {}
+        self._uncovered_since: float | None = None
+
+    def place(self, names: Iterable[str]) -> None:
+        """Take over the daemons of this data centre, this one included."""
+        self._order = ranked([*names], "readers")
+
+    def told(self, now: float, name: str, age_s: float) -> None:
+        """Take in how long ago the store answered a peer."""
+        self._heard[name] = (now, age_s)
+
+    def reads(self, now: float) -> bool:
+        """Return whether this daemon is to wait at the store."""
+        place = self._order.index(self.name) if self.name in self._order else 0
+        if place < READERS:
+            return True
+        if self._covered(now):
+            self._uncovered_since = None
+            return False
+        if self._uncovered_since is None:
+            self._uncovered_since = now
+        return now - self._uncovered_since >= (place - READERS) * STEP_S
+
+    def _covered(self, now: float) -> bool:
+        for name, (heard_at, age_s) in self._heard.items():
+            if name not in self._order or now - heard_at > SILENT_S:
+                continue
+            if age_s + (now - heard_at) <= self._longest_s:
+                return True
+        return False
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -14,20 +14,15 @@
 
 import httptools
 
-from foldhoist.daemon.http import (
-    REASON,
-    TRACE,
-    VERDICT,
-    HeadReader,
-    status_line,
-    write_head,
-)
-from foldhoist.daemon.request import BadRequest, read_request
-from foldhoist.delivery.verdict import Answered, Headers, MayHaveRun, NotRun, Verdict, verdict_name
+from foldhoist.daemon.dialect import OwnDialect
+from foldhoist.daemon.http import HeadReader, status_line, write_head
+from foldhoist.daemon.request import BadRequest
+from foldhoist.delivery.verdict import NotRun, Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from foldhoist.daemon.dialect import Dialect
     from foldhoist.delivery.call import CallerRequest
     from foldhoist.schema.settings import Limits
 
@@ -56,8 +51,10 @@
         limits: Limits,
         on_request: Callable[[CallerConnection, CallerRequest], None],
         on_gone: Callable[[int], None],
+        dialect: Dialect | None = None,
     ) -> None:
         self.limits = limits
+        self.dialect = dialect or OwnDialect()
         self.on_request = on_request
         self.on_gone = on_gone
         self.count = Counters()
@@ -159,6 +156,8 @@
     def on_headers_complete(self) -> None:
         """Invite the body if the caller waits for that."""
         self._head_done = True
+        if not self._busy:
+            self._set_timer(self._shared.limits["request_ms"])
         if self._head.said.get(b"expect", b"").lower() == b"100-continue":
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -180,7 +179,8 @@
         if upgrade:
             self._waiting.append(BadRequest(400, "upgrade-not-supported"))
         else:
-            self._waiting.append(read_request(method, self._url, self._head, body))
+            dialect = self._shared.dialect
+            self._waiting.append(dialect.read_request(method, self._url, self._head, body))
         self._reset()
         if len(self._waiting) > MOST_PIPELINED and self._transport is not None:
             self._transport.pause_reading()
@@ -197,7 +197,7 @@
         self._call_id = None
         self._busy = False
         keep = self._keep_alive.popleft() and not self._shared.closing
-        self._write(_answer_bytes(verdict, trace, self._method, keep))
+        self._write(_answer_bytes(self._shared.dialect, verdict, trace, self._method, keep))
         if not keep:
             self._end()
             return
@@ -231,7 +231,7 @@
 
     def _reset(self) -> None:
         self._url = b""
-        self._head = HeadReader()
+        self._head = HeadReader(self._shared.dialect.caller_rules)
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
@@ -251,7 +251,7 @@
         else:
             self._shared.count.bad += 1
         verdict = NotRun(bad.reason, 1.0 if bad.status == 503 else 0.0, bad.status)
-        self._write(_answer_bytes(verdict, "", "", keep=False))
+        self._write(_answer_bytes(self._shared.dialect, verdict, "", "", keep=False))
         self._end()
 
     def late(self) -> None:
@@ -293,25 +293,10 @@
     return BadRequest(400, "malformed-request")
 
 
-def _answer_bytes(verdict: Verdict, trace: str, method: str, keep: bool) -> bytes:
-    own: Headers = [[VERDICT, verdict_name(verdict).encode()]]
-    if trace:
-        own.append([TRACE, trace.encode()])
+def _answer_bytes(dialect: Dialect, verdict: Verdict, trace: str, method: str, keep: bool) -> bytes:
+    status, headers, body = dialect.answer(verdict, trace)
     if not keep:
-        own.append([b"Connection", b"close"])
-    match verdict:
-        case Answered(response):
-            status, headers, body = response.status, response.headers, response.body
-        case NotRun(reason, retry_after_s, status):
-            own.append([REASON, reason.encode()])
-            if status == 503:
-                own.append([b"Retry-After", b"%d" % max(1, round(retry_after_s + 0.499))])
-                own.append([b"Foldhoist-Retry-After-Ms", b"%d" % int(retry_after_s * 1000)])
-            headers, body = [[b"Content-Type", b"text/plain"]], f"not run: {reason}\n".encode()
-        case MayHaveRun(reason, status):
-            own.append([REASON, reason.encode()])
-            headers = [[b"Content-Type", b"text/plain"]]
-            body = f"may have run: {reason}\n".encode()
+        headers = [*headers, [b"Connection", b"close"]]
     bodiless = status == 204 or status == 304 or status < 200
-    head = write_head(status_line(status), headers + own, None if bodiless else len(body))
+    head = write_head(status_line(status), headers, None if bodiless else len(body))
     return head if bodiless or method == "HEAD" else head + body
--- /dev/null
+++ b/foldhoist/daemon/dialect.py
@@ -0,0 +1,122 @@
+"""How callers and upstreams are spoken to over HTTP: the product's way, and the port for others.
+
+A deployment whose callers and upstreams use other headers brings a dialect of its own.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from foldhoist.daemon.http import (
+    BUDGET,
+    HOPS,
+    KEY,
+    NOT_RUN,
+    OWN_RULES,
+    REASON,
+    RETRY,
+    STATE,
+    TRACE,
+    TRACEPARENT,
+    URGENT,
+    VERDICT,
+    HeadRules,
+)
+from foldhoist.daemon.request import BadRequest, read_request
+from foldhoist.delivery.dispatch import Result, Shed, StartCall, Whole
+from foldhoist.delivery.verdict import Answered, Headers, MayHaveRun, NotRun, Verdict, verdict_name
+
+if TYPE_CHECKING:
+    from foldhoist.daemon.http import HeadReader
+    from foldhoist.delivery.call import CallerRequest
+
+SHED_RETRY_S = 0.5
+"""When to ask again if an upstream sheds a call and does not say, seconds."""
+
+
+class Dialect(Protocol):
+    """What a deployment's headers mean; no sockets, no state of calls."""
+
+    caller_rules: HeadRules
+    upstream_rules: HeadRules
+
+    def read_request(
+        self, method: str, url: bytes, head: HeadReader, body: bytes
+    ) -> CallerRequest | BadRequest:
+        """Return a caller's request, or why it is refused."""
+
+    def answer(self, verdict: Verdict, trace: str) -> tuple[int, Headers, bytes]:
+        """Return status, headers and body of a final answer."""
+
+    def request_headers(self, call: StartCall, address: bytes) -> Headers:
+        """Return the headers of a request to the upstream at this address."""
+
+    def result(self, status: int, head: HeadReader, body: bytes, call: StartCall) -> Result | None:
+        """Return what a whole answer means, or None if it belongs to another call."""
+
+    def leaves(self, head: HeadReader) -> bool:
+        """Return whether an answer says that the upstream is leaving."""
+
+
+class OwnDialect:
+    """The product's own headers."""
+
+    caller_rules = OWN_RULES
+    upstream_rules = OWN_RULES
+
+    def read_request(
+        self, method: str, url: bytes, head: HeadReader, body: bytes
+    ) -> CallerRequest | BadRequest:
+        """Return a caller's request, or why it is refused."""
+        return read_request(method, url, head, body)
+
+    def answer(self, verdict: Verdict, trace: str) -> tuple[int, Headers, bytes]:
+        """Return status, headers and body of a final answer, which names the verdict."""
+        own: Headers = [[VERDICT, verdict_name(verdict).encode()]]
+        if trace:
+            own.append([TRACE, trace.encode()])
+        match verdict:
+            case Answered(response):
+                return response.status, response.headers + own, response.body
+            case NotRun(reason, retry_after_s, status):
+                own.append([REASON, reason.encode()])
+                if status == 503:
+                    own.append([b"Retry-After", b"%d" % max(1, round(retry_after_s + 0.499))])
+                    own.append([b"Foldhoist-Retry-After-Ms", b"%d" % int(retry_after_s * 1000)])
+                body = f"not run: {reason}\n".encode()
+            case MayHaveRun(reason, status):
+                own.append([REASON, reason.encode()])
+                body = f"may have run: {reason}\n".encode()
+        return status, [[b"Content-Type", b"text/plain"], *own], body
+
+    def request_headers(self, call: StartCall, address: bytes) -> Headers:
+        """Return the headers of a request to the upstream at this address."""
+        req = call.request
+        own: Headers = [
+            [b"Host", address],
+            [BUDGET, b"%d" % max(1, int(call.budget_s * 1000))],
+            [TRACEPARENT, req["trace"].encode()],
+        ]
+        if req["urgent"]:
+            own.append([URGENT, b"1"])
+        if req["key"]:
+            own.append([KEY, req["key"].encode("latin-1")])
+        own.append([HOPS, b"%d" % (req["hops"] + 1)])
+        if req["retried"]:
+            own.append([RETRY, b"1"])
+        return own + req["headers"]
+
+    def result(self, status: int, head: HeadReader, body: bytes, call: StartCall) -> Result | None:
+        """Return what a whole answer means; every answer belongs to the call in hand."""
+        if status == 503 and NOT_RUN in head.said:
+            return Shed(_retry_after(head.said))
+        return Whole(status, head.passed_on(), body)
+
+    def leaves(self, head: HeadReader) -> bool:
+        """Return whether an answer says that the upstream is leaving."""
+        return head.said.get(STATE) == b"leaving"
+
+
+def _retry_after(said: dict[bytes, bytes]) -> float:
+    value = said.get(b"retry-after", b"")
+    return float(value) if value.isdigit() else SHED_RETRY_S
--- a/foldhoist/daemon/frames.py
+++ b/foldhoist/daemon/frames.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING, Any
 
 from foldhoist.delivery.codec import Splitter, encode
@@ -11,6 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+SILENT_MS = 1500
+"""A peer whose host acknowledges nothing for this long counts as gone, milliseconds."""
 MOST_UNSENT = 16 * 1024 * 1024
 """A peer that leaves this many bytes unread is cut off, bytes."""
 
@@ -37,6 +40,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=MOST_UNSENT)
+        notice_silence(transport)
 
     def data_received(self, data: bytes) -> None:
         """Hand on every whole message; a peer that breaks the schema is cut off."""
@@ -70,3 +74,15 @@
         """Close the connection at once."""
         if self._transport is not None:
             self._transport.abort()
+
+
+def notice_silence(transport: asyncio.BaseTransport) -> None:
+    """Have the system end the connection when the peer's host falls silent."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
--- a/foldhoist/daemon/http.py
+++ b/foldhoist/daemon/http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from foldhoist.delivery.verdict import Headers
@@ -54,12 +54,25 @@
 """Headers that foldhoist reads or writes anew at each hop."""
 
 
+class HeadRules(NamedTuple):
+    """Headers that are read: `taken` and those with `prefix` end here, `noted` go on."""
+
+    taken: frozenset[bytes]
+    noted: frozenset[bytes]
+    prefix: bytes
+
+
+OWN_RULES = HeadRules(SPOKEN, frozenset({b"retry-after"}), OWN_PREFIX)
+"""How the product's own interface reads heads."""
+
+
 class HeadReader:
     """Sorts the headers of one message as they come: to pass on, to read, or to drop."""
 
-    __slots__ = ("kept", "named", "said", "size")
+    __slots__ = ("_rules", "kept", "named", "said", "size")
 
-    def __init__(self) -> None:
+    def __init__(self, rules: HeadRules = OWN_RULES) -> None:
+        self._rules = rules
         self.kept: Headers = []
         self.said: dict[bytes, bytes] = {}
         self.named: list[bytes] = []
@@ -72,14 +85,15 @@
         if lower in HOP_BY_HOP:
             if lower == b"connection":
                 self.named += [part.strip().lower() for part in value.split(b",")]
-            elif lower == b"expect":
+            elif lower in (b"expect", b"keep-alive"):
                 self.said[lower] = value
             return
-        if lower in SPOKEN or lower.startswith(OWN_PREFIX):
+        rules = self._rules
+        taken = lower in rules.taken or (rules.prefix and lower.startswith(rules.prefix))
+        if taken or lower in rules.noted:
             self.said[lower] = self.said[lower] + b", " + value if lower in self.said else value
+        if taken:
             return
-        if lower == b"retry-after":
-            self.said[lower] = value
         self.kept.append([name, value])
 
     def passed_on(self) -> Headers:
--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -18,6 +18,7 @@
     from foldhoist.observe.metrics import Latencies
     from foldhoist.observe.records import Ring
     from foldhoist.observe.spans import Spans
+    from foldhoist.routing.picker import Member
 
 
 class IngressTask:
@@ -80,6 +81,10 @@
         """Take in that an owner's process is gone."""
         self._carry_out(self.ingress.link_refused(self._loop.time(), target))
 
+    def track(self, tracked: dict[str, list[Member]], daemons: int) -> None:
+        """Take over the upstreams to choose from."""
+        self._carry_out(self.ingress.track(self._loop.time(), tracked, daemons))
+
     def local_up(self, incarnation: str) -> None:
         """Connect to the owner in this process, which cannot be lost."""
         self._owner_task.local_hello()
--- a/foldhoist/daemon/links.py
+++ b/foldhoist/daemon/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 from foldhoist.daemon.frames import FrameConnection
@@ -54,6 +55,7 @@
         self._epoch = 0
         self._conn: FrameConnection | None = None
         self._fell = asyncio.Event()
+        self._hurry = asyncio.Event()
         self._greeted = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._keep_up())
 
@@ -64,6 +66,10 @@
         self._conn.send(kind, body)
         return True
 
+    def hurry(self) -> None:
+        """Try again at once: the peer has shown that it is there."""
+        self._hurry.set()
+
     def close(self) -> None:
         """Close for good."""
         self._task.cancel()
@@ -77,7 +83,10 @@
                 pause = RETRY_FIRST_S
                 await self._fell.wait()
                 continue
-            await asyncio.sleep(pause * (0.5 + self._rng.random()))
+            self._hurry.clear()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(pause * (0.5 + self._rng.random())):
+                    await self._hurry.wait()
             pause = min(RETRY_LONGEST_S, pause * 2)
 
     async def _connect(self) -> bool:
@@ -164,6 +173,12 @@
             link = Link(name, address, self._hello, self._limit, self._events, self._rng)
             self._links[name] = link
 
+    def hurry(self, name: str) -> None:
+        """Try again at once to reach this owner, if its link is down."""
+        link = self._links.get(name)
+        if link is not None and not link.up:
+            link.hurry()
+
     def send(self, name: str, kind: str, body: object) -> bool:
         """Write a message to an owner; returns False if its link is down."""
         link = self._links.get(name)
--- /dev/null
+++ b/foldhoist/daemon/mesh.py
@@ -0,0 +1,303 @@
+"""One daemon on a platform that an adapter speaks to: upstreams announce themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import random
+import secrets
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+
+from foldhoist.admission.slots import Shape
+from foldhoist.configlog.versions import Readers
+from foldhoist.daemon.callers import CallerConnection, Shared
+from foldhoist.daemon.ingress_task import IngressTask
+from foldhoist.daemon.links import LinkEvents, Links
+from foldhoist.daemon.owner_task import OwnerTask
+from foldhoist.daemon.peers_task import PeersTask
+from foldhoist.daemon.ports import load_adapter
+from foldhoist.daemon.stopping import Stopping
+from foldhoist.daemon.upstream_task import UpstreamTask
+from foldhoist.daemon.versions_task import VersionsTask
+from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
+from foldhoist.delivery.ingress import Ingress
+from foldhoist.delivery.owner import Owner
+from foldhoist.membership.registry import Registry
+from foldhoist.observe.metrics import Latencies, Metrics, counters_of
+from foldhoist.observe.records import Ring
+from foldhoist.observe.spans import Spans
+
+if TYPE_CHECKING:
+    from foldhoist.configlog.versions import Version
+    from foldhoist.delivery.dispatch import Ended
+    from foldhoist.schema.fleet import Fleet
+    from foldhoist.schema.messages import Hello, Member
+    from foldhoist.schema.settings import Limits, Settings
+
+QUEUE_PER_SLOT = 3
+"""Calls that may wait at an owner for each slot of its upstream."""
+SHAPE_UNKNOWN = Shape(slots=1, queue=0, urgent_slots=0, urgent_run=8)
+"""Shape of the owner before its upstream has announced itself."""
+KEY_WINDOW_S = 600.0
+"""How long an idempotency key is remembered, seconds."""
+
+
+class MeshDaemon:
+    """Everything of one daemon process whose platform is reached through an adapter."""
+
+    def __init__(self, cfg: Settings, rng: random.Random | None = None) -> None:
+        self.cfg = cfg
+        self.name = cfg["daemon"]["name"]
+        self.data_centre = cfg["daemon"]["data_centre"]
+        self.incarnation = secrets.token_hex(8)
+        self.rng = rng or random.Random()
+        self.stopped = asyncio.Event()
+        self.addresses: dict[str, str] = {}
+        self.latencies = Latencies()
+        self.metrics = Metrics(self.latencies, self.counters, self.gauges)
+        self.adapter = load_adapter(cfg)
+        self._hello: Hello = {
+            "name": self.name,
+            "incarnation": self.incarnation,
+            "epoch": 1,
+            "schema": SCHEMA_VERSION,
+        }
+
+    async def start(self) -> None:
+        """Open every socket and start every task."""
+        cfg = self.cfg
+        self._make_traffic()
+        self.store = self.adapter.store()
+        self.registry = Registry(self.name, self.data_centre)
+        self.upstream = UpstreamTask(self.owner_task, self._on_upstream, cfg["upstream"]["service"])
+        self.peers = PeersTask(
+            self.registry,
+            self.links,
+            self.store,
+            self._describe,
+            self._on_peers,
+            self.upstream.remember,
+            self.rng,
+        )
+        self.readers = Readers(self.name, cfg["platform"]["wait_ms"] / 1000 + 1.5)
+        self.versions = VersionsTask(
+            self.adapter,
+            self.store,
+            self.readers,
+            cfg["platform"]["wait_ms"],
+            self._on_adopt,
+            self.rng,
+        )
+        await self._listen()
+        self.stopping = Stopping(self)
+        self.endpoints = self.adapter.listen(self.upstream, self._is_ready, self.metrics.text)
+        self.upstream.start(self.peers, first=cfg["platform"]["first_start"])
+        self.peers.start(cfg["platform"]["first_start"])
+        self.versions.start(self.peers)
+        self.owner_task.start()
+        self.ingress_task.local_up(self.incarnation)
+        self._late_task = asyncio.get_running_loop().create_task(self.shared.close_late())
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 20, 50)
+        logger.info("daemon {} started, incarnation {}", self.name, self.incarnation)
+
+    async def drain(self) -> None:
+        """Stop as planned."""
+        await self.stopping.run()
+
+    async def stop(self) -> None:
+        """Close every socket and end every task."""
+        self._late_task.cancel()
+        for server in self._servers:
+            server.close()
+        self.endpoints.close()
+        for task in (self.versions, self.peers, self.owner_task):
+            task.close()
+        self.links.close()
+        self.store.close()
+        logger.info("daemon {} stopped", self.name)
+        self.stopped.set()
+
+    # What operators read
+
+    def counters(self) -> dict[str, dict[str, int]]:
+        """Return all counters, by part."""
+        return {
+            "ingress": counters_of(self.ingress_task.ingress.count),
+            "owner": counters_of(self.owner.count),
+            "callers": counters_of(self.shared.count),
+            "configuration": counters_of(self.versions.count),
+        }
+
+    def gauges(self) -> dict[str, float]:
+        """Return what rises and falls."""
+        return {
+            "ingress_calls": self.ingress_task.ingress.calls,
+            "owner_busy": self.owner.queue.busy,
+            "owner_queued": self.owner.queue.queued,
+            "version": self.versions.version.number,
+            "links": len(self.links.open()),
+            "peers": len(self.registry.peers),
+            "caller_connections": len(self.shared.open),
+            "upstream_connections": self.owner_task.pool.open,
+            "leaving": float(self.owner.leaving),
+        }
+
+    # Steps
+
+    def _make_traffic(self) -> None:
+        cfg = self.cfg
+        self.owner = Owner(self.name, cfg["upstream"]["service"], SHAPE_UNKNOWN, KEY_WINDOW_S)
+        self.owner_task = OwnerTask(
+            self.owner,
+            cfg,
+            self._hello,
+            self._local_frame,
+            self._hop,
+            self.adapter.dialect,
+            self._on_inbound,
+        )
+        ingress = Ingress(
+            self.data_centre, cfg["limits"]["calls"], self.rng, cfg["platform"]["retry_slack"]
+        )
+        ring = Ring(cfg["observe"]["records"])
+        spans = Spans(self.name, self.data_centre, "", cfg["observe"]["trace_share"])
+        self.ingress_task = IngressTask(ingress, ring, self.latencies, spans)
+        events = LinkEvents(
+            self._on_link_up,
+            self.ingress_task.link_lost,
+            self.ingress_task.link_refused,
+            self._on_outbound,
+        )
+        self.links = Links(self._hello, cfg["limits"]["body_bytes"] + HEADROOM, events, self.rng)
+        self.ingress_task.connect(self.name, self.links, self.owner_task)
+
+    async def _listen(self) -> None:
+        cfg = self.cfg
+        loop = asyncio.get_running_loop()
+        task = self.ingress_task
+        self.shared = Shared(cfg["limits"], task.arrive, task.gone, self.adapter.dialect)
+        self._servers: list[asyncio.Server] = []
+        makers = {
+            "callers": lambda: CallerConnection(self.shared),
+            "frames": self.owner_task.connection,
+        }
+        for name, make in makers.items():
+            host, _, port = str(cfg["listen"][name]).rpartition(":")  # type: ignore[literal-required]
+            server = await loop.create_server(make, host, int(port), backlog=1024)
+            self._servers.append(server)
+            self.addresses[name] = "{}:{}".format(*server.sockets[0].getsockname()[:2])
+
+    def close_door(self) -> None:
+        """Take no new connections of callers."""
+        self._servers[0].close()
+
+    def _is_ready(self) -> bool:
+        return self.versions.fleet is not None and not self.stopping.begun
+
+    def _describe(self) -> Member:
+        return {
+            "name": self.name,
+            "incarnation": self.incarnation,
+            "frames": self.addresses["frames"],
+            "data_centre": self.data_centre,
+            "version": self.versions.version.number,
+            "upstream": self.upstream.described(),
+            "ended": list(self.upstream.known.ended),
+        }
+
+    def _on_adopt(self, version: Version, fleet: Fleet) -> None:
+        now = asyncio.get_running_loop().time()
+        self.shared.limits = _limits(self.cfg["limits"], fleet)
+        ingress = self.ingress_task.ingress
+        ingress.adopt(now, version.number, fleet, {}, {})
+        self._track()
+
+    def _on_upstream(self, replaced: bool) -> None:
+        """Take in that the upstream beside this daemon has changed."""
+        now = asyncio.get_running_loop().time()
+        if replaced:
+            self.ingress_task.ingress.replaced(now, self.name)
+        slots = self.owner.queue.shape.slots
+        self.owner.queue.shape = self.owner.queue.shape._replace(queue=slots * QUEUE_PER_SLOT)
+        self._track()
+        self.peers.tell_all()
+
+    def _on_peers(self, changed: list[str]) -> None:
+        now = asyncio.get_running_loop().time()
+        for name in changed:
+            self.ingress_task.ingress.replaced(now, name)
+        peers = self.registry.peers.values()
+        near = [peer.name for peer in peers if peer.data_centre == self.data_centre]
+        self.readers.place([self.name, *near])
+        self._track()
+
+    def _track(self) -> None:
+        tracked = self.registry.tracked(self.upstream.known.current)
+        self.ingress_task.track(tracked, len(self.registry.peers) + 1)
+
+    def _on_link_up(self, name: str, incarnation: str) -> None:
+        self.links.send(name, "Member", self._describe())
+        self.ingress_task.link_up(name, incarnation)
+
+    def _on_outbound(self, name: str, kind: str, body: Any) -> None:
+        """Take in a message on a connection that this daemon opened."""
+        self.registry.heard(asyncio.get_running_loop().time(), name)
+        match kind:
+            case "Member":
+                self.peers.told(body)
+            case "Remembered":
+                self.upstream.remember(body["ended"])
+            case "Noted":
+                self.upstream.noted(body["ended"])
+            case "Versioned":
+                self.versions.on_versioned(body)
+            case _:
+                self.ingress_task.message(name, kind, body)
+
+    def _on_inbound(self, link: int, kind: str, body: Any) -> None:
+        """Take in a message on a connection that a peer opened."""
+        match kind:
+            case "Member":
+                self._on_member(link, body)
+            case "Versioned":
+                self.versions.on_versioned(body)
+            case "Fresh":
+                name = self.owner.peer_name(link)
+                if name:
+                    self.versions.on_fresh(name, body)
+
+    def _on_member(self, link: int, member: Member) -> None:
+        known = self.registry.peers.get(member["name"])
+        is_new = known is None or known.incarnation != member["incarnation"]
+        ended = self.registry.remembered(member["name"])
+        self.peers.told(member)
+        reply = self.owner_task.reply
+        if is_new and known is not None:
+            reply(link, "Remembered", {"ended": ended})
+        if is_new:
+            reply(link, "Member", self._describe())
+        reply(link, "Noted", {"ended": member["ended"]})
+        if member["version"] < self.versions.version.number:
+            reply(link, "Versioned", self.versions.as_message())
+
+    def _local_frame(self, kind: str, body: Any) -> None:
+        self.ingress_task.message(self.name, kind, body)
+
+    def _hop(self, call: Ended) -> None:
+        self.latencies.record("queue", call.waited_us)
+        self.latencies.record("upstream", call.served_us)
+
+
+def _limits(own: Limits, fleet: Fleet) -> Limits:
+    """Return what callers may send: the daemon's own limits, and what the configuration says."""
+    said = fleet["fleet"]
+    limits: Limits = {**own}
+    limits["header_bytes"] = said["header_bytes"] or own["header_bytes"]
+    limits["body_bytes"] = said["body_bytes"] or own["body_bytes"]
+    limits["request_ms"] = said["request_ms"] or own["request_ms"]
+    limits["idle_ms"] = said["idle_ms"] or own["idle_ms"]
+    return limits
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -11,19 +11,24 @@
 from foldhoist.daemon.frames import FrameConnection
 from foldhoist.daemon.upstream import UpstreamPool
 from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
-from foldhoist.delivery.dispatch import CancelCall, CloseLink, SendTo, StartCall
+from foldhoist.delivery.dispatch import Broken, CancelCall, CloseLink, SendTo, StartCall
 from foldhoist.delivery.owner import LOCAL_LINK
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from foldhoist.daemon.dialect import Dialect
     from foldhoist.delivery.dispatch import Action, Ended, Result
     from foldhoist.delivery.owner import Owner
-    from foldhoist.schema.messages import Hello
+    from foldhoist.schema.messages import Announced, Hello
     from foldhoist.schema.settings import Settings
 
 TICK_S = 0.05
 """Time between two looks at what has waited too long, seconds."""
+REACH_S = 0.3
+"""Time between two tries to reach an upstream that is away, seconds."""
+AWAY = "upstream-unreachable"
+"""Reason of a call for which no connection to the upstream could be opened."""
 
 
 class OwnerTask:
@@ -36,8 +41,12 @@
         hello: Hello,
         on_local: Callable[[str, Any], None],
         on_hop: Callable[[Ended], None],
+        dialect: Dialect | None = None,
+        on_peer: Callable[[int, str, Any], None] | None = None,
     ) -> None:
         self.owner = owner
+        self._on_peer = on_peer
+        self._reaching: asyncio.Task[None] | None = None
         self._hello = hello
         self._on_local = on_local
         self._on_hop = on_hop
@@ -53,6 +62,7 @@
             cfg["limits"]["body_bytes"],
             self._result,
             lambda: self.set_state("leaving"),
+            dialect,
         )
         self._task: asyncio.Task[None] | None = None
 
@@ -87,6 +97,17 @@
         """Take in a message of the ingress in this process."""
         self._handle(LOCAL_LINK, kind, body)
 
+    def announce(self, upstream: Announced) -> None:
+        """Take in what the upstream says of itself."""
+        before = self.owner.upstream
+        if before is not None and before["instance"] != upstream["instance"]:
+            self.pool.forget()
+        self._carry_out(self.owner.announce(self._loop.time(), upstream))
+
+    def reply(self, link: int, kind: str, body: Any) -> None:
+        """Write a message to the daemon at the other end of a connection."""
+        self._send(link, kind, body)
+
     def set_state(self, state: str) -> None:
         """Take in what the upstream says of itself."""
         before = self.owner.load()["state"]
@@ -138,6 +159,8 @@
                 self._carry_out(self.owner.withdraw(now, link, body))
             case "FateAsk":
                 self._carry_out(self.owner.fate(now, link, body))
+            case _ if self._on_peer is not None:
+                self._on_peer(link, kind, body)
 
     def _lost(self, conn: FrameConnection) -> None:
         self._conns.pop(conn.number, None)
@@ -147,6 +170,8 @@
     def _result(self, ticket: int, result: Result) -> None:
         now = self._loop.time()
         hop = self.owner.ended(now, ticket, result)
+        if self.owner.upstream is not None and _is_away(result):
+            self._look_for_upstream()
         self._carry_out(self.owner.finished(now, ticket, result))
         if hop is not None:
             self._on_hop(hop)
@@ -173,6 +198,20 @@
         if conn is not None:
             conn.send(kind, body)
 
+    def _look_for_upstream(self) -> None:
+        """Take the upstream for down, and try connections until it takes one."""
+        if self._reaching is None:
+            self.set_state("down")
+            self._reaching = self._loop.create_task(self._reach())
+
+    async def _reach(self) -> None:
+        while self.owner.upstream is not None:
+            await asyncio.sleep(REACH_S)
+            if await self.pool.reach():
+                break
+        self._reaching = None
+        self.set_state("warm")
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
@@ -185,3 +224,7 @@
         for ticket, limit in self.owner.running():
             if now > limit:
                 self.pool.cancel(ticket, "deadline-passed")
+
+
+def _is_away(result: Result) -> bool:
+    return isinstance(result, Broken) and not result.sent and result.reason == AWAY
--- /dev/null
+++ b/foldhoist/daemon/ports.py
@@ -0,0 +1,95 @@
+"""What an adapter to a platform brings: settings, store, endpoints, headers.
+
+An adapter is a package that the settings name. It knows the platform's words and nothing else:
+what is decided, remembered and recovered is the product's.
+"""
+
+from __future__ import annotations
+
+from importlib import import_module
+from typing import TYPE_CHECKING, NamedTuple, Protocol, cast
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from expression import Result
+
+    from foldhoist.configlog.versions import Version
+    from foldhoist.daemon.dialect import Dialect
+    from foldhoist.membership.registry import Registration
+    from foldhoist.schema.fleet import Fleet
+    from foldhoist.schema.messages import Announced
+    from foldhoist.schema.settings import Settings
+
+
+class StoreFault(NamedTuple):
+    """The store did not do what was asked; `sent` tells whether it may have been done."""
+
+    what: str
+    sent: bool
+
+
+class Store(Protocol):
+    """The platform's store; every call costs, and may fail, hang or be done unanswered."""
+
+    async def newest(self) -> Result[Version | None, StoreFault]:
+        """Return the newest configuration, or None if there is none yet."""
+
+    async def news(self, wait_ms: int) -> Result[Version | None, StoreFault]:
+        """Wait for a configuration newer than the last one returned; None if none came."""
+
+    async def register(self, registration: Registration) -> Result[None, StoreFault]:
+        """Write where this daemon listens; the newest record of a name counts."""
+
+    async def registrations(self) -> Result[list[Registration], StoreFault]:
+        """Return where all daemons listen."""
+
+    async def withdraw(self, name: str) -> Result[None, StoreFault]:
+        """Take a daemon's record away."""
+
+    def close(self) -> None:
+        """Close every connection."""
+
+
+class Announcements(Protocol):
+    """What endpoints hand on; an answer may be given when the call returns."""
+
+    async def heard(self, announced: Announced) -> None:
+        """Take in what the upstream says of itself."""
+
+    async def left(self, instance: str) -> None:
+        """Take in that a life of the upstream is over."""
+
+
+class Endpoints(Protocol):
+    """The servers that the platform calls."""
+
+    def close(self) -> None:
+        """Stop listening."""
+
+
+class Adapter(Protocol):
+    """One platform; made by the adapter package's `make_adapter(cfg)`."""
+
+    dialect: Dialect
+
+    def store(self) -> Store:
+        """Return the client of the platform's store."""
+
+    def listen(
+        self,
+        announcements: Announcements,
+        is_ready: Callable[[], bool],
+        metrics: Callable[[], bytes],
+    ) -> Endpoints:
+        """Serve what the platform calls."""
+
+    def translate(self, version: Version) -> Result[Fleet, str]:
+        """Return the configuration in the product's terms, or why it cannot be used."""
+
+
+def load_adapter(cfg: Settings) -> Adapter:
+    """Return the adapter that the settings name."""
+    package = import_module(cfg["platform"]["adapter"])
+    make = cast("Callable[[Settings], Adapter]", package.make_adapter)
+    return make(cfg)
--- /dev/null
+++ b/foldhoist/daemon/stopping.py
@@ -0,0 +1,57 @@
+"""A planned stop: callers go elsewhere first, then the upstream's calls, then the process ends."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foldhoist.daemon.mesh import MeshDaemon
+
+SERVE_S = 2.3
+"""Time in which callers learn that this daemon is not ready, seconds; it serves on meanwhile."""
+CLOSE_S = 3.2
+"""From here on answers close their connections, and idle connections are closed, seconds."""
+LOOK_S = 0.02
+"""Time between two looks at what is still in flight, seconds."""
+FLUSH_S = 0.05
+"""Time left to callers to read their last answer, seconds."""
+
+
+class Stopping:
+    """The steps of a planned stop; times count from its beginning."""
+
+    def __init__(self, daemon: MeshDaemon) -> None:
+        self.begun = False
+        self._daemon = daemon
+
+    async def run(self) -> None:
+        """Stop the daemon; a second call does nothing."""
+        if self.begun:
+            return
+        self.begun = True
+        daemon = self._daemon
+        logger.info("draining")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        limit = began + daemon.cfg["limits"]["drain_ms"] / 1000
+        await self._wait_until(lambda: False, began + SERVE_S)
+        daemon.shared.closing = True
+        await self._wait_until(lambda: not daemon.shared.open, began + CLOSE_S)
+        daemon.owner_task.leave("drain")
+        daemon.close_door()
+        await self._wait_until(lambda: all(conn.idle for conn in daemon.shared.open), limit)
+        for conn in list(daemon.shared.open):
+            conn.close()
+        await self._wait_until(lambda: not daemon.owner.calls, limit)
+        await asyncio.sleep(FLUSH_S)
+        await daemon.stop()
+
+    async def _wait_until(self, is_done: Callable[[], bool], limit: float) -> None:
+        loop = asyncio.get_running_loop()
+        while not is_done() and loop.time() < limit:
+            await asyncio.sleep(LOOK_S)
--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -8,30 +8,19 @@
 
 import httptools
 
-from foldhoist.daemon.http import (
-    BUDGET,
-    HOPS,
-    KEY,
-    NOT_RUN,
-    RETRY,
-    STATE,
-    TRACEPARENT,
-    URGENT,
-    HeadReader,
-    write_head,
-)
-from foldhoist.delivery.dispatch import Broken, Result, Shed, Whole
+from foldhoist.daemon.dialect import OwnDialect
+from foldhoist.daemon.http import HeadReader, write_head
+from foldhoist.delivery.dispatch import Broken, Result, StartCall, Whole
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from foldhoist.delivery.dispatch import StartCall
-    from foldhoist.delivery.verdict import Headers
+    from foldhoist.daemon.dialect import Dialect
 
 IDLE_S = 20.0
 """A connection unused for this long is closed and not used again, seconds."""
-SHED_RETRY_S = 0.5
-"""When to ask again if an upstream sheds a call and does not say, seconds."""
+IDLE_MARGIN_S = 1.5
+"""An upstream that names its own idle time is left this much of it, seconds."""
 
 
 class _TooLargeError(Exception):
@@ -42,10 +31,17 @@
     """One connection; one call at a time; the end of a call is told once."""
 
     def __init__(
-        self, most_body: int, on_end: Callable[[UpstreamConnection, Result], None]
+        self,
+        most_body: int,
+        on_end: Callable[[UpstreamConnection, Result], None],
+        dialect: Dialect | None = None,
     ) -> None:
+        dialect = dialect or OwnDialect()
         self.ticket = 0
         self.idle_since = 0.0
+        self.idle_s = IDLE_S
+        self._dialect = dialect
+        self._call: StartCall | None = None
         self._most_body = most_body
         self._on_end = on_end
         self._transport: asyncio.Transport | None = None
@@ -53,7 +49,8 @@
         self._sent = False
         self._head = False
         self._complete = False
-        self.head = HeadReader()
+        self._result: Result | None = None
+        self.head = HeadReader(dialect.upstream_rules)
         self._begin(head=False)
 
     @property
@@ -66,10 +63,11 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
-    def call(self, ticket: int, data: bytes, head: bool) -> None:
+    def call(self, call: StartCall, data: bytes) -> None:
         """Send a request."""
-        self.ticket = ticket
-        self._begin(head)
+        self.ticket = call.ticket
+        self._call = call
+        self._begin(call.request["method"] == "HEAD")
         self._running = True
         self._sent = True
         assert self._transport is not None
@@ -87,8 +85,10 @@
         self._transport = None
         self._clean = False
         if self._running and self._until_close and exc is None:
-            self._finish(self._whole())
-            return
+            result = self._judge()
+            if result is not None:
+                self._finish(result)
+                return
         self._finish(Broken(self._sent, "upstream-connection-lost"))
 
     def data_received(self, data: bytes) -> None:
@@ -99,11 +99,15 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            if self._result is not None:
+                self._spoiled = True
+                self._finish(self._result)
+                return
             too_large = isinstance(exc.__context__, _TooLargeError)
             self.abort("answer-too-large" if too_large else "malformed-answer")
             return
-        if self._complete:
-            self._finish(self._whole())
+        if self._result is not None:
+            self._finish(self._result)
 
     # httptools
 
@@ -136,6 +140,7 @@
             self._clean = False
             self._spoiled = True
             self._complete = True
+            self._result = self._judge() or Broken(True, "answer-to-another-call")
 
     def on_body(self, body: bytes) -> None:
         """Take in a piece of the body."""
@@ -150,32 +155,41 @@
         """Note that the answer is whole; the call ends when all bytes at hand are parsed."""
         if self._complete:
             return
-        if self._status < 200:
-            self.head = HeadReader()
-            self._framed = False
+        result = self._judge() if self._status >= 200 else None
+        if result is None:
+            self._begin_answer()
             return
         self._complete = True
+        self._result = result
 
     # Steps
 
     def _begin(self, head: bool) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._head = head
-        self.head = HeadReader()
+        self._result = None
+        self._begin_answer()
+        self._keep = False
+        self._complete = False
+        self._spoiled = False
+        self._clean = True
+
+    def _begin_answer(self) -> None:
+        self.head = HeadReader(self._dialect.upstream_rules)
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._status = 0
         self._framed = False
         self._until_close = False
-        self._keep = False
-        self._complete = False
-        self._spoiled = False
-        self._clean = True
 
-    def _whole(self) -> Result:
-        if self._status == 503 and NOT_RUN in self.head.said:
-            return Shed(_retry_after(self.head.said))
-        return Whole(self._status, self.head.passed_on(), b"".join(self._body))
+    def _judge(self) -> Result | None:
+        """Return what the answer means, or None if it belongs to another call."""
+        assert self._call is not None
+        body = b"".join(self._body)
+        result = self._dialect.result(self._status, self.head, body, self._call)
+        if isinstance(result, Broken):
+            self._spoiled = True
+        return result
 
     def _finish(self, result: Result) -> None:
         if not self._running:
@@ -183,6 +197,7 @@
         self._running = False
         if self._complete:
             self._clean = self._keep and not self._spoiled
+            self.idle_s = _idle_s(self.head)
         self._on_end(self, result)
 
 
@@ -196,7 +211,9 @@
         most_body: int,
         on_result: Callable[[int, Result], None],
         on_leaving: Callable[[], None],
+        dialect: Dialect | None = None,
     ) -> None:
+        self.dialect = dialect or OwnDialect()
         self.address = address
         self.most = 200
         self.opened = 0
@@ -217,18 +234,17 @@
     def start(self, now: float, call: StartCall) -> None:
         """Send a call on a pooled connection, or on a new one."""
         data = self._request_bytes(call)
-        head = call.request["method"] == "HEAD"
         while self._idle:
             conn = self._idle.pop()
-            if conn.usable and now - conn.idle_since < IDLE_S:
+            if conn.usable and now - conn.idle_since < conn.idle_s:
                 self._busy[call.ticket] = conn
-                conn.call(call.ticket, data, head)
+                conn.call(call, data)
                 return
             conn.abort("idle")
         if self.open >= self.most:
             self._on_result(call.ticket, Broken(False, "upstream-connections-used-up"))
             return
-        task = asyncio.get_running_loop().create_task(self._connect(call.ticket, data, head))
+        task = asyncio.get_running_loop().create_task(self._connect(call, data))
         self._connecting[call.ticket] = task
 
     def cancel(self, ticket: int, reason: str = "cancelled") -> None:
@@ -249,21 +265,42 @@
         for conn in [*self._idle, *self._busy.values()]:
             conn.abort("closing")
 
-    async def _connect(self, ticket: int, data: bytes, head: bool) -> None:
+    async def reach(self) -> bool:
+        """Open a connection for later calls; returns whether the upstream took it."""
+        try:
+            conn = await self._open()
+        except (OSError, TimeoutError):
+            return False
+        conn.idle_since = asyncio.get_running_loop().time()
+        self._idle.append(conn)
+        return True
+
+    def forget(self) -> None:
+        """Close idle connections: the upstream at the address is another one now."""
+        while self._idle:
+            self._idle.pop().abort("upstream-replaced")
+
+    async def _open(self) -> UpstreamConnection:
         loop = asyncio.get_running_loop()
+        async with asyncio.timeout(self._connect_s):
+            _, conn = await loop.create_connection(
+                lambda: UpstreamConnection(self._most_body, self._ended, self.dialect),
+                *self.address,
+            )
+        self.opened += 1
+        return conn
+
+    async def _connect(self, call: StartCall, data: bytes) -> None:
+        ticket = call.ticket
         try:
-            async with asyncio.timeout(self._connect_s):
-                _, conn = await loop.create_connection(
-                    lambda: UpstreamConnection(self._most_body, self._ended), *self.address
-                )
+            conn = await self._open()
         except (OSError, TimeoutError):
             self._connecting.pop(ticket, None)
             self._on_result(ticket, Broken(False, "upstream-unreachable"))
             return
         self._connecting.pop(ticket, None)
-        self.opened += 1
         self._busy[ticket] = conn
-        conn.call(ticket, data, head)
+        conn.call(call, data)
 
     def _ended(self, conn: UpstreamConnection, result: Result) -> None:
         self._busy.pop(conn.ticket, None)
@@ -272,32 +309,25 @@
             self._idle.append(conn)
         elif not isinstance(result, Broken):
             conn.abort("not-reusable")
-        if conn.head.said.get(STATE) == b"leaving":
+        if isinstance(result, Whole) and self.dialect.leaves(conn.head):
             self._on_leaving()
         self._on_result(conn.ticket, result)
 
     def _request_bytes(self, call: StartCall) -> bytes:
         req = call.request
-        own: Headers = [
-            [b"Host", self._host],
-            [BUDGET, b"%d" % max(1, int(call.budget_s * 1000))],
-            [TRACEPARENT, req["trace"].encode()],
-        ]
-        if req["urgent"]:
-            own.append([URGENT, b"1"])
-        if req["key"]:
-            own.append([KEY, req["key"].encode("latin-1")])
         first = f"{req['method']} {req['path']} HTTP/1.1\r\n".encode("latin-1")
         length = len(req["body"]) if req["body"] or req["method"] in _WITH_BODY else None
-        own.append([HOPS, b"%d" % (req["hops"] + 1)])
-        if req["retried"]:
-            own.append([RETRY, b"1"])
-        return write_head(first, own + req["headers"], length) + req["body"]
+        headers = self.dialect.request_headers(call, self._host)
+        return write_head(first, headers, length) + req["body"]
 
 
 _WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 
-def _retry_after(said: dict[bytes, bytes]) -> float:
-    value = said.get(b"retry-after", b"")
-    return float(value) if value.isdigit() else SHED_RETRY_S
+def _idle_s(head: HeadReader) -> float:
+    """Return how long the connection may rest, by the upstream's Keep-Alive header if any."""
+    for part in head.said.get(b"keep-alive", b"").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return min(IDLE_S, max(0.0, int(value) - IDLE_MARGIN_S))
+    return IDLE_S
--- /dev/null
+++ b/foldhoist/daemon/versions_task.py
@@ -0,0 +1,186 @@
+"""The configuration in force, read from an adapter's store and passed on between daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from foldhoist.configlog.versions import NEVER_MS, TELL_S, Readers, Version
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from foldhoist.daemon.peers_task import PeersTask
+    from foldhoist.daemon.ports import Adapter, Store, StoreFault
+    from foldhoist.schema.fleet import Fleet
+    from foldhoist.schema.messages import Fresh, Versioned
+
+RETRY_FIRST_S = 0.1
+"""First pause after the store has failed, seconds; it doubles each time."""
+RETRY_LONGEST_S = 1.0
+"""Longest pause after the store has failed, seconds."""
+LOOK_S = 0.2
+"""Time between two looks at whether this daemon is to read, seconds."""
+ASK_S = 0.4
+"""Time between two questions to a peer while no reader is heard, seconds."""
+
+
+@dataclass(slots=True)
+class Counters:
+    """What the configuration task has counted."""
+
+    adopted: int = 0
+    asked: int = 0
+    passed_on: int = 0
+    refused: int = 0
+    store_errors: int = 0
+    store_reads: int = 0
+
+
+class VersionsTask:
+    """Owns the version in force; `on_adopt(version, fleet)` is called for each new one."""
+
+    def __init__(
+        self,
+        adapter: Adapter,
+        store: Store,
+        readers: Readers,
+        wait_ms: int,
+        on_adopt: Callable[[Version, Fleet], None],
+        rng: Random,
+    ) -> None:
+        self.count = Counters()
+        self.version = Version(0, b"")
+        self.fleet: Fleet | None = None
+        self.store_ok = False
+        self._adapter = adapter
+        self._store = store
+        self._readers = readers
+        self._wait_ms = wait_ms
+        self._on_adopt = on_adopt
+        self._rng = rng
+        self._refused = 0
+        self._answered_at = float("-inf")
+        self._loop = asyncio.get_running_loop()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self, peers: PeersTask) -> None:
+        """Start reading and telling."""
+        self._peers = peers
+        create = self._loop.create_task
+        self._tasks = [create(self._read()), create(self._tell()), create(self._ask())]
+
+    def close(self) -> None:
+        """Stop."""
+        for task in self._tasks:
+            task.cancel()
+
+    def on_versioned(self, message: Versioned) -> None:
+        """Take in a configuration that a peer passed on."""
+        self._take(Version(message["version"], message["content"]))
+
+    def on_fresh(self, name: str, message: Fresh) -> None:
+        """Take in what a peer holds, and how recently the store answered it."""
+        self._readers.told(self._loop.time(), name, message["age_ms"] / 1000)
+        if message["version"] < self.version.number:
+            self._peers.send(name, "Versioned", self.as_message())
+            return
+        if message["wanted"] or message["version"] > self.version.number:
+            wanted = message["version"] > self.version.number
+            self._peers.send(name, "Fresh", self._fresh(wanted))
+
+    def as_message(self) -> Versioned:
+        """Return the version in force for a peer."""
+        return {"version": self.version.number, "content": self.version.content}
+
+    # Steps
+
+    async def _read(self) -> None:
+        pause = RETRY_FIRST_S
+        while True:
+            if self.fleet is not None and not self._readers.reads(self._loop.time()):
+                await asyncio.sleep(LOOK_S)
+                continue
+            if await self._read_once():
+                pause = RETRY_FIRST_S
+                continue
+            await asyncio.sleep(pause * (0.5 + self._rng.random()))
+            pause = min(RETRY_LONGEST_S, pause * 2)
+
+    async def _read_once(self) -> bool:
+        self.count.store_reads += 1
+        if self._answered_at == float("-inf"):
+            answer = await self._store.newest()
+        else:
+            answer = await self._store.news(self._wait_ms)
+        if answer.is_error():
+            self._failed(answer.error)
+            return False
+        self._answered_at = self._loop.time()
+        self._store_is(True)
+        version = answer.ok
+        if version is None:
+            return self.fleet is not None
+        if self._take(version):
+            self._pass_on()
+        return True
+
+    def _failed(self, fault: StoreFault) -> None:
+        self.count.store_errors += 1
+        self._store_is(False, fault.what)
+
+    def _store_is(self, ok: bool, what: str = "") -> None:
+        if ok == self.store_ok:
+            return
+        self.store_ok = ok
+        logger.info("store {}", "answers" if ok else f"does not answer: {what}")
+        if not ok:
+            self._peers.tell("Fresh", self._fresh(wanted=False), near=True)
+
+    def _take(self, version: Version) -> bool:
+        if version.number <= max(self.version.number, self._refused):
+            return False
+        translated = self._adapter.translate(version)
+        if translated.is_error():
+            self._refused = version.number
+            self.count.refused += 1
+            logger.error("version {} cannot be used: {}", version.number, translated.error)
+            return False
+        before = self.version.number
+        self.version = version
+        self.fleet = translated.ok
+        self.count.adopted += 1
+        logger.info("version {} in force, was {}", version.number, before)
+        self._on_adopt(version, translated.ok)
+        return True
+
+    def _pass_on(self) -> None:
+        """Give the data centre the content, and the others word of it: they ask if they lack it."""
+        self.count.passed_on += 1
+        self._peers.tell("Versioned", self.as_message(), near=True)
+        self._peers.tell("Fresh", self._fresh(wanted=False), near=False)
+
+    async def _tell(self) -> None:
+        while True:
+            await asyncio.sleep(TELL_S)
+            if self.store_ok and self._readers.reads(self._loop.time()):
+                self._peers.tell("Fresh", self._fresh(wanted=False), near=True)
+
+    async def _ask(self) -> None:
+        """While the store does not answer, ask any peer what it holds."""
+        while True:
+            await asyncio.sleep(ASK_S * (0.5 + self._rng.random()))
+            if self.store_ok or not self._readers.reads(self._loop.time()):
+                continue
+            self.count.asked += 1
+            self._peers.ask_someone("Fresh", self._fresh(wanted=True))
+
+    def _fresh(self, wanted: bool) -> Fresh:
+        age_ms = NEVER_MS
+        if self.store_ok:
+            age_ms = min(NEVER_MS, int((self._loop.time() - self._answered_at) * 1000))
+        return {"version": self.version.number, "age_ms": age_ms, "wanted": wanted}
--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -6,7 +6,7 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
-from foldhoist.delivery.verdict import Answered, Headers, MayHaveRun, NotRun, Verdict
+from foldhoist.delivery.verdict import Answered, Headers, MayHaveRun, NotRun, Response, Verdict
 
 if TYPE_CHECKING:
     from foldhoist.routing.picker import Choice
@@ -16,7 +16,11 @@
 
 
 class CallerRequest(NamedTuple):
-    """A request as a caller sent it; `budget_s` and `key_issued_ms` are 0 if not given."""
+    """A request as a caller sent it; `budget_s` and `key_issued_ms` are 0 if not given.
+
+    `caller` is the service of this host and `name` the caller's own name for the request, where a
+    deployment has them.
+    """
 
     method: str
     path: str
@@ -29,6 +33,9 @@
     hops: int
     retried: bool
     trace: str
+    host: str = ""
+    caller: str = ""
+    name: str = ""
 
 
 class Outgoing(NamedTuple):
@@ -137,13 +144,18 @@
     """A call that has no final answer yet; times are monotonic seconds."""
 
     __slots__ = (
+        "arrivals",
         "arrived",
         "attempts",
+        "attempts_allowed",
         "call_id",
         "deadline",
         "excluded",
+        "failure",
         "live",
         "maybe",
+        "objective_s",
+        "rank",
         "repeatable",
         "req",
         "service",
@@ -164,8 +176,13 @@
         self.live: dict[int, Live] = {}
         self.excluded: set[str] = set()
         self.attempts: list[Attempt] = []
+        self.attempts_allowed = routed.attempts
+        self.rank = routed.rank
+        self.objective_s = routed.objective_s
         self.tries = 0
+        self.arrivals = 0
         self.maybe = ""
+        self.failure: Response | None = None
 
 
 def record_of(call: Call, now: float, verdict: Verdict, generation: int) -> Record:
--- a/foldhoist/delivery/codec.py
+++ b/foldhoist/delivery/codec.py
@@ -30,6 +30,11 @@
     "Handover": (10, messages.Handover),
     "Handed": (11, messages.Handed),
     "Held": (12, messages.Held),
+    "Member": (13, messages.Member),
+    "Remembered": (14, messages.Remembered),
+    "Noted": (15, messages.Noted),
+    "Versioned": (16, messages.Versioned),
+    "Fresh": (17, messages.Fresh),
 }
 _NUMBERS = {name: number for name, (number, _) in _KINDS.items()}
 _DECODERS: dict[int, tuple[str, Any]] = {
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -32,11 +32,15 @@
 
 
 class StartCall(NamedTuple):
-    """Send this call to the upstream; at most `budget_s` seconds are left for it."""
+    """Send this call to the upstream; at most `budget_s` seconds are left for it.
+
+    `instance` is the life of the upstream that it is meant for, empty if upstreams have no names.
+    """
 
     ticket: int
     request: Dispatch
     budget_s: float
+    instance: str = ""
 
 
 class CancelCall(NamedTuple):
@@ -49,17 +53,19 @@
 
 
 class Whole(NamedTuple):
-    """The upstream's whole answer."""
+    """The upstream's whole answer; `pace` is how long work takes there in percent, 0 if unsaid."""
 
     status: int
     headers: Headers
     body: bytes
+    pace: int = 0
 
 
 class Shed(NamedTuple):
     """The upstream says that it did not run the call."""
 
     retry_after_s: float
+    reason: str = "upstream-shed"
 
 
 class Broken(NamedTuple):
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -9,7 +9,6 @@
 from heapq import heappop, heappush
 from typing import TYPE_CHECKING
 
-from foldhoist.admission.bucket import RetryBudget
 from foldhoist.delivery.call import (
     Action,
     Attempt,
@@ -25,24 +24,32 @@
     record_of,
 )
 from foldhoist.delivery.keys import issued_by_uuid7
+from foldhoist.delivery.services import Services
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response, Verdict
 from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice, Picker
-from foldhoist.routing.policies import make_policy
 from foldhoist.routing.rendezvous import home
-from foldhoist.routing.routes import Routed, RouteTable
+from foldhoist.routing.routes import NO_RANK, Routed, RouteTable
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from random import Random
 
     from foldhoist.routing.picker import Member
-    from foldhoist.schema.fleet import Fleet, Service
+    from foldhoist.schema.fleet import Fleet
     from foldhoist.schema.messages import Answer, Dispatch, Refusal, Report
 
 FATE_S = 1.0
 """Longest wait for an owner to say what became of a call, seconds."""
 DEADLINE_MARGIN_S = 0.005
 """The owner is given this much less than is left, so that its refusal comes in time, seconds."""
+MOST_REFUSALS = 3
+"""Owners that may refuse a call before it is given up."""
+WAIT_SHARE = 0.22
+"""Longest wait for a slot, as a share of the route's objective."""
+LEAST_WAIT_MS = 5
+"""Wait for a slot that every attempt is allowed, milliseconds."""
+HEDGE_SHARE = 0.5
+"""A repeatable call is hedged after this share of its route's objective."""
 LEAST_BUDGET_S = 0.001
 """A call with less time left than this is not dispatched, seconds."""
 PARK_S = 0.3
@@ -51,32 +58,20 @@
 """Statuses from this on count against an upstream."""
 
 
-class _ServiceState:
-    """A service of the configuration in force, with what this ingress knows of it."""
-
-    __slots__ = ("budget", "cfg", "homes", "picker")
-
-    def __init__(self, cfg: Service, picker: Picker, budget: RetryBudget) -> None:
-        self.cfg = cfg
-        self.picker = picker
-        self.budget = budget
-        self.homes: tuple[str, ...] = ()
-
-
 class Ingress:
     """Every call that entered at this daemon and has no final answer yet."""
 
-    def __init__(self, data_centre: str, most_calls: int, rng: Random) -> None:
-        self.data_centre = data_centre
+    def __init__(
+        self, data_centre: str, most_calls: int, rng: Random, retry_slack: float = 0.0
+    ) -> None:
         self.most_calls = most_calls
-        self.rng = rng
         self.generation = 0
         self.leaving = False
         self.explain = True
         self.count = Counters()
         self._hops = 32
         self._routes: RouteTable | None = None
-        self._services: dict[str, _ServiceState] = {}
+        self._services = Services(data_centre, rng, retry_slack)
         self._calls: dict[int, Call] = {}
         self._by_seq: dict[int, Call] = {}
         self._linked: dict[str, str] = {}
@@ -99,35 +94,43 @@
         self.generation = generation
         self._hops = fleet["fleet"]["hops"]
         self._routes = RouteTable(fleet)
-        services: dict[str, _ServiceState] = {}
-        for name, cfg in fleet["services"].items():
-            state = self._service_state(name, cfg)
-            state.picker.members(tracked.get(name, []), now)
-            for target in state.picker.tracks:
-                state.picker.linked(target, now, target in self._up, fresh=False)
-            state.homes = homes.get(name, ())
-            services[name] = state
-        self._services = services
+        self._services.adopt(fleet, homes)
+        self.track(now, tracked)
+
+    def track(
+        self, now: float, tracked: Mapping[str, list[Member]], daemons: int = 1
+    ) -> list[Action]:
+        """Take over the upstreams to choose from; `daemons` share what may be retried."""
+        self._services.track(now, tracked, self._up, daemons)
+        return self._unpark(now)
+
+    def replaced(self, now: float, target: str) -> None:
+        """Take in that another upstream stands where this one stood."""
+        for state in self._services.all():
+            state.picker.linked(target, now, target in self._up, fresh=True)
 
     def arrive(self, now: float, call_id: int, req: CallerRequest) -> list[Action]:
         """Take in a request of a caller."""
         self.count.calls += 1
-        routed = self._routes.find(req.method, req.path) if self._routes is not None else None
+        routed = self._route(req)
         refused = self._refusal_at_door(req, routed)
         if refused is not None or routed is None:
             verdict = refused or NotRun("no-configuration", 1.0)
             return [self._refuse_at_door(now, call_id, req, routed, verdict)]
-        state = self._services[routed.service]
-        limit = state.cfg["deadline_ms"] / 1000
+        state = self._services.get(routed.service)
+        if state is None:
+            verdict = NotRun("service-removed", 1.0)
+            return [self._refuse_at_door(now, call_id, req, routed, verdict)]
+        limit = routed.timeout_s or state.cfg["deadline_ms"] / 1000
         budget = min(req.budget_s, limit) if req.budget_s > 0 else limit
         call = Call(call_id, req, routed, now, now + budget)
         self._calls[call_id] = call
         state.budget.call()
         heappush(self._timers, (call.deadline, call_id, Timer.EXPIRE))
         actions = self._attempt(now, call)
-        hedge_ms = state.cfg["hedge_ms"]
-        if hedge_ms and call.repeatable and not req.retried:
-            heappush(self._timers, (now + hedge_ms / 1000, call_id, Timer.HEDGE))
+        hedge_s = state.cfg["hedge_ms"] / 1000 or routed.objective_s * HEDGE_SHARE
+        if hedge_s and call.repeatable and not req.retried:
+            heappush(self._timers, (now + hedge_s, call_id, Timer.HEDGE))
         return actions
 
     def answer(self, now: float, target: str, message: Answer) -> list[Action]:
@@ -142,6 +145,9 @@
             picker.answered(live.target, live.seq, now, failed, load, ahead)
         self._note(now, call, live, "answered", message["waited_us"], message["served_us"])
         response = Response(message["status"], message["headers"], message["body"])
+        if failed and call.repeatable and not call.req.key:
+            call.failure = response
+            return self._go_on(now, call, "upstream-failed", 0.0)
         return self._finish(now, call, Answered(response))
 
     def refusal(self, now: float, target: str, message: Refusal) -> list[Action]:
@@ -160,11 +166,13 @@
         self._note(now, call, live, f"{message['ran']}:{message['reason']}", 0, 0)
         if message["ran"] == "maybe":
             call.maybe = message["reason"]
+        else:
+            call.arrivals -= 1
         return self._go_on(now, call, message["reason"], retry_after_s)
 
     def report(self, now: float, target: str, message: Report) -> None:
         """Take in a report that an owner sent by itself."""
-        for state in self._services.values():
+        for state in self._services.all():
             state.picker.reported(target, now, message["load"])
 
     def link_up(self, now: float, target: str, incarnation: str) -> list[Action]:
@@ -172,14 +180,14 @@
         fresh = self._linked.get(target) != incarnation
         self._linked[target] = incarnation
         self._up.add(target)
-        for state in self._services.values():
+        for state in self._services.all():
             state.picker.linked(target, now, True, fresh)
         return [*self._ask_fate(now, target, fresh), *self._unpark(now)]
 
     def link_lost(self, now: float, target: str) -> list[Action]:
         """Take in that a connection to an owner fell."""
         self._up.discard(target)
-        for state in self._services.values():
+        for state in self._services.all():
             state.picker.linked(target, now, False, fresh=False)
         actions: list[Action] = []
         for call, live in self._at(target):
@@ -233,6 +241,10 @@
         """Return the picker of each service."""
         return {name: state.picker for name, state in self._services.items()}
 
+    def waiting_for(self, target: str) -> int:
+        """Return the calls that wait for an answer of this owner."""
+        return len(self._at(target))
+
     # Steps
 
     def _end_attempt(self, seq: int) -> tuple[Call, Live, Picker | None] | None:
@@ -258,7 +270,9 @@
         return []
 
     def _park(self, now: float, call: Call) -> list[Action]:
-        state = self._services[call.service]
+        state = self._services.get(call.service)
+        if state is None:
+            return self._give_up(now, call, "service-removed", 0.0)
         self._parked[call.call_id] = call
         heappush(self._timers, (now + PARK_S, call.call_id, Timer.UNPARK))
         if call.req.key:
@@ -275,15 +289,14 @@
                 actions += self._attempt(now, call)
         return actions
 
-    def _service_state(self, name: str, cfg: Service) -> _ServiceState:
-        old = self._services.get(name)
-        if old is not None and old.cfg == cfg:
-            return old
-        policy = make_policy(cfg["policy"], self.data_centre)
-        picker = Picker(policy, self.data_centre, cfg["eject_share"], self.rng)
-        if old is not None:
-            picker.tracks = old.picker.tracks
-        return _ServiceState(cfg, picker, RetryBudget(cfg["retry_share"]))
+    def _route(self, req: CallerRequest) -> Routed | None:
+        """Return the call's route with the service drawn for it, or None if there is none."""
+        if self._routes is None:
+            return None
+        routed = self._routes.find(req.method, req.path, req.host)
+        if routed is None or not routed.parts:
+            return routed
+        return routed._replace(service=self._services.draw(routed))
 
     def _refusal_at_door(self, req: CallerRequest, routed: Routed | None) -> NotRun | None:
         if self.leaving:
@@ -320,11 +333,14 @@
         seq = self._next_seq
         self._next_seq += 1
         call.tries += 1
+        call.arrivals += 1
         call.excluded.add(pick.name)
         call.live[seq] = Live(seq, pick.name, pick, now)
         self._by_seq[seq] = call
-        self._services[call.service].picker.sent(pick.name, seq, now)
-        return [SendTo(pick.name, Outgoing("Dispatch", self._dispatch(call, seq, left)))]
+        state = self._services.get(call.service)
+        if state is not None:
+            state.picker.sent(pick.name, seq, now)
+        return [SendTo(pick.name, Outgoing("Dispatch", self._dispatch(now, call, seq, left)))]
 
     def _pick(self, now: float, call: Call) -> Choice | NoChoice:
         state = self._services.get(call.service)
@@ -339,10 +355,10 @@
             return NoChoice(NO_CONNECTION, 1.0)
         return Choice(name, "home-of-the-key", ())
 
-    def _dispatch(self, call: Call, seq: int, left_s: float) -> Dispatch:
+    def _dispatch(self, now: float, call: Call, seq: int, left_s: float) -> Dispatch:
         req = call.req
         margin = DEADLINE_MARGIN_S if left_s > 4 * DEADLINE_MARGIN_S else 0.0
-        return {
+        message: Dispatch = {
             "seq": seq,
             "acked": next(iter(self._by_seq), seq),
             "service": call.service,
@@ -360,6 +376,14 @@
             "retried": req.retried or call.tries > 1,
             "trace": req.trace,
         }
+        if req.caller:
+            message["caller"] = req.caller
+        if call.rank != NO_RANK:
+            message["rank"] = call.rank
+        if call.objective_s:
+            wait_s = call.objective_s * WAIT_SHARE - (now - call.arrived)
+            message["wait_ms"] = max(LEAST_WAIT_MS, int(wait_s * 1000))
+        return message
 
     def _go_on(self, now: float, call: Call, reason: str, retry_after_s: float) -> list[Action]:
         if call.live:
@@ -375,11 +399,15 @@
             return False
         if call.maybe and not call.repeatable:
             return False
-        if call.tries >= state.cfg["attempts"] or now + LEAST_BUDGET_S >= call.deadline:
+        attempts = call.attempts_allowed or state.cfg["attempts"]
+        refusals = call.tries - call.arrivals
+        if call.arrivals >= attempts or refusals > MOST_REFUSALS:
+            return False
+        if now + LEAST_BUDGET_S >= call.deadline:
             return False
         if isinstance(state.picker.pick(now, call.excluded, explain=False), NoChoice):
             return False
-        return state.budget.spend()
+        return call.arrivals == 0 or state.budget.spend()
 
     def _hedge(self, now: float, call: Call) -> list[Action]:
         if len(call.live) != 1 or not self._may_retry(now, call):
@@ -390,11 +418,15 @@
     def _give_up(self, now: float, call: Call, reason: str, retry_after_s: float) -> list[Action]:
         if call.live:
             return []
+        if call.failure is not None:
+            return self._finish(now, call, Answered(call.failure))
         if call.maybe:
             return self._finish(now, call, MayHaveRun(call.maybe))
         return self._finish(now, call, NotRun(reason, retry_after_s))
 
     def _expire(self, now: float, call: Call) -> list[Action]:
+        if call.failure is not None:
+            return self._finish(now, call, Answered(call.failure))
         if call.live or call.maybe:
             return self._finish(now, call, MayHaveRun("deadline-passed", status=504))
         return self._finish(now, call, NotRun("deadline-passed", 0.0, status=504))
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -31,6 +31,7 @@
 if TYPE_CHECKING:
     from foldhoist.admission.slots import Decision
     from foldhoist.schema.messages import (
+        Announced,
         Answer,
         Dispatch,
         FateAsk,
@@ -54,6 +55,8 @@
 """Waiting calls of an ingress whose connection fell are dropped after this, seconds."""
 ERROR_SMOOTHING = 0.1
 """Weight of the newest answer in the share of errors."""
+LEAVING_QUEUE_S = 0.8
+"""Calls that wait when the upstream begins to leave may still start for this long, seconds."""
 LOCAL_LINK = 0
 """Link number of the ingress in the owner's own process."""
 
@@ -68,6 +71,10 @@
         self.keys = KeyTable(name, key_window_s)
         self.count = Counters()
         self.state = "warm"
+        self.upstream: Announced | None = None
+        self.pace = 0
+        self._cold_until = 0.0
+        self._stop_at = float("inf")
         self.leaving_why: dict[str, bool] = {}
         self.errors = 0.0
         self.waits_us: list[int] = []
@@ -174,13 +181,14 @@
         served = now - ticket.started
         match result:
             case Whole():
+                self.pace = result.pace
                 self._count_answer(result.status)
                 started = self._apply(now, self.queue.release(now, served))
                 return [*self._end_answered(now, ticket_id, result, served), *started]
             case Shed():
                 self.state = "shedding"
                 started = self._apply(now, self.queue.release(now, None))
-                ended = self._end_refused(ticket_id, "no", "upstream-shed", result.retry_after_s)
+                ended = self._end_refused(ticket_id, "no", result.reason, result.retry_after_s)
                 return [*ended, *started]
             case Broken():
                 self.count.lost += 1
@@ -189,6 +197,26 @@
                 ran = "maybe" if result.sent else "no"
                 return [*self._end_refused(ticket_id, ran, result.reason, 0.5), *started]
 
+    def announce(self, now: float, upstream: Announced) -> list[Action]:
+        """Take in what the upstream says of itself; "gone" is said when none is known."""
+        before = self.upstream
+        self.upstream = upstream
+        self._cold_until = now + upstream["cold_ms"] / 1000
+        if before is None or before["instance"] != upstream["instance"]:
+            self.state = "warm"
+            self.pace = 0
+            self.errors = 0.0
+            self.leaving_why.pop("upstream", None)
+        actions: list[Action] = []
+        if before is not None and before["service"] != upstream["service"]:
+            actions += self._refuse_waiting(now, "upstream-replaced")
+        self.service = upstream["service"]
+        self.queue.shape = self.queue.shape._replace(slots=max(1, upstream["slots"]))
+        if upstream["state"] == "ready":
+            return [*actions, *self.stay("upstream")]
+        self._stop_at = min(self._stop_at, now + LEAVING_QUEUE_S)
+        return [*actions, *self.leave("upstream")]
+
     def set_state(self, state: str) -> list[Action]:
         """Take in what the upstream says of itself; tells every ingress if it changed."""
         if self.leaving_why.get("upstream"):
@@ -211,6 +239,8 @@
         """Take back what `source` said; other sources still count."""
         if not self.leaving_why.pop(source, False):
             return []
+        if not self.leaving_why:
+            self._stop_at = float("inf")
         return self._tell_all()
 
     def tick(self, now: float) -> list[Action]:
@@ -238,6 +268,11 @@
         """Return the calls that wait or run here."""
         return len(self._tickets)
 
+    def peer_name(self, link: int) -> str:
+        """Return the name of the daemon at the other end of a connection, empty if unknown."""
+        incarnation = self._by_link.get(link)
+        return self._peers[incarnation].name if incarnation is not None else ""
+
     def running(self) -> list[tuple[int, float]]:
         """Return ticket and deadline of the calls that are at the upstream."""
         return [(each, t.deadline) for each, t in self._tickets.items() if t.running]
@@ -262,7 +297,7 @@
 
     def load(self) -> Load:
         """Return the load as it is now."""
-        return {
+        load: Load = {
             "busy": self.queue.busy,
             "queued": self.queue.queued,
             "slots": self.queue.shape.slots,
@@ -270,6 +305,9 @@
             "errors": round(self.errors, 3),
             "state": "leaving" if self.leaving else self.state,  # type: ignore[typeddict-item]
         }
+        if self.pace:
+            load["pace"] = self.pace
+        return load
 
     # Steps
 
@@ -306,17 +344,24 @@
         ticket_id = self._next_ticket
         self._next_ticket += 1
         deadline = now + req["budget_ms"] / 1000
+        start_by = deadline
+        if "wait_ms" in req:
+            start_by = min(deadline, now + req["wait_ms"] / 1000)
         ticket = Ticket(incarnation, req, now, deadline)
         ticket.ahead = self.queue.busy + self.queue.queued
         self._tickets[ticket_id] = ticket
         peer.live[req["seq"]] = ticket_id
-        decision = self.queue.submit(now, ticket_id, req["urgent"], deadline)
+        urgent = req["urgent"] or req.get("rank") == 0
+        decision = self.queue.submit(now, ticket_id, urgent, start_by)
         return self._apply(now, [decision])
 
     def _apply(self, now: float, decisions: list[Decision]) -> list[Action]:
         actions: list[Action] = []
         for decision in decisions:
             match decision:
+                case Start(ticket_id) if now > self._stop_at:
+                    actions += self._apply(now, self.queue.release(now, None))
+                    actions += self._end_refused(ticket_id, "no", "upstream-leaving", 0.0)
                 case Start(ticket_id):
                     actions.append(self._start(now, ticket_id))
                 case Refuse(ticket_id, reason, retry_after_s):
@@ -328,7 +373,8 @@
         ticket.running = True
         ticket.started = now
         self.count.dispatched += 1
-        return StartCall(ticket_id, ticket.request, ticket.deadline - now)
+        instance = self.upstream["instance"] if self.upstream is not None else ""
+        return StartCall(ticket_id, ticket.request, ticket.deadline - now, instance)
 
     def _end_answered(
         self, now: float, ticket_id: int, whole: Whole, served_s: float
@@ -394,6 +440,15 @@
     def _is_joined(self, incarnation: str, seq: int) -> bool:
         return any((incarnation, seq) in waiters for waiters in self._joined.values())
 
+    def _refuse_waiting(self, now: float, reason: str) -> list[Action]:
+        actions: list[Action] = []
+        for ticket_id, ticket in list(self._tickets.items()):
+            if ticket.running:
+                continue
+            self.queue.withdraw(ticket_id)
+            actions += self._end_refused(ticket_id, "no", reason, 0.0)
+        return actions
+
     def _drop_waiting(self, peer: Peer) -> None:
         for ticket_id in list(peer.live.values()):
             ticket = self._tickets[ticket_id]
--- /dev/null
+++ b/foldhoist/delivery/services.py
@@ -0,0 +1,99 @@
+"""The services of the configuration in force, with what an ingress knows of each."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from foldhoist.admission.bucket import RetryBudget
+from foldhoist.routing.picker import Picker
+from foldhoist.routing.policies import make_policy
+from foldhoist.routing.split import Split
+
+if TYPE_CHECKING:
+    from collections.abc import Container, Iterable, Mapping
+    from random import Random
+
+    from foldhoist.routing.picker import Member
+    from foldhoist.routing.routes import Routed
+    from foldhoist.schema.fleet import Fleet, Service
+
+SLACK_SHARE = 0.5
+"""Share of the retries allowed beside a share of calls that all daemons together may hold."""
+
+
+class ServiceState:
+    """A service of the configuration in force, with what this ingress knows of it."""
+
+    __slots__ = ("budget", "cfg", "homes", "picker")
+
+    def __init__(self, cfg: Service, picker: Picker, budget: RetryBudget) -> None:
+        self.cfg = cfg
+        self.picker = picker
+        self.budget = budget
+        self.homes: tuple[str, ...] = ()
+
+
+class Services:
+    """All services by name; what is known of those that stay is kept."""
+
+    def __init__(self, data_centre: str, rng: Random, retry_slack: float) -> None:
+        self._data_centre = data_centre
+        self._rng = rng
+        self._retry_slack = retry_slack
+        self._by_name: dict[str, ServiceState] = {}
+        self._splits: dict[str, Split] = {}
+
+    def adopt(self, fleet: Fleet, homes: Mapping[str, tuple[str, ...]]) -> None:
+        """Take over the services of a configuration."""
+        services: dict[str, ServiceState] = {}
+        for name, cfg in fleet["services"].items():
+            state = self._state(name, cfg)
+            state.homes = homes.get(name, ())
+            services[name] = state
+        self._by_name = services
+        self._splits = {n: split for n, split in self._splits.items() if n in fleet["routes"]}
+
+    def track(
+        self, now: float, tracked: Mapping[str, list[Member]], up: Container[str], daemons: int
+    ) -> None:
+        """Take over the upstreams to choose from; `up` are those that are connected."""
+        for name, state in self._by_name.items():
+            state.picker.members(tracked.get(name, []), now)
+            for target in state.picker.tracks:
+                state.picker.linked(target, now, target in up, fresh=False)
+            if self._retry_slack:
+                state.budget.bound(max(1.0, self._retry_slack * SLACK_SHARE / daemons))
+
+    def draw(self, routed: Routed) -> str:
+        """Return the service that takes the next call of a split route."""
+        split = self._splits.get(routed.route)
+        if split is None or split.parts != routed.parts:
+            split = Split(routed.parts, self._rng)
+            self._splits[routed.route] = split
+        return split.draw({name for name, state in self._by_name.items() if state.picker.tracks})
+
+    def get(self, name: str) -> ServiceState | None:
+        """Return a service, or None if it is not in the configuration any more."""
+        return self._by_name.get(name)
+
+    def all(self) -> Iterable[ServiceState]:
+        """Return every service."""
+        return self._by_name.values()
+
+    def items(self) -> Iterable[tuple[str, ServiceState]]:
+        """Return every service with its name."""
+        return self._by_name.items()
+
+    def _state(self, name: str, cfg: Service) -> ServiceState:
+        old = self._by_name.get(name)
+        if old is not None and old.cfg == cfg:
+            return old
+        picker = Picker(
+            make_policy(cfg["policy"], self._data_centre),
+            self._data_centre,
+            cfg["eject_share"],
+            self._rng,
+        )
+        if old is not None:
+            picker.tracks = old.picker.tracks
+        return ServiceState(cfg, picker, RetryBudget(cfg["retry_share"]))
--- a/foldhoist/routing/routes.py
+++ b/foldhoist/routing/routes.py
@@ -1,19 +1,37 @@
-"""Which service a path belongs to, and whether the call is repeatable and urgent."""
+"""Which service a call belongs to, and what its route says: kind, rank, attempts, times."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from foldhoist.schema.fleet import Fleet
+    from foldhoist.schema.fleet import Fleet, Route
+
+NO_RANK = -1
+"""Rank of a call whose route gives none: `urgent` alone tells it from others."""
+ANY_HOST = ""
+"""Host of a route that takes the calls of every host."""
+
+
+class Part(NamedTuple):
+    """A service that takes a share of a route's calls."""
+
+    service: str
+    weight: float
 
 
 class Routed(NamedTuple):
-    """A call's service and the kind of call it is."""
+    """A call's service and the kind of call it is; times are seconds, 0 where none is given."""
 
     service: str
     repeatable: bool
     urgent: bool
+    route: str = ""
+    parts: tuple[Part, ...] = ()
+    timeout_s: float = 0.0
+    attempts: int = 0
+    rank: int = NO_RANK
+    objective_s: float = 0.0
 
 
 class _Rule(NamedTuple):
@@ -23,32 +41,68 @@
 
 
 class RouteTable:
-    """The routes of one configuration, longest prefix first."""
+    """The routes of one configuration by host, longest prefix first."""
 
     def __init__(self, fleet: Fleet) -> None:
-        self._rules = _rules(fleet)
+        self._by_host = _rules(fleet)
         self._services = sorted(
-            ((service["prefix"], name) for name, service in fleet["services"].items()),
+            (
+                (service["prefix"], name)
+                for name, service in fleet["services"].items()
+                if service["prefix"]
+            ),
             key=lambda pair: len(pair[0]),
             reverse=True,
         )
 
-    def find(self, method: str, path: str) -> Routed | None:
+    def find(self, method: str, path: str, host: str = ANY_HOST) -> Routed | None:
         """Return the service and kind of a call, or None if no prefix matches."""
-        for rule in self._rules:
-            if path.startswith(rule.prefix) and method in rule.methods:
-                return rule.routed
-        for prefix, name in self._services:
+        for name in (host, ANY_HOST) if host else (ANY_HOST,):
+            for rule in self._by_host.get(name, ()):
+                if path.startswith(rule.prefix) and (not rule.methods or method in rule.methods):
+                    return rule.routed
+        for prefix, service in self._services:
             if path.startswith(prefix):
-                return Routed(name, repeatable=False, urgent=False)
+                return Routed(service, repeatable=False, urgent=False)
         return None
 
 
-def _rules(fleet: Fleet) -> list[_Rule]:
-    rules: list[_Rule] = []
-    for route in fleet["routes"].values():
-        methods = frozenset(part.strip().upper() for part in route["methods"].split(","))
-        routed = Routed(route["service"], route["repeatable"], route["urgent"])
-        rules.append(_Rule(route["prefix"], methods, routed))
-    rules.sort(key=lambda rule: len(rule.prefix), reverse=True)
-    return rules
+def parse_split(text: str) -> tuple[Part, ...]:
+    """Return the parts of a `split` option; raises ValueError if it is none."""
+    parts: list[Part] = []
+    for entry in text.split(","):
+        if not entry.strip():
+            continue
+        service, colon, weight = entry.partition(":")
+        if not colon or not service.strip() or float(weight) < 0:
+            raise ValueError(entry)
+        parts.append(Part(service.strip(), float(weight)))
+    return tuple(parts)
+
+
+def _rules(fleet: Fleet) -> dict[str, list[_Rule]]:
+    by_host: dict[str, list[_Rule]] = {}
+    for name, route in fleet["routes"].items():
+        methods = frozenset(
+            part.strip().upper() for part in route["methods"].split(",") if part.strip()
+        )
+        rule = _Rule(route["prefix"], methods, _routed(name, route))
+        by_host.setdefault(route["host"].lower(), []).append(rule)
+    for rules in by_host.values():
+        rules.sort(key=lambda rule: len(rule.prefix), reverse=True)
+    return by_host
+
+
+def _routed(name: str, route: Route) -> Routed:
+    parts = parse_split(route["split"])
+    return Routed(
+        route["service"],
+        route["repeatable"],
+        route["urgent"],
+        name,
+        parts,
+        route["timeout_ms"] / 1000,
+        route["attempts"],
+        route["rank"],
+        route["objective_ms"] / 1000,
+    )
--- a/foldhoist/schema/fleet.py
+++ b/foldhoist/schema/fleet.py
@@ -22,6 +22,22 @@
     """
     Deepest nesting of calls; a deeper one is refused.
     """
+    header_bytes: int
+    """
+    Longest request line and headers, bytes; 0 for what the daemon's settings say.
+    """
+    body_bytes: int
+    """
+    Longest request body, bytes; 0 for what the daemon's settings say.
+    """
+    request_ms: int
+    """
+    Longest time for a caller to send a request's head, milliseconds; 0 for what the daemon's settings say.
+    """
+    idle_ms: int
+    """
+    A caller connection without a request is closed after this, milliseconds; 0 for what the daemon's settings say.
+    """
 
 
 class Service(TypedDict):
@@ -106,6 +122,30 @@
     """
     Whether the call goes before others.
     """
+    host: str
+    """
+    Host header that the calls carry; empty for any.
+    """
+    split: str
+    """
+    Services that share the calls instead of `service`, with their weights, as a:90, b:10; empty for none.
+    """
+    timeout_ms: int
+    """
+    Longest time for a call, milliseconds; 0 for the service's deadline.
+    """
+    attempts: int
+    """
+    Most upstreams that one call may reach; 0 for the service's attempts.
+    """
+    rank: int
+    """
+    Rank of the calls among those of the service, 0 goes first; -1 for the two ranks that `urgent` tells apart.
+    """
+    objective_ms: int
+    """
+    Time within which an answer is worth most, milliseconds; 0 for none.
+    """
 
 
 class Target(TypedDict):
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Literal, TypedDict
+from typing import Literal, NotRequired, TypedDict
 
 
 class Messages(TypedDict):
@@ -40,6 +40,14 @@
     """
     State of the upstream.
     """
+    pace: NotRequired[int]
+    """
+    How long work takes there at this moment, in percent of the usual; absent if the upstream does not say.
+    """
+    cold_ms: NotRequired[int]
+    """
+    How much longer the upstream is slow from its start, milliseconds; absent if it is not.
+    """
 
 
 class Hello(TypedDict):
@@ -119,6 +127,18 @@
     """
     W3C traceparent of the ingress span.
     """
+    caller: NotRequired[str]
+    """
+    Service of the host at which the call started; absent if the deployment does not tell callers apart.
+    """
+    rank: NotRequired[int]
+    """
+    Rank of the call, 0 goes first; absent for the two ranks that `urgent` tells apart.
+    """
+    wait_ms: NotRequired[int]
+    """
+    Longest useful wait for a slot, milliseconds; absent if it may wait until its deadline.
+    """
 
 
 class Answer(TypedDict):
@@ -325,6 +345,104 @@
     """
 
 
+class Announced(TypedDict):
+    """
+    What an upstream says of itself to the daemon beside it.
+    """
+
+    instance: str
+    """
+    Name of this life of the upstream; empty for none known.
+    """
+    service: str
+    slots: int
+    """
+    Calls that it works on at once.
+    """
+    state: Literal["ready", "leaving", "gone"]
+    sequence: int
+    """
+    Rises with each announcement of one life, so that a late one is known.
+    """
+    cold_ms: int
+    """
+    How much longer it is slow from its start, milliseconds.
+    """
+
+
+class Member(TypedDict):
+    """
+    What a daemon tells every peer of itself: once on each new connection, and when it changes.
+    """
+
+    name: str
+    incarnation: str
+    """
+    Random name of this life of the daemon.
+    """
+    frames: str
+    """
+    Address of its call connections.
+    """
+    data_centre: str
+    version: int
+    """
+    Version of the configuration that it holds; 0 for none.
+    """
+    upstream: Announced
+    ended: list[str]
+    """
+    Lives of its upstreams whose leaving it has acknowledged, oldest first.
+    """
+
+
+class Remembered(TypedDict):
+    """
+    To a daemon that has just started: what a peer knows of its earlier lives.
+    """
+
+    ended: list[str]
+    """
+    Lives of upstreams whose leaving the daemon has acknowledged.
+    """
+
+
+class Noted(TypedDict):
+    """
+    A peer has taken in a Member.
+    """
+
+    ended: list[str]
+    """
+    The lives that it named as ended.
+    """
+
+
+class Versioned(TypedDict):
+    """
+    A whole configuration as the platform keeps it.
+    """
+
+    version: int
+    content: bytes
+
+
+class Fresh(TypedDict):
+    """
+    How recently the sender heard from the platform's store, and what it holds.
+    """
+
+    version: int
+    age_ms: int
+    """
+    Time since the store answered the sender, milliseconds.
+    """
+    wanted: bool
+    """
+    Whether the sender asks for an answer of the same kind.
+    """
+
+
 class Handed(TypedDict):
     """
     Control: a former home has adopted the generation and runs these keys no more.
--- a/foldhoist/schema/settings.py
+++ b/foldhoist/schema/settings.py
@@ -52,6 +52,10 @@
     """
     HTTP address of the upstream.
     """
+    service: str
+    """
+    Service of the upstream until it announces itself, with an adapter.
+    """
     health_path: str
     """
     Path of its health endpoint.
@@ -91,6 +95,22 @@
     """
     A generation is written again when its last record is older than this, seconds; stay well below the platform's retention.
     """
+    adapter: str
+    """
+    Python package that speaks to a platform of another kind; empty for the product's own log and host list.
+    """
+    wait_ms: int
+    """
+    Longest time that a read of an adapter's store waits for news, milliseconds.
+    """
+    first_start: bool
+    """
+    Whether the whole system starts for the first time, so that no earlier life of this daemon needs to be asked for, with an adapter.
+    """
+    retry_slack: int
+    """
+    Further attempts that all daemons together may make in a window beside their share of calls, with an adapter.
+    """
 
 
 class Peers(TypedDict):
--- a/tests/integration/mutants.py
+++ b/tests/integration/mutants.py
@@ -80,7 +80,9 @@
     def lost(self: UpstreamConnection, exc: Exception | None) -> None:
         self._transport = None
         self._complete = True
-        self._finish(self._whole())
+        result = self._judge()
+        assert result is not None
+        self._finish(result)
 
     UpstreamConnection.connection_lost = lost  # type: ignore[method-assign]
 
--- a/tests/unit/daemon/test_upstream.py
+++ b/tests/unit/daemon/test_upstream.py
@@ -6,7 +6,8 @@
 
 from bench.stages import FakeTransport
 from foldhoist.daemon.upstream import UpstreamConnection
-from foldhoist.delivery.dispatch import Broken, Result, Shed, Whole
+from foldhoist.delivery.dispatch import Broken, Result, Shed, StartCall, Whole
+from tests.unit.daemon.calls import dispatch_of
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
 
@@ -20,7 +21,8 @@
         self.conn.connection_made(FakeTransport())
 
     def call(self, answer: bytes, head: bool = False) -> None:
-        self.conn.call(1, b"request", head)
+        req = dispatch_of("HEAD" if head else "GET")
+        self.conn.call(StartCall(1, req, 1.0), b"request")
         if answer:
             self.conn.data_received(answer)
 
--- a/tests/unit/delivery/test_ingress.py
+++ b/tests/unit/delivery/test_ingress.py
@@ -129,7 +129,7 @@
 
 def test_a_hedge_is_sent_for_a_slow_repeatable_call_and_the_loser_withdrawn() -> None:
     ingress = make()
-    ingress._services["depo"].cfg["hedge_ms"] = 20
+    ingress._services.get("depo").cfg["hedge_ms"] = 20
     (first,) = sent(ingress.arrive(1.0, 1, request()))
     (second,) = sent(ingress.tick(1.021))
     assert second.target != first.target
