Keep calls in their data centre by value; deflate the fields of frames

Change: the distance costs a quarter of the route's objective; times are compared on one scale for all routes of a service; the pace that an upstream tells counts for a while; the fields of frames are one deflate stream a connection, bodies go as they are. Ruled out: positional arrays (headers stay), HPACK by a library (only the headers, and slower).

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -55,7 +55,14 @@
 
     world: World
 
-    def pick(self, now: float, excluded: Container[str], explain: bool = True) -> Pick:
+    def pick(
+        self,
+        now: float,
+        excluded: Container[str],
+        explain: bool = True,
+        route: str = "",
+        remote_s: float = 0.0,
+    ) -> Pick:
         """Choose the upstream that would end one more call first."""
         best, least = "", float("inf")
         for name, track in self.tracks.items():
--- a/bench/stages.py
+++ b/bench/stages.py
@@ -29,6 +29,8 @@
 from foldhoist.observe.spans import Spans
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from foldhoist.schema.messages import Hello
     from foldhoist.schema.settings import Settings
 
@@ -79,7 +81,7 @@
     def __init__(self, conn: FrameConnection) -> None:
         self.conn = conn
 
-    def send(self, name: str, kind: str, body: object) -> bool:
+    def send(self, name: str, kind: str, body: Mapping[str, Any]) -> bool:
         self.conn.send(kind, body)
         return True
 
--- a/foldhoist/daemon/frames.py
+++ b/foldhoist/daemon/frames.py
@@ -6,11 +6,11 @@
 import socket
 from typing import TYPE_CHECKING, Any
 
-from foldhoist.delivery.codec import Splitter, encode
+from foldhoist.delivery.codec import Packer, Splitter
 from foldhoist.exceptions import ProtocolError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
 SILENT_MS = 1500
 """A peer whose host acknowledges nothing for this long counts as gone, milliseconds."""
@@ -31,6 +31,7 @@
         self.sent_bytes = 0
         self.faults = 0
         self._splitter = Splitter(limit)
+        self._packer = Packer()
         self._on_message = on_message
         self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
@@ -62,11 +63,11 @@
         """Cut off a peer that does not read."""
         self.close()
 
-    def send(self, kind: str, body: object) -> None:
+    def send(self, kind: str, body: Mapping[str, Any]) -> None:
         """Write a message; without a connection it is dropped."""
         if self._transport is None:
             return
-        data = encode(kind, body)
+        data = self._packer.pack(kind, body)
         self.sent_bytes += len(data)
         self._transport.write(data)
 
--- a/foldhoist/daemon/links.py
+++ b/foldhoist/daemon/links.py
@@ -10,7 +10,7 @@
 from foldhoist.delivery.codec import SCHEMA_VERSION
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
     from random import Random
 
     from foldhoist.schema.messages import Hello
@@ -59,7 +59,7 @@
         self._greeted = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._keep_up())
 
-    def send(self, kind: str, body: object) -> bool:
+    def send(self, kind: str, body: Mapping[str, Any]) -> bool:
         """Write a message; returns False if the link is down."""
         if self._conn is None or not self.up:
             return False
@@ -179,7 +179,7 @@
         if link is not None and not link.up:
             link.hurry()
 
-    def send(self, name: str, kind: str, body: object) -> bool:
+    def send(self, name: str, kind: str, body: Mapping[str, Any]) -> bool:
         """Write a message to an owner; returns False if its link is down."""
         link = self._links.get(name)
         return link is not None and link.send(kind, body)
--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -158,6 +158,7 @@
         "rank",
         "repeatable",
         "req",
+        "route",
         "service",
         "tries",
         "urgent",
@@ -169,6 +170,7 @@
         self.call_id = call_id
         self.req = req
         self.service = routed.service
+        self.route = routed.route
         self.urgent = routed.urgent or req.urgent
         self.repeatable = routed.repeatable
         self.arrived = now
--- a/foldhoist/delivery/codec.py
+++ b/foldhoist/delivery/codec.py
@@ -1,19 +1,35 @@
-"""Bytes of messages: a length, a kind, and the fields in MessagePack, checked when read."""
+"""Bytes of messages: a length, a kind, and the fields in MessagePack, checked when read.
+
+On a connection between two daemons the fields are deflated in one stream, so that what is the same
+in every message (names of fields, headers) costs a byte or two; bodies of calls go as they are.
+"""
 
 from __future__ import annotations
 
+import zlib
 from struct import Struct
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from foldhoist.exceptions import ProtocolError
 from foldhoist.schema import messages
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 SCHEMA_VERSION = 1
 """Version of the message schema; peers of another version are refused."""
 HEAD = Struct(">IB")
 """Length of the fields in bytes, then the kind."""
+PACKED = 0x80
+"""Bit of a kind: the fields are deflated, and the body of the call follows them."""
+PACKED_HEAD = Struct(">I")
+"""Length of the deflated fields, bytes."""
+WINDOW_BITS = -12
+"""Size of the deflate window, 4 KiB, without a header."""
+MEMORY_LEVEL = 5
+"""Memory of a deflater: 16 KiB beside four times its window."""
 HEADROOM = 256 * 1024
 """Bytes that a frame may have beside a call's body."""
 
@@ -71,6 +87,22 @@
     return decode(number, frame[HEAD.size :])
 
 
+class Packer:
+    """Writes the messages of one connection, in order."""
+
+    def __init__(self) -> None:
+        self._deflate = zlib.compressobj(1, zlib.DEFLATED, WINDOW_BITS, MEMORY_LEVEL)
+
+    def pack(self, kind: str, body: Mapping[str, Any]) -> bytes:
+        """Return the bytes of the next message."""
+        raw: bytes = body.get("body", b"")
+        fields = _ENCODER.encode({**body, "body": b""} if raw else body)
+        packed = self._deflate.compress(fields) + self._deflate.flush(zlib.Z_SYNC_FLUSH)
+        length = PACKED_HEAD.size + len(packed) + len(raw)
+        head = HEAD.pack(length, _NUMBERS[kind] | PACKED)
+        return b"".join((head, PACKED_HEAD.pack(len(packed)), packed, raw))
+
+
 class Splitter:
     """Cuts a stream of bytes into messages; `limit` is the longest allowed, bytes."""
 
@@ -79,6 +111,7 @@
         self._parts: list[bytes] = []
         self._have = 0
         self._need = HEAD.size
+        self._inflate = zlib.decompressobj(WINDOW_BITS)
 
     def feed(self, data: bytes) -> list[tuple[str, Any]]:
         """Return the messages that are whole now; a long one is joined only when it is whole."""
@@ -100,8 +133,26 @@
             if end > size:
                 self._need = HEAD.size + length
                 break
-            found.append(decode(number, data[at + HEAD.size : end]))
+            found.append(self._decode(number, data[at + HEAD.size : end]))
             at = end
         self._parts = [data[at:]] if at < size else []
         self._have = size - at
         return found
+
+    def _decode(self, number: int, fields: bytes) -> tuple[str, Any]:
+        if not number & PACKED:
+            return decode(number, fields)
+        if len(fields) < PACKED_HEAD.size:
+            raise ProtocolError("message shorter than its head")
+        (length,) = PACKED_HEAD.unpack_from(fields)
+        split = PACKED_HEAD.size + length
+        if split > len(fields):
+            raise ProtocolError("deflated fields are longer than their message")
+        try:
+            plain = self._inflate.decompress(fields[PACKED_HEAD.size : split], self.limit)
+        except zlib.error as exc:
+            raise ProtocolError(f"deflated fields: {exc}") from exc
+        kind, body = decode(number & ~PACKED, plain)
+        if split < len(fields):
+            body["body"] = fields[split:]
+        return kind, body
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -27,6 +27,7 @@
 from foldhoist.delivery.services import Services
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response, Verdict
 from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice, Picker
+from foldhoist.routing.policies import REMOTE_COST_S
 from foldhoist.routing.rendezvous import home
 from foldhoist.routing.routes import NO_RANK, Routed, RouteTable
 
@@ -48,6 +49,8 @@
 """Longest wait for a slot, as a share of the route's objective."""
 LEAST_WAIT_MS = 5
 """Wait for a slot that every attempt is allowed, milliseconds."""
+REMOTE_SHARE = 0.25
+"""What another data centre costs beside the time of a call, as a share of its objective."""
 HEDGE_SHARE = 0.5
 """A repeatable call is hedged after this share of its route's objective."""
 LEAST_BUDGET_S = 0.001
@@ -142,7 +145,7 @@
         failed = message["status"] >= SERVER_ERROR
         if picker is not None:
             load, ahead = message["load"], message["ahead"]
-            picker.answered(live.target, live.seq, now, failed, load, ahead)
+            picker.answered(live.target, live.seq, now, failed, load, ahead, call.route)
         self._note(now, call, live, "answered", message["waited_us"], message["served_us"])
         response = Response(message["status"], message["headers"], message["body"])
         if failed and call.repeatable and not call.req.key:
@@ -347,7 +350,8 @@
         if state is None:
             return NoChoice("service-removed", 0.0)
         if not call.req.key:
-            return state.picker.pick(now, call.excluded, self.explain)
+            remote_s = call.objective_s * REMOTE_SHARE or REMOTE_COST_S
+            return state.picker.pick(now, call.excluded, self.explain, call.route, remote_s)
         name = home(state.homes, call.req.key)
         if name is None:
             return NoChoice("key-has-no-home", 1.0)
--- a/foldhoist/routing/picker.py
+++ b/foldhoist/routing/picker.py
@@ -5,7 +5,16 @@
 from statistics import median
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
-from foldhoist.routing.policies import Mixed, Policy, Scored, choose, expected_s, shown
+from foldhoist.routing.policies import (
+    REMOTE_COST_S,
+    Mixed,
+    Policy,
+    Scored,
+    choose,
+    expected_s,
+    shown,
+)
+from foldhoist.routing.times import RouteTimes
 from foldhoist.routing.track import Track
 
 if TYPE_CHECKING:
@@ -76,6 +85,7 @@
         self.eject_share = eject_share
         self.rng = rng
         self.tracks: dict[str, Track] = {}
+        self.times = RouteTimes()
         self._started = False
 
     def members(self, members: Iterable[Member], now: float) -> None:
@@ -90,8 +100,18 @@
         self.tracks = kept
         self._started = True
 
-    def pick(self, now: float, excluded: Container[str], explain: bool = True) -> Pick:
-        """Choose an upstream for one call, other than the excluded ones."""
+    def pick(
+        self,
+        now: float,
+        excluded: Container[str],
+        explain: bool = True,
+        route: str = "",
+        remote_s: float = REMOTE_COST_S,
+    ) -> Pick:
+        """Choose an upstream for one call, other than the excluded ones.
+
+        `remote_s` is what a call of this route to another data centre costs beside its time.
+        """
         open_ones: list[Track] = []
         ejected: list[Track] = []
         trial: Track | None = None
@@ -121,7 +141,8 @@
             track = open_ones[0]
             reason = "only-one-open" if reason == "least-cost" else reason
         else:
-            track, scores = choose(self.policy, open_ones, now, self.rng)
+            scaled_s = remote_s * self.times.scale(route)
+            track, scores = choose(self.policy, open_ones, now, self.rng, scaled_s)
         return self._chosen(track, reason, open_ones, now, explain, scores)
 
     def _on_trial(self, excluded: Container[str]) -> list[Track]:
@@ -153,7 +174,14 @@
             track.sent(seq, now)
 
     def answered(
-        self, name: str, seq: int, now: float, failed: bool, load: Load, ahead: int = -1
+        self,
+        name: str,
+        seq: int,
+        now: float,
+        failed: bool,
+        load: Load,
+        ahead: int = -1,
+        route: str = "",
     ) -> None:
         """Take in an answer; `ahead` is the number of calls that it met, -1 if unknown."""
         track = self.tracks.get(name)
@@ -164,9 +192,11 @@
         self._take_state(track, load)
         if sent is None:
             return
-        if ahead >= 0:
-            self._learn(sent, ahead)
-        self._judge(track, now, now - sent.at, failed)
+        self._learn(sent, ahead, load.get("pace", 0))
+        latency_s = now - sent.at
+        if route and not failed:
+            self.times.learned(route, latency_s)
+        self._judge(track, now, latency_s * self.times.scale(route), failed)
 
     def refused(self, name: str, seq: int, now: float, retry_after_s: float, load: Load) -> None:
         """Take in a refusal: leave the upstream out until it may have room again."""
@@ -212,10 +242,13 @@
         if up and fresh:
             self._forget(track, now)
 
-    def _learn(self, sent: Sent, ahead: int) -> None:
+    def _learn(self, sent: Sent, ahead: int, pace: int) -> None:
         match self.policy:
-            case Mixed(trust=trust):
-                trust.learned(sent.own, sent.others, ahead)
+            case Mixed(trust=trust, paces=paces):
+                if ahead >= 0:
+                    trust.learned(sent.own, sent.others, ahead)
+                if pace:
+                    paces.learned(pace)
 
     def _forget(self, track: Track, now: float) -> None:
         if track.load is not None or track.results:
--- a/foldhoist/routing/policies.py
+++ b/foldhoist/routing/policies.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
+from foldhoist.routing.times import Paces
 from foldhoist.routing.track import STALE_S, UNKNOWN_SERVICE_S
 from foldhoist.routing.trust import Trust
 
@@ -67,6 +68,7 @@
 
     data_centre: str = ""
     trust: Trust = field(default_factory=Trust)
+    paces: Paces = field(default_factory=Paces)
 
 
 Policy: TypeAlias = RandomChoice | RoundRobin | LeastInFlight | TwoChoices | HotCold | Mixed
@@ -101,14 +103,20 @@
 
 
 def choose(
-    policy: Policy, among: Sequence[Track], now: float, rng: Random
+    policy: Policy,
+    among: Sequence[Track],
+    now: float,
+    rng: Random,
+    remote_s: float = REMOTE_COST_S,
 ) -> tuple[Track, list[float] | None]:
     """Return the upstream that the policy picks, and expected times if it needed those.
 
     `among` is not empty.
     """
     if isinstance(policy, Mixed):
-        scores = expected_s(among, policy.data_centre, now, policy.trust.weight)
+        scores = expected_s(
+            among, policy.data_centre, now, policy.trust.weight, policy.paces, remote_s
+        )
         return _least(among, scores, rng), scores
     return _choose_plainly(policy, among, now, rng), None
 
@@ -128,10 +136,17 @@
 
 
 def expected_s(
-    among: Sequence[Track], data_centre: str, now: float, trust: float = 1.0
+    among: Sequence[Track],
+    data_centre: str,
+    now: float,
+    trust: float = 1.0,
+    paces: Paces | None = None,
+    remote_s: float = REMOTE_COST_S,
 ) -> list[float]:
     """Return the expected time of one more call at each, seconds, errors and distance included.
 
+    `remote_s` is what another data centre costs beside the time of the call.
+
     Upstreams whose answers take about as long as those of the fastest are taken for equally fast:
     what is left of the difference is chance, and calls would flock to the luckiest.
     """
@@ -149,8 +164,10 @@
             cost *= _crowding(track, now, trust)
         if track.errors > MINOR_ERRORS:
             cost *= 1.0 + ERROR_COST * track.errors_now(now)
+        if paces is not None and track.pace:
+            cost *= paces.factor(track.pace, now - track.load_at)
         if track.data_centre != data_centre:
-            cost += REMOTE_COST_S
+            cost += remote_s
         costs.append(cost)
     return costs
 
--- a/foldhoist/routing/track.py
+++ b/foldhoist/routing/track.py
@@ -46,6 +46,7 @@
         "load_at",
         "name",
         "others",
+        "pace",
         "results",
         "sent_at",
         "since",
@@ -70,6 +71,7 @@
         self.load: Load | None = None
         self.load_at = 0.0
         self.others = 0
+        self.pace = 0
         self.backoff_until = 0.0
         self.ejected_until = 0.0
         self.ejections = 0
@@ -91,6 +93,7 @@
         """Take over the load that the owner attached to a message."""
         self.load = load
         self.load_at = now
+        self.pace = load.get("pace", 0)
         self.slots = load["slots"] or self.slots
         self.others = max(0, load["busy"] + load["queued"] - self.in_flight)
 
--- a/tests/unit/delivery/test_codec.py
+++ b/tests/unit/delivery/test_codec.py
@@ -6,8 +6,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from foldhoist.delivery.codec import HEAD, Splitter, decode_whole, encode
+from foldhoist.delivery.codec import HEAD, PACKED, Packer, Splitter, decode_whole, encode
 from foldhoist.exceptions import ProtocolError
+from tests.unit.daemon.calls import dispatch_of
 
 HELLO = {"name": "a", "incarnation": "i", "epoch": 1, "schema": 1}
 
@@ -29,6 +30,33 @@
     assert [body for _, body in got] == sent
 
 
+@given(st.lists(st.integers(1, 40), max_size=30))
+def test_packed_messages_come_whole_and_in_order_with_their_bodies(cuts: list[int]) -> None:
+    sent = [dispatch_of("PUT", [[b"Host", b"x"]], body=b"b" * number) for number in range(6)]
+    packer = Packer()
+    data = b"".join(packer.pack("Dispatch", body) for body in sent)
+    splitter = Splitter(1000)
+    got = []
+    at = 0
+    for cut in [*cuts, len(data)]:
+        got += splitter.feed(data[at : at + cut])
+        at += cut
+    assert [body for _, body in got] == sent
+
+
+def test_what_is_the_same_in_every_message_is_written_once() -> None:
+    packer = Packer()
+    req = dispatch_of("GET", [[b"User-Agent", b"sdk-client/1.9.3"], [b"Accept", b"*/*"]])
+    first, later = (len(packer.pack("Dispatch", {**req, "seq": seq})) for seq in (1, 2))
+    assert later < first / 5
+
+
+@pytest.mark.parametrize("fields", [b"", b"\0\0\0\x09ab", b"\0\0\0\2\xff\xff", b"\0\0\0\0"])
+def test_packed_fields_that_are_none_are_a_protocol_error(fields: bytes) -> None:
+    with pytest.raises(ProtocolError):
+        Splitter(1000).feed(HEAD.pack(len(fields), 2 | PACKED) + fields)
+
+
 @pytest.mark.parametrize(
     "frame",
     [
