--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -55,6 +55,8 @@
 """Waiting calls of an ingress whose connection fell are dropped after this, seconds."""
 ERROR_SMOOTHING = 0.1
 """Weight of the newest answer in the share of errors."""
+STEADY_SHARE = 0.8
+"""Share of the slots that an upstream announces up to which it is taken to keep its speed."""
 LEAVING_QUEUE_S = 0.8
 """Calls that wait when the upstream begins to leave may still start for this long, seconds."""
 LOCAL_LINK = 0
@@ -211,7 +213,7 @@
         if before is not None and before["service"] != upstream["service"]:
             actions += self._refuse_waiting(now, "upstream-replaced")
         self.service = upstream["service"]
-        self.queue.shape = self.queue.shape._replace(slots=max(1, upstream["slots"]))
+        self.queue.shape = self.queue.shape._replace(slots=max(1, int(upstream["slots"] * STEADY_SHARE)))
         if upstream["state"] == "ready":
             return [*actions, *self.stay("upstream")]
         self._stop_at = min(self._stop_at, now + LEAVING_QUEUE_S)
