--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -93,6 +93,7 @@
         await self._listen()
         self.stopping = Stopping(self)
         self.endpoints = self.adapter.listen(self.upstream, self._is_ready, self.metrics.text)
+        self.addresses.update(self.endpoints.addresses)
         self.upstream.start(self.peers, first=cfg["platform"]["first_start"])
         self.peers.start(cfg["platform"]["first_start"])
         self.versions.start(self.peers)
--- a/foldhoist/daemon/ports.py
+++ b/foldhoist/daemon/ports.py
@@ -62,7 +62,9 @@
 
 
 class Endpoints(Protocol):
-    """The servers that the platform calls."""
+    """The servers that the platform calls; `addresses` has where they listen, by name."""
+
+    addresses: dict[str, str]
 
     def close(self) -> None:
         """Stop listening."""
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -213,7 +213,9 @@
         if before is not None and before["service"] != upstream["service"]:
             actions += self._refuse_waiting(now, "upstream-replaced")
         self.service = upstream["service"]
-        self.queue.shape = self.queue.shape._replace(slots=max(1, int(upstream["slots"] * STEADY_SHARE)))
+        self.queue.shape = self.queue.shape._replace(
+            slots=max(1, int(upstream["slots"] * STEADY_SHARE))
+        )
         if upstream["state"] == "ready":
             return [*actions, *self.stay("upstream")]
         self._stop_at = min(self._stop_at, now + LEAVING_QUEUE_S)
--- /dev/null
+++ b/tests/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform, and of daemons that run through it."""
--- /dev/null
+++ b/tests/adapter/cluster.py
@@ -0,0 +1,244 @@
+"""Daemons that run through the adapter, in this process, with stand-ins around them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import httptools
+
+from foldhoist.config.settings import parse_settings
+from foldhoist.daemon.mesh import MeshDaemon
+from tests.adapter.keyed_log import KeyedLog
+from tests.adapter.target import FakeTarget
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+WAIT_S = 20.0
+"""Longest wait for anything in a test, seconds."""
+SETTINGS = """
+[daemon]
+name = {name}
+data_centre = {data_centre}
+[listen]
+callers = 127.0.0.1:{callers}
+frames = 127.0.0.1:{frames}
+control = 127.0.0.1:0
+operators = 127.0.0.1:0
+[upstream]
+address = {address}
+service = {service}
+[platform]
+adapter = foldhoist_adapter
+log = {log}
+stream = daemons
+wait_ms = 1000
+first_start = {first}
+[limits]
+drain_ms = 5000
+"""
+
+
+class Answer(NamedTuple):
+    """What a client got; `closed` if the connection ended after it or instead of it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    closed: bool
+
+
+class Cluster:
+    """A store, targets and a daemon beside each."""
+
+    def __init__(self) -> None:
+        self.log = KeyedLog()
+        self.targets: dict[str, FakeTarget] = {}
+        self.daemons: dict[str, MeshDaemon] = {}
+        self.places: dict[str, str] = {}
+        self.sequence = 0
+
+    async def __aenter__(self) -> Cluster:
+        """Return the cluster."""
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Stop everything."""
+        self.log.down = False
+        for daemon in self.daemons.values():
+            if not daemon.stopped.is_set():
+                await daemon.stop()
+        for target in self.targets.values():
+            target.close()
+        self.log.close()
+
+    async def add(self, name: str, service: str = "shop", data_centre: str = "one") -> None:
+        """Start a target and its daemon, and let the target announce itself."""
+        target = FakeTarget(service, f"i-{name}")
+        await target.start()
+        self.targets[name] = target
+        self.places[name] = data_centre
+        await self.start_daemon(name, first=True)
+        await self.beat(name)
+
+    async def start_daemon(self, name: str, first: bool = False) -> MeshDaemon:
+        """Start the daemon of a target, at the addresses of the one before."""
+        old = self.daemons.get(name)
+        addresses = old.addresses if old is not None else {}
+        target = self.targets[name]
+        text = SETTINGS.format(
+            name=name,
+            data_centre=self.places[name],
+            callers=_port(addresses.get("callers")),
+            frames=_port(addresses.get("frames")),
+            address=target.address,
+            service=target.service,
+            log=self.log.address,
+            first="yes" if first else "no",
+        )
+        cfg, faults = parse_settings(text, "test")
+        assert not faults
+        daemon = MeshDaemon(cfg)
+        await daemon.start()
+        self.daemons[name] = daemon
+        return daemon
+
+    async def configure(self, version: int, routes: list[dict[str, Any]]) -> None:
+        """Write a configuration as the operator does."""
+        services = sorted({target.service for target in self.targets.values()})
+        body = {
+            "version": f"{version:08x}",
+            "services": [{"name": service} for service in services],
+            "limits": {"max_body_bytes": 1000, "idle_timeout_s": 15, "header_timeout_s": 3},
+            "virtual_hosts": [{"host": "shop.example", "route_paths": routes}],
+        }
+        await self.log.put("keyed.op", "config", json.dumps(body).encode())
+
+    async def settle(self, version: int) -> None:
+        """Wait until all daemons know each other, their upstreams, and this version."""
+        count = len(self.daemons)
+        await until(lambda: all(self._knows(d, version, count) for d in self.daemons.values()))
+
+    def _knows(self, daemon: MeshDaemon, version: int, count: int) -> bool:
+        if daemon.stopped.is_set():
+            return True
+        running = [d for d in self.daemons.values() if not d.stopped.is_set()]
+        told = [p for p in daemon.registry.peers.values() if p.upstream and p.upstream["instance"]]
+        return (
+            daemon.versions.version.number >= version
+            and len(daemon.links.open()) >= len(running) - 1
+            and len(told) >= len(running) - 1
+        )
+
+    async def beat(self, name: str, state: str = "ready", **fields: Any) -> Answer:
+        """Send a heartbeat of a target to its daemon."""
+        self.sequence += 1
+        target = self.targets[name]
+        info = {"service": fields.get("service", target.service), "slots": 4}
+        status = {"state": state, "sequence": self.sequence, "cold_remaining_s": 0}
+        status.update(fields.get("status", {}))
+        body = json.dumps({"info": info, "status": status}).encode()
+        instance = fields.get("instance", target.instance)
+        address = self.daemons[name].addresses["control"]
+        return await call(address, "PUT", f"/foldhoist/instances/{instance}", body=body)
+
+    async def leave(self, name: str) -> Answer:
+        """Let a target say that it is gone."""
+        path = f"/foldhoist/instances/{self.targets[name].instance}"
+        return await call(self.daemons[name].addresses["control"], "DELETE", path)
+
+    async def ask(self, name: str, path: str = "/a/1", method: str = "GET", **more: Any) -> Answer:
+        """Send a request through the daemon of this name."""
+        headers = {"X-Attempt-Id": more.pop("attempt", "0a1b"), "X-Deadline-Ms": "2000"}
+        headers.update(more.pop("headers", {}))
+        address = self.daemons[name].addresses["callers"]
+        return await call(address, method, path, headers=headers, **more)
+
+    async def ready(self, name: str) -> int:
+        """Return the status of a daemon's readiness."""
+        address = self.daemons[name].addresses["operators"]
+        return (await call(address, "GET", "/foldhoist/ready")).status
+
+
+def route(prefix: str = "/a/", service: str = "shop", **more: Any) -> dict[str, Any]:
+    """Return a route of a configuration."""
+    plain = {"path_prefix": prefix, "route_type": "safe", "timeout_s": 2, "attempts": 2}
+    if "weighted_clusters" not in more:
+        plain["service"] = service
+    return {**plain, **more}
+
+
+async def until(is_true: Callable[[], bool]) -> None:
+    """Wait until something holds."""
+    async with asyncio.timeout(WAIT_S):
+        while not is_true():
+            await asyncio.sleep(0.005)
+
+
+async def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    host: str = "shop.example",
+) -> Answer:
+    """Send one request on a connection of its own and return the answer."""
+    ip, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(request_bytes(method, path, body, headers, host))
+    try:
+        async with asyncio.timeout(WAIT_S):
+            return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+def request_bytes(
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    host: str = "shop.example",
+) -> bytes:
+    """Return a request."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    if body or method != "GET":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read one answer; an ended connection gives status 0."""
+    found = _Reading()
+    parser = httptools.HttpResponseParser(found)
+    while not found.done:
+        data = await reader.read(65536)
+        if not data:
+            return Answer(0, {}, b"", True)
+        parser.feed_data(data)
+    closed = found.headers.get("connection", "") == "close"
+    return Answer(parser.get_status_code(), found.headers, found.body, closed)
+
+
+class _Reading:
+    def __init__(self) -> None:
+        self.headers: dict[str, str] = {}
+        self.body = b""
+        self.done = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        self.done = True
+
+
+def _port(address: str | None) -> str:
+    return address.rpartition(":")[2] if address else "0"
--- /dev/null
+++ b/tests/adapter/keyed_log.py
@@ -0,0 +1,143 @@
+"""A stand-in for the platform's store: a log of keyed records over HTTP, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+
+class Topic:
+    """Records of one topic; the newest of each key are kept for good."""
+
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[tuple[str, bytes]] = []
+        self.newest: dict[str, tuple[bytes, int]] = {}
+        self.news = asyncio.Condition()
+
+    @property
+    def end(self) -> int:
+        """Return the offset of the next record."""
+        return self.first + len(self.records)
+
+    def append(self, key: str, value: bytes) -> int:
+        """Add a record; one without a value drops its key."""
+        offset = self.end
+        self.records.append((key, value))
+        if value:
+            self.newest[key] = (value, offset)
+        else:
+            self.newest.pop(key, None)
+        return offset
+
+
+class KeyedLog:
+    """State of the stand-in; `refuse` holds addresses of hosts that it turns away."""
+
+    def __init__(self) -> None:
+        self.topics: dict[str, Topic] = {}
+        self.down = False
+        self.delay_s = 0.0
+        self.lose_answers = 0
+        self.calls: dict[str, int] = {}
+        app = Application(
+            [(r"/foldhoist/(log-[a-z]+)", _Call, {"log": self})], log_function=lambda _: None
+        )
+        self._server = HTTPServer(app)
+        sockets = bind_sockets(0, "127.0.0.1")
+        self._server.add_sockets(sockets)
+        self.address = "{}:{}".format(*sockets[0].getsockname()[:2])
+
+    def topic(self, name: str) -> Topic:
+        """Return a topic, made at its first use."""
+        return self.topics.setdefault(name, Topic())
+
+    async def put(self, name: str, key: str, value: bytes) -> None:
+        """Write a record as somebody else."""
+        topic = self.topic(name)
+        topic.append(key, value)
+        async with topic.news:
+            topic.news.notify_all()
+
+    def forget(self, name: str) -> None:
+        """Drop the history of a topic; the newest records stay."""
+        topic = self.topic(name)
+        topic.first = topic.end
+        topic.records.clear()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+
+class _Call(RequestHandler):
+    def initialize(self, log: KeyedLog) -> None:
+        self.log = log
+
+    async def prepare(self) -> None:
+        name = self.path_args[0]
+        self.log.calls[name] = self.log.calls.get(name, 0) + 1
+        if self.log.delay_s:
+            await asyncio.sleep(self.log.delay_s)
+        if self.log.down:
+            self.set_status(503)
+            self.finish()
+
+    async def get(self, name: str) -> None:
+        topic = self.log.topic(self.get_query_argument("topic"))
+        if name == "log-newest":
+            items = [
+                {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+                for key, (value, offset) in sorted(topic.newest.items())
+                if key > self.get_query_argument("after", "")
+            ]
+            self.finish({"items": items, "more": False, "end": topic.end})
+            return
+        await self._read(topic)
+
+    async def post(self, name: str) -> None:
+        topic = self.log.topic(self.get_query_argument("topic"))
+        record = self.request.body[4:]
+        split = 1 + record[0]
+        key, value = record[1:split].decode(), record[split:]
+        offset = topic.append(key, value)
+        async with topic.news:
+            topic.news.notify_all()
+        if self.log.lose_answers:
+            self.log.lose_answers -= 1
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        self.finish({"offset": offset, "end": offset + 1})
+
+    async def _read(self, topic: Topic) -> None:
+        start = int(self.get_query_argument("start_rev"))
+        wait_s = int(self.get_query_argument("wait_ms", "0")) / 1000
+        if start < topic.first:
+            self.set_status(410)
+            self.finish({"first": topic.first})
+            return
+        if start >= topic.end and wait_s:
+            await _wait(topic, wait_s)
+        answer = topic.end.to_bytes(8, "big") + topic.first.to_bytes(8, "big")
+        for key, value in topic.records[max(0, start - topic.first) :]:
+            record = bytes([len(key)]) + key.encode() + value
+            answer += len(record).to_bytes(4, "big") + record
+        self.set_header("Content-Type", "application/octet-stream")
+        self.finish(answer)
+
+
+async def _wait(topic: Topic, wait_s: float) -> None:
+    try:
+        async with asyncio.timeout(wait_s), topic.news:
+            await topic.news.wait()
+    except TimeoutError:
+        return
+
+
+Body = dict[str, Any]
+"""A JSON body."""
--- /dev/null
+++ b/tests/adapter/target.py
@@ -0,0 +1,98 @@
+"""A stand-in for a target of the platform: answers, counts what it ran, misbehaves when told."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+
+class Request(NamedTuple):
+    """A request as the target got it; header names are in small letters."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class FakeTarget:
+    """One target; the fields say how it behaves."""
+
+    def __init__(self, service: str, instance: str) -> None:
+        self.service = service
+        self.instance = instance
+        self.ran: list[Request] = []
+        self.turned_away = 0
+        self.cancelled = 0
+        self.work_s = 0.0
+        self.status = 200
+        self.signed = True
+        self.surplus = False
+        self.cut = False
+        self.full = False
+        self.gate: asyncio.Event | None = None
+        self.address = ""
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen at a port that the system chooses."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                await self._one(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        method, path, _ = head[0].split(" ")
+        pairs = [line.partition(":") for line in head[1:] if line]
+        headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        attempt = headers.get("x-attempt-id", "")
+        if headers.get("x-expect-instance") != self.instance:
+            self.turned_away += 1
+            writer.write(_answer(421, attempt, b"", signed=False))
+            return
+        if self.full:
+            self.turned_away += 1
+            writer.write(_answer(503, attempt, b"", signed=False, more="X-Not-Executed: 1\r\n"))
+            return
+        self.ran.append(Request(method, path, headers, body))
+        await self._work(reader)
+        if self.cut:
+            writer.write(_answer(200, attempt, b"x" * 100)[:-50])
+            writer.close()
+            raise ConnectionResetError
+        if self.surplus:
+            writer.write(_answer(200, "of-another", b"surplus"))
+        writer.write(_answer(self.status, attempt, f"ran {path}".encode(), signed=self.signed))
+
+    async def _work(self, reader: asyncio.StreamReader) -> None:
+        if self.gate is None:
+            await asyncio.sleep(self.work_s)
+            return
+        gone = asyncio.ensure_future(reader.read(1))
+        done = asyncio.ensure_future(self.gate.wait())
+        await asyncio.wait((gone, done), return_when=asyncio.FIRST_COMPLETED)
+        done.cancel()
+        if gone.done():
+            self.cancelled += 1
+            raise ConnectionResetError
+        gone.cancel()
+
+
+def _answer(status: int, attempt: str, body: bytes, signed: bool = True, more: str = "") -> bytes:
+    head = f"HTTP/1.1 {status} Status\r\nX-Attempt-Id: {attempt}\r\n{more}"
+    if signed:
+        head += "X-Response-Signature: s.1\r\nX-Server-Load: 1,0,4,100\r\n"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
