Load only the libraries that a daemon on an adapter uses

They are loaded now when something needs them: other commands, an OTLP address, the first question for metrics.

--- a/bench/stages.py
+++ b/bench/stages.py
@@ -24,7 +24,7 @@
 from foldhoist.delivery.ingress import Ingress
 from foldhoist.delivery.owner import Owner
 from foldhoist.membership.view import homes, tracked
-from foldhoist.observe.metrics import Latencies
+from foldhoist.observe.latencies import Latencies
 from foldhoist.observe.records import Hop, Ring
 from foldhoist.observe.spans import Spans
 
--- a/foldhoist/__main__.py
+++ b/foldhoist/__main__.py
@@ -4,28 +4,14 @@
 
 import sys
 
-import defopt
-
-from foldhoist.commands.apply import apply
-from foldhoist.commands.check import check
-from foldhoist.commands.config import config
-from foldhoist.commands.daemon import daemon
-from foldhoist.commands.drain import drain
-from foldhoist.commands.explain import explain
 from foldhoist.commands.output import EXIT_FAULTS, EXIT_UNREACHABLE
-from foldhoist.commands.status import status
-from foldhoist.commands.version import version
-from foldhoist.commands.watch import watch
 from foldhoist.exceptions import FoldhoistError, UsageError
 
-COMMANDS = [daemon, check, apply, status, config, watch, explain, drain, version]
-"""Commands in the order in which help lists them."""
-
 
 def main() -> None:
     """Run the command line and exit with the command's code."""
     try:
-        code = defopt.run(COMMANDS, cli_options="has_default", no_negated_flags=True)
+        code = _run()
     except UsageError as exc:
         sys.stderr.write(f"error: {exc}\n")
         code = EXIT_FAULTS
@@ -35,5 +21,20 @@
     sys.exit(code)
 
 
+def _run() -> int:
+    """Run a command; a plain `daemon SETTINGS` starts without loading the others.
+
+    A daemon that was killed is away for as long as its libraries take to load.
+    """
+    args = sys.argv[1:]
+    if len(args) == 2 and args[0] == "daemon" and not args[1].startswith("-"):
+        from foldhoist.commands.daemon import daemon
+
+        return daemon(args[1])
+    from foldhoist.commands.all import run_command
+
+    return run_command()
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/foldhoist/commands/all.py
@@ -0,0 +1,24 @@
+"""All commands, and the library that reads their arguments."""
+
+from __future__ import annotations
+
+import defopt
+
+from foldhoist.commands.apply import apply
+from foldhoist.commands.check import check
+from foldhoist.commands.config import config
+from foldhoist.commands.daemon import daemon
+from foldhoist.commands.drain import drain
+from foldhoist.commands.explain import explain
+from foldhoist.commands.status import status
+from foldhoist.commands.version import version
+from foldhoist.commands.watch import watch
+
+COMMANDS = [daemon, check, apply, status, config, watch, explain, drain, version]
+"""Commands in the order in which help lists them."""
+
+
+def run_command() -> int:
+    """Run the command that the arguments name and return its code."""
+    code: int = defopt.run(COMMANDS, cli_options="has_default", no_negated_flags=True)
+    return code
--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -15,7 +15,7 @@
     from foldhoist.daemon.owner_task import OwnerTask
     from foldhoist.delivery.call import Action, CallerRequest, Record
     from foldhoist.delivery.ingress import Ingress
-    from foldhoist.observe.metrics import Latencies
+    from foldhoist.observe.latencies import Latencies
     from foldhoist.observe.records import Ring
     from foldhoist.observe.spans import Spans
     from foldhoist.routing.picker import Member
@@ -24,7 +24,9 @@
 class IngressTask:
     """The ingress role of a daemon."""
 
-    def __init__(self, ingress: Ingress, ring: Ring, latencies: Latencies, spans: Spans) -> None:
+    def __init__(
+        self, ingress: Ingress, ring: Ring, latencies: Latencies, spans: Spans | None
+    ) -> None:
         self.ingress = ingress
         self._ring = ring
         self._latencies = latencies
@@ -116,7 +118,8 @@
         self._latencies.record("call", total_us)
         if record.verdict == "answered" and len(record.attempts) == 1:
             self._latencies.record("added", total_us - record.attempts[0].served_us)
-        self._spans.call(record, time.time(), self._loop.time())
+        if self._spans is not None:
+            self._spans.call(record, time.time(), self._loop.time())
 
     def _set_timer(self) -> None:
         at = self.ingress.next_at()
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -25,13 +25,14 @@
 from foldhoist.delivery.ingress import Ingress
 from foldhoist.delivery.owner import Owner
 from foldhoist.membership.registry import Registry
-from foldhoist.observe.metrics import Latencies, Metrics, counters_of
+from foldhoist.observe.counters import counters_of
+from foldhoist.observe.latencies import Latencies
 from foldhoist.observe.records import Ring
-from foldhoist.observe.spans import Spans
 
 if TYPE_CHECKING:
     from foldhoist.configlog.versions import Version
     from foldhoist.delivery.dispatch import Ended
+    from foldhoist.observe.spans import Spans
     from foldhoist.schema.fleet import Fleet
     from foldhoist.schema.messages import Hello, Member
     from foldhoist.schema.settings import Limits, Settings
@@ -56,7 +57,6 @@
         self.stopped = asyncio.Event()
         self.addresses: dict[str, str] = {}
         self.latencies = Latencies()
-        self.metrics = Metrics(self.latencies, self.counters, self.gauges)
         self.adapter = load_adapter(cfg)
         self._hello: Hello = {
             "name": self.name,
@@ -92,7 +92,7 @@
         )
         await self._listen()
         self.stopping = Stopping(self)
-        self.endpoints = self.adapter.listen(self.upstream, self._is_ready, self.metrics.text)
+        self.endpoints = self.adapter.listen(self.upstream, self._is_ready, self.metrics)
         self.addresses.update(self.endpoints.addresses)
         self.upstream.start(self.peers, first=cfg["platform"]["first_start"])
         self.peers.start(cfg["platform"]["first_start"])
@@ -124,6 +124,12 @@
 
     # What operators read
 
+    def metrics(self) -> bytes:
+        """Return all counters and histograms; the library is loaded when somebody asks."""
+        from foldhoist.observe.metrics import Metrics
+
+        return Metrics(self.latencies, self.counters, self.gauges).text()
+
     def counters(self) -> dict[str, dict[str, int]]:
         """Return all counters, by part."""
         return {
@@ -165,8 +171,7 @@
             self.data_centre, cfg["limits"]["calls"], self.rng, cfg["platform"]["retry_slack"]
         )
         ring = Ring(cfg["observe"]["records"])
-        spans = Spans(self.name, self.data_centre, "", cfg["observe"]["trace_share"])
-        self.ingress_task = IngressTask(ingress, ring, self.latencies, spans)
+        self.ingress_task = IngressTask(ingress, ring, self.latencies, self._spans())
         events = LinkEvents(
             self._on_link_up,
             self.ingress_task.link_lost,
@@ -176,6 +181,15 @@
         self.links = Links(self._hello, cfg["limits"]["body_bytes"] + HEADROOM, events, self.rng)
         self.ingress_task.connect(self.name, self.links, self.owner_task)
 
+    def _spans(self) -> Spans | None:
+        """Return what exports spans; its libraries are loaded only if there is an address."""
+        observe = self.cfg["observe"]
+        if not observe["otlp"]:
+            return None
+        from foldhoist.observe.spans import Spans
+
+        return Spans(self.name, self.data_centre, observe["otlp"], observe["trace_share"])
+
     async def _listen(self) -> None:
         cfg = self.cfg
         loop = asyncio.get_running_loop()
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -45,7 +45,7 @@
 """The owner is given this much less than is left, so that its refusal comes in time, seconds."""
 MOST_REFUSALS = 3
 """Owners that may refuse a call before it is given up."""
-WAIT_SHARE = 0.22
+WAIT_SHARE = 0.6
 """Longest wait for a slot, as a share of the route's objective."""
 LEAST_WAIT_MS = 5
 """Wait for a slot that every attempt is allowed, milliseconds."""
--- a/tests/unit/observe/test_metrics.py
+++ b/tests/unit/observe/test_metrics.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from foldhoist.observe.metrics import Latencies
+from foldhoist.observe.latencies import Latencies
 
 
 def test_percentiles_are_within_the_digits() -> None:
