Order an owner's queue by when answers are due

Change: DueQueue: calls that can be on time first, by due time, ranks 20 ms apart; late ones behind.

--- /dev/null
+++ b/foldhoist/admission/due.py
@@ -0,0 +1,110 @@
+"""The owner's slots and a queue ordered by when answers are due, for routes with objectives.
+
+Calls that can still be on time go first, the one that is due first before the others; calls that
+cannot be on time any more wait behind them. A call that would wait too long is refused at once, so
+that its caller can go elsewhere.
+"""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from typing import TYPE_CHECKING, NamedTuple
+
+from foldhoist.admission.slots import DEFAULT_SERVICE_S, SMOOTHING, Refuse, Start, Wait
+
+if TYPE_CHECKING:
+    from foldhoist.admission.slots import Decision, Shape
+
+
+class Wish(NamedTuple):
+    """What a call asks for; times are monotonic seconds, `expect_s` how long it takes."""
+
+    due: float
+    start_by: float
+    expect_s: float
+
+
+class DueQueue:
+    """Counts busy slots and orders waiting calls; `now` is in seconds, monotonic."""
+
+    def __init__(self, shape: Shape) -> None:
+        self.shape = shape
+        self.busy = 0
+        self.service_s = DEFAULT_SERVICE_S
+        self._waiting: dict[int, Wish] = {}
+        self._timely: list[tuple[float, int]] = []
+        self._late: list[tuple[float, int]] = []
+
+    @property
+    def queued(self) -> int:
+        """Return the number of calls that wait."""
+        return len(self._waiting)
+
+    def submit(self, now: float, ticket: int, wish: Wish) -> Decision:
+        """Decide on a new call."""
+        if now >= wish.start_by:
+            return Refuse(ticket, "deadline-passed", 0.0)
+        if self.busy < self.shape.slots and not self._waiting:
+            self.busy += 1
+            return Start(ticket)
+        expected = self.expected_wait(wish)
+        if len(self._waiting) >= self.shape.queue:
+            return Refuse(ticket, "queue-full", expected)
+        if now + expected > wish.start_by:
+            return Refuse(ticket, "no-slot-in-time", expected)
+        self._waiting[ticket] = wish
+        heappush(self._timely, (wish.due, ticket))
+        return Wait(ticket)
+
+    def expected_wait(self, wish: Wish) -> float:
+        """Return the seconds until a new call gets a slot, by the work that goes before it."""
+        ahead = sum(other.expect_s for other in self._waiting.values() if other.due <= wish.due)
+        return (ahead + self.service_s) / self.shape.slots
+
+    def withdraw(self, ticket: int) -> None:
+        """Take a waiting call out of the queue."""
+        self._waiting.pop(ticket, None)
+
+    def release(self, now: float, served_s: float | None) -> list[Decision]:
+        """Free a slot; `served_s` is the service time if an answer came. Starts waiting calls."""
+        self.busy -= 1
+        if served_s is not None:
+            self.service_s += SMOOTHING * (served_s - self.service_s)
+        return self.advance(now)
+
+    def advance(self, now: float) -> list[Decision]:
+        """Start what can be started and refuse what has waited too long."""
+        decisions: list[Decision] = []
+        while self.busy < self.shape.slots:
+            ticket = self._next(now)
+            if ticket is None:
+                return decisions
+            wish = self._waiting.pop(ticket)
+            if now >= wish.start_by:
+                decisions.append(Refuse(ticket, "no-slot-in-time", self.service_s))
+                continue
+            self.busy += 1
+            decisions.append(Start(ticket))
+        return decisions
+
+    def expire(self, now: float) -> list[Decision]:
+        """Refuse every waiting call that may not start any more."""
+        late = [ticket for ticket, wish in self._waiting.items() if now >= wish.start_by]
+        for ticket in late:
+            del self._waiting[ticket]
+        return [Refuse(ticket, "no-slot-in-time", self.service_s) for ticket in late]
+
+    def _next(self, now: float) -> int | None:
+        while self._timely:
+            _, ticket = heappop(self._timely)
+            wish = self._waiting.get(ticket)
+            if wish is None:
+                continue
+            if now + wish.expect_s <= wish.due:
+                return ticket
+            heappush(self._late, (wish.start_by, ticket))
+        while self._late:
+            _, ticket = heappop(self._late)
+            if ticket in self._waiting:
+                return ticket
+        return None
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from foldhoist.admission.due import DueQueue
 from foldhoist.admission.slots import Shape
 from foldhoist.configlog.versions import Readers
 from foldhoist.daemon.callers import CallerConnection, Shared
@@ -157,7 +158,9 @@
 
     def _make_traffic(self) -> None:
         cfg = self.cfg
-        self.owner = Owner(self.name, cfg["upstream"]["service"], SHAPE_UNKNOWN, KEY_WINDOW_S)
+        service = cfg["upstream"]["service"]
+        queue = DueQueue(SHAPE_UNKNOWN)
+        self.owner = Owner(self.name, service, SHAPE_UNKNOWN, KEY_WINDOW_S, queue)
         self.owner_task = OwnerTask(
             self.owner,
             cfg,
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -387,8 +387,14 @@
         if call.objective_s:
             wait_s = call.objective_s * WAIT_SHARE - (now - call.arrived)
             message["wait_ms"] = max(LEAST_WAIT_MS, int(wait_s * 1000))
+            message["due_ms"] = int((call.arrived + call.objective_s - now) * 1000)
+            message["expect_ms"] = int(self._expected_s(call) * 1000)
         return message
 
+    def _expected_s(self, call: Call) -> float:
+        state = self._services.get(call.service)
+        return state.picker.times.mean(call.route) if state is not None else 0.0
+
     def _go_on(self, now: float, call: Call, reason: str, retry_after_s: float) -> list[Action]:
         if call.live:
             return []
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING, cast
 
+from foldhoist.admission.due import DueQueue, Wish
 from foldhoist.admission.slots import Refuse, Shape, SlotQueue, Start
 from foldhoist.delivery.dispatch import (
     Action,
@@ -55,6 +56,8 @@
 """Waiting calls of an ingress whose connection fell are dropped after this, seconds."""
 ERROR_SMOOTHING = 0.1
 """Weight of the newest answer in the share of errors."""
+RANK_S = 0.02
+"""Each rank counts as if its calls were due this much later, seconds."""
 STEADY_SHARE = 0.8
 """Share of the slots that an upstream announces up to which it is taken to keep its speed."""
 LEAVING_QUEUE_S = 0.8
@@ -66,10 +69,17 @@
 class Owner:
     """Admission, dispatch and the memory of results for one upstream."""
 
-    def __init__(self, name: str, service: str, shape: Shape, key_window_s: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        shape: Shape,
+        key_window_s: float,
+        queue: SlotQueue | DueQueue | None = None,
+    ) -> None:
         self.name = name
         self.service = service
-        self.queue = SlotQueue(shape)
+        self.queue = queue if queue is not None else SlotQueue(shape)
         self.keys = KeyTable(name, key_window_s)
         self.count = Counters()
         self.state = "warm"
@@ -355,8 +365,11 @@
         ticket.ahead = self.queue.busy + self.queue.queued
         self._tickets[ticket_id] = ticket
         peer.live[req["seq"]] = ticket_id
-        urgent = req["urgent"] or req.get("rank") == 0
-        decision = self.queue.submit(now, ticket_id, urgent, start_by)
+        match self.queue:
+            case SlotQueue() as queue:
+                decision = queue.submit(now, ticket_id, req["urgent"], start_by)
+            case DueQueue() as queue:
+                decision = queue.submit(now, ticket_id, _wish(now, req, start_by))
         return self._apply(now, [decision])
 
     def _apply(self, now: float, decisions: list[Decision]) -> list[Action]:
@@ -502,6 +515,12 @@
         return Frame("Refusal", body)
 
 
+def _wish(now: float, req: Dispatch, start_by: float) -> Wish:
+    due = now + req.get("due_ms", req["budget_ms"]) / 1000
+    rank_s = max(0, req.get("rank", 0)) * RANK_S
+    return Wish(due + rank_s, start_by, req.get("expect_ms", 0) / 1000)
+
+
 def _drop_acked(peer: Peer, acked: int) -> None:
     while peer.kept:
         seq = next(iter(peer.kept))
--- a/foldhoist/routing/times.py
+++ b/foldhoist/routing/times.py
@@ -35,6 +35,11 @@
         results, mean = self._by_route.get(route, (0, 0.0))
         self._by_route[route] = (results + 1, _moved(mean, latency_s, results + 1))
 
+    def mean(self, route: str) -> float:
+        """Return how long a call of this route takes, seconds; 0 if nothing is known."""
+        results, mean = self._by_route.get(route, (0, 0.0))
+        return mean if results >= RESULTS else self._mean
+
     def scale(self, route: str) -> float:
         """Return what brings a time of this route to the scale of the service."""
         results, mean = self._by_route.get(route, (0, 0.0))
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -139,6 +139,14 @@
     """
     Longest useful wait for a slot, milliseconds; absent if it may wait until its deadline.
     """
+    due_ms: NotRequired[int]
+    """
+    Time left until the answer is late by its route's objective, milliseconds; negative if it is late, absent without an objective.
+    """
+    expect_ms: NotRequired[int]
+    """
+    How long such a call takes at an upstream, as the ingress has seen it, milliseconds.
+    """
 
 
 class Answer(TypedDict):
