Tell changes of an upstream's pace; let distance cost more for large bodies

Cause: an ingress sees a thirteenth of an upstream's answers, so what it knows of its pace is older than the pace lasts (0.3 s on the users' sites); calls went to slow upstreams near by.

--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -49,8 +49,10 @@
 """Longest wait for a slot, as a share of the route's objective."""
 LEAST_WAIT_MS = 5
 """Wait for a slot that every attempt is allowed, milliseconds."""
-REMOTE_SHARE = 0.25
+REMOTE_SHARE = 0.1
 """What another data centre costs beside the time of a call, as a share of its objective."""
+REMOTE_SHARE_KB = 0.08
+"""What each kilobyte of the call's bodies adds to that share."""
 HEDGE_SHARE = 0.5
 """A repeatable call is hedged after this share of its route's objective."""
 LEAST_BUDGET_S = 0.001
@@ -145,7 +147,8 @@
         failed = message["status"] >= SERVER_ERROR
         if picker is not None:
             load, ahead = message["load"], message["ahead"]
-            picker.answered(live.target, live.seq, now, failed, load, ahead, call.route)
+            size = len(call.req.body) + len(message["body"])
+            picker.answered(live.target, live.seq, now, failed, load, ahead, call.route, size)
         self._note(now, call, live, "answered", message["waited_us"], message["served_us"])
         response = Response(message["status"], message["headers"], message["body"])
         if failed and call.repeatable and not call.req.key:
@@ -350,7 +353,10 @@
         if state is None:
             return NoChoice("service-removed", 0.0)
         if not call.req.key:
-            remote_s = call.objective_s * REMOTE_SHARE or REMOTE_COST_S
+            remote_s = REMOTE_COST_S
+            if call.objective_s:
+                kilobytes = state.picker.times.size(call.route) / 1000
+                remote_s = call.objective_s * (REMOTE_SHARE + REMOTE_SHARE_KB * kilobytes)
             return state.picker.pick(now, call.excluded, self.explain, call.route, remote_s)
         name = home(state.homes, call.req.key)
         if name is None:
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -56,6 +56,10 @@
 """Waiting calls of an ingress whose connection fell are dropped after this, seconds."""
 ERROR_SMOOTHING = 0.1
 """Weight of the newest answer in the share of errors."""
+USUAL_PACE = 100
+"""Pace of an upstream that works as usual, percent."""
+PACE_CHANGE = 1.5
+"""A pace is told when it is another one by at least this factor."""
 RANK_S = 0.02
 """Each rank counts as if its calls were due this much later, seconds."""
 STEADY_SHARE = 0.8
@@ -85,6 +89,7 @@
         self.state = "warm"
         self.upstream: Announced | None = None
         self.pace = 0
+        self._told_pace = 0
         self._cold_until = 0.0
         self._stop_at = float("inf")
         self.leaving_why: dict[str, bool] = {}
@@ -196,7 +201,8 @@
                 self.pace = result.pace
                 self._count_answer(result.status)
                 started = self._apply(now, self.queue.release(now, served))
-                return [*self._end_answered(now, ticket_id, result, served), *started]
+                told = self._tell_pace()
+                return [*self._end_answered(now, ticket_id, result, served), *started, *told]
             case Shed():
                 self.state = "shedding"
                 started = self._apply(now, self.queue.release(now, None))
@@ -482,6 +488,16 @@
         if self.state in ("shedding", "cold"):
             self.state = "warm"
 
+    def _tell_pace(self) -> list[Action]:
+        """Tell every ingress if the upstream's pace is another one than was last told."""
+        if not self.pace:
+            return []
+        low, high = sorted((self.pace, self._told_pace or USUAL_PACE))
+        if high < low * PACE_CHANGE:
+            return []
+        self._told_pace = self.pace
+        return self._tell_all()
+
     def _tell_all(self) -> list[Action]:
         report = self._report()
         return [SendTo(link, report) for link in self._by_link]
--- a/foldhoist/routing/picker.py
+++ b/foldhoist/routing/picker.py
@@ -182,6 +182,7 @@
         load: Load,
         ahead: int = -1,
         route: str = "",
+        size: int = 0,
     ) -> None:
         """Take in an answer; `ahead` is the number of calls that it met, -1 if unknown."""
         track = self.tracks.get(name)
@@ -195,7 +196,7 @@
         self._learn(sent, ahead, load.get("pace", 0))
         latency_s = now - sent.at
         if route and not failed:
-            self.times.learned(route, latency_s)
+            self.times.learned(route, latency_s, size)
         self._judge(track, now, latency_s * self.times.scale(route), failed)
 
     def refused(self, name: str, seq: int, now: float, retry_after_s: float, load: Load) -> None:
--- a/foldhoist/routing/times.py
+++ b/foldhoist/routing/times.py
@@ -1,4 +1,4 @@
-"""How long calls of each route take beside those of the whole service.
+"""How long calls of each route take beside those of the whole service, and how large they are.
 
 Routes of one service may differ several times over; what is measured of an upstream is brought to
 one scale before upstreams are compared.
@@ -12,7 +12,7 @@
 """Weight of the newest answer in the running means."""
 RESULTS = 5
 """Answers of a route before it is told apart from the service."""
-PACE_S = 0.15
+PACE_S = 0.3
 """What an upstream said of its pace counts by 1/e after this long, seconds."""
 USUAL_PACE = 100.0
 """Pace of an upstream that works as usual, percent."""
@@ -21,25 +21,31 @@
 class RouteTimes:
     """Mean times of a service's answers, all together and by route, seconds."""
 
-    __slots__ = ("_by_route", "_mean", "_results")
+    __slots__ = ("_by_route", "_mean", "_results", "_sizes")
 
     def __init__(self) -> None:
         self._mean = 0.0
         self._results = 0
         self._by_route: dict[str, tuple[int, float]] = {}
+        self._sizes: dict[str, float] = {}
 
-    def learned(self, route: str, latency_s: float) -> None:
-        """Take in the time of an answer."""
+    def learned(self, route: str, latency_s: float, size: int = 0) -> None:
+        """Take in the time of an answer, and the bytes of both bodies."""
         self._results += 1
         self._mean = _moved(self._mean, latency_s, self._results)
         results, mean = self._by_route.get(route, (0, 0.0))
         self._by_route[route] = (results + 1, _moved(mean, latency_s, results + 1))
+        self._sizes[route] = _moved(self._sizes.get(route, 0.0), float(size), results + 1)
 
     def mean(self, route: str) -> float:
         """Return how long a call of this route takes, seconds; 0 if nothing is known."""
         results, mean = self._by_route.get(route, (0, 0.0))
         return mean if results >= RESULTS else self._mean
 
+    def size(self, route: str) -> float:
+        """Return the bytes of both bodies of such a call, 0 if nothing is known."""
+        return self._sizes.get(route, 0.0)
+
     def scale(self, route: str) -> float:
         """Return what brings a time of this route to the scale of the service."""
         results, mean = self._by_route.get(route, (0, 0.0))
