--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -10,6 +10,8 @@
 from foldhoist.observe.records import trace_id
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from foldhoist.daemon.callers import CallerConnection
     from foldhoist.daemon.links import Links
     from foldhoist.daemon.owner_task import OwnerTask
@@ -31,6 +33,7 @@
         self._ring = ring
         self._latencies = latencies
         self._spans = spans
+        self.on_ended: Callable[[Record], None] | None = None
         self._callers: dict[int, CallerConnection] = {}
         self._next_call = 1
         self._timer: asyncio.TimerHandle | None = None
@@ -114,6 +117,8 @@
 
     def _ended(self, record: Record) -> None:
         self._ring.add_call(record)
+        if self.on_ended is not None:
+            self.on_ended(record)
         total_us = (record.ended - record.arrived) * 1e6
         self._latencies.record("call", total_us)
         if record.verdict == "answered" and len(record.attempts) == 1:
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -27,12 +27,15 @@
 from foldhoist.delivery.owner import Owner
 from foldhoist.membership.registry import Registry
 from foldhoist.observe.counters import counters_of
+from foldhoist.observe.events import Events
 from foldhoist.observe.latencies import Latencies
+from foldhoist.observe.logs import write_event
 from foldhoist.observe.records import Ring
 
 if TYPE_CHECKING:
     from foldhoist.configlog.versions import Version
-    from foldhoist.delivery.dispatch import Ended
+    from foldhoist.delivery.call import Record
+    from foldhoist.delivery.dispatch import Ended, Refused
     from foldhoist.observe.spans import Spans
     from foldhoist.schema.fleet import Fleet
     from foldhoist.schema.messages import Hello, Member
@@ -59,6 +62,7 @@
         self.addresses: dict[str, str] = {}
         self.latencies = Latencies()
         self.adapter = load_adapter(cfg)
+        self.events = Events(write_event, cfg["observe"]["log_share"], self.rng)
         self._hello: Hello = {
             "name": self.name,
             "incarnation": self.incarnation,
@@ -177,11 +181,13 @@
         self.ingress_task = IngressTask(ingress, ring, self.latencies, self._spans())
         events = LinkEvents(
             self._on_link_up,
-            self.ingress_task.link_lost,
+            self._on_link_lost,
             self.ingress_task.link_refused,
             self._on_outbound,
         )
         self.links = Links(self._hello, cfg["limits"]["body_bytes"] + HEADROOM, events, self.rng)
+        self.ingress_task.on_ended = self._ended
+        self.owner_task.on_refused = self._refused
         self.ingress_task.connect(self.name, self.links, self.owner_task)
 
     def _spans(self) -> Spans | None:
@@ -260,6 +266,15 @@
     def _on_link_up(self, name: str, incarnation: str) -> None:
         self.links.send(name, "Member", self._describe())
         self.ingress_task.link_up(name, incarnation)
+        self._tell_link(name, "up")
+
+    def _on_link_lost(self, name: str) -> None:
+        self.ingress_task.link_lost(name)
+        self._tell_link(name, "lost")
+
+    def _tell_link(self, name: str, state: str) -> None:
+        now = asyncio.get_running_loop().time()
+        self.events.changed(now, "link", {"peer": name, "state": state})
 
     def _on_outbound(self, name: str, kind: str, body: Any) -> None:
         """Take in a message on a connection that this daemon opened."""
@@ -305,7 +320,14 @@
     def _local_frame(self, kind: str, body: Any) -> None:
         self.ingress_task.message(self.name, kind, body)
 
+    def _ended(self, record: Record) -> None:
+        self.events.call(asyncio.get_running_loop().time(), record)
+
+    def _refused(self, refused: Refused) -> None:
+        self.events.refused(asyncio.get_running_loop().time(), refused)
+
     def _hop(self, call: Ended) -> None:
+        self.events.hop(asyncio.get_running_loop().time(), call)
         self.latencies.record("queue", call.waited_us)
         self.latencies.record("upstream", call.served_us)
 
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -18,7 +18,7 @@
     from collections.abc import Callable
 
     from foldhoist.daemon.dialect import Dialect
-    from foldhoist.delivery.dispatch import Action, Ended, Result
+    from foldhoist.delivery.dispatch import Action, Ended, Refused, Result
     from foldhoist.delivery.owner import Owner
     from foldhoist.schema.messages import Announced, Hello
     from foldhoist.schema.settings import Settings
@@ -46,6 +46,7 @@
     ) -> None:
         self.owner = owner
         self._on_peer = on_peer
+        self.on_refused: Callable[[Refused], None] | None = None
         self._reaching: asyncio.Task[None] | None = None
         self._hello = hello
         self._on_local = on_local
@@ -176,7 +177,17 @@
         if hop is not None:
             self._on_hop(hop)
 
+    def _tell_refusals(self) -> None:
+        refusals = self.owner.refusals
+        if not refusals:
+            return
+        if self.on_refused is not None:
+            for refused in refusals:
+                self.on_refused(refused)
+        refusals.clear()
+
     def _carry_out(self, actions: list[Action]) -> None:
+        self._tell_refusals()
         for action in actions:
             match action:
                 case SendTo(link, frame):
--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -100,6 +100,7 @@
     reason: str
     status: int
     attempts: tuple[Attempt, ...]
+    name: str = ""
 
 
 @dataclass(slots=True)
@@ -212,4 +213,5 @@
         reason,
         status,
         tuple(call.attempts),
+        req.name,
     )
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -88,6 +88,21 @@
     result: str
     busy: int
     queued: int
+    name: str = ""
+
+
+class Refused(NamedTuple):
+    """A call that an owner sent back without running it, with what that rested on."""
+
+    request: str
+    trace: str
+    seq: int
+    reason: str
+    retry_after_ms: int
+    busy: int
+    queued: int
+    slots: int
+    state: str
 
 
 @dataclass(slots=True)
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -49,7 +49,7 @@
 """Longest wait for a slot, as a share of the route's objective."""
 LEAST_WAIT_MS = 5
 """Wait for a slot that every attempt is allowed, milliseconds."""
-REMOTE_SHARE = 0.1
+REMOTE_SHARE = 0.4
 """What another data centre costs beside the time of a call, as a share of its objective."""
 REMOTE_SHARE_KB = 0.08
 """What each kilobyte of the call's bodies adds to that share."""
@@ -388,6 +388,8 @@
         }
         if req.caller:
             message["caller"] = req.caller
+        if req.name:
+            message["name"] = req.name
         if call.rank != NO_RANK:
             message["rank"] = call.rank
         if call.objective_s:
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -19,6 +19,7 @@
     Ended,
     Frame,
     Peer,
+    Refused,
     Result,
     SendTo,
     Shed,
@@ -56,6 +57,8 @@
 """Waiting calls of an ingress whose connection fell are dropped after this, seconds."""
 ERROR_SMOOTHING = 0.1
 """Weight of the newest answer in the share of errors."""
+NOTED_REFUSALS = 100
+"""Refusals that are noted until somebody takes them for the log."""
 USUAL_PACE = 100
 """Pace of an upstream that works as usual, percent."""
 PACE_CHANGE = 1.5
@@ -99,6 +102,7 @@
         self._peers: dict[str, Peer] = {}
         self._by_link: dict[int, str] = {}
         self._tickets: dict[int, Ticket] = {}
+        self.refusals: list[Refused] = []
         self._joined: dict[str, list[tuple[str, int]]] = {}
         self._next_ticket = 1
 
@@ -145,6 +149,7 @@
         seq = req["seq"]
         refused = self._refusal_at_door(req)
         if refused is not None:
+            self._note_refusal(req, refused, 1.0)
             return [self._refuse(peer, seq, refused, 1.0)]
         if req["key"]:
             early = self._claim(now, wall_ms, incarnation, req)
@@ -313,7 +318,8 @@
         waited_us = int((ticket.started - ticket.arrived) * 1e6)
         served_us = int((now - ticket.started) * 1e6)
         busy, queued = self.queue.busy, self.queue.queued
-        return Ended(req["trace"], req["seq"], waited_us, served_us, name, busy, queued)
+        told = req.get("name", "")
+        return Ended(req["trace"], req["seq"], waited_us, served_us, name, busy, queued, told)
 
     def load(self) -> Load:
         """Return the load as it is now."""
@@ -423,6 +429,8 @@
     ) -> list[Action]:
         ticket = self._tickets.pop(ticket_id)
         self.count.refused += 1
+        if ran == "no":
+            self._note_refusal(ticket.request, reason, retry_after_s)
         actions: list[Action] = []
         for incarnation, seq in self._waiters(ticket):
             peer = self._peers.get(incarnation)
@@ -463,6 +471,24 @@
     def _is_joined(self, incarnation: str, seq: int) -> bool:
         return any((incarnation, seq) in waiters for waiters in self._joined.values())
 
+    def _note_refusal(self, req: Dispatch, reason: str, retry_after_s: float) -> None:
+        """Note a refusal for the log; the task that runs this object takes it from there."""
+        if len(self.refusals) >= NOTED_REFUSALS:
+            return
+        load = self.load()
+        refused = Refused(
+            req.get("name", ""),
+            req["trace"],
+            req["seq"],
+            reason,
+            int(retry_after_s * 1000),
+            load["busy"],
+            load["queued"],
+            load["slots"],
+            load["state"],
+        )
+        self.refusals.append(refused)
+
     def _refuse_waiting(self, now: float, reason: str) -> list[Action]:
         actions: list[Action] = []
         for ticket_id, ticket in list(self._tickets.items()):
--- /dev/null
+++ b/foldhoist/observe/events.py
@@ -0,0 +1,142 @@
+"""Log lines of calls: one for each decision that touched a call, bounded in number.
+
+Calls that were answered at the first try are sampled; all others are told as long as the bound
+allows. Each kind of line has a bound of its own; the next line after a gap says how many were left
+out.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from foldhoist.admission.bucket import TokenBucket
+from foldhoist.observe.records import trace_id
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from foldhoist.delivery.call import Attempt, Record
+    from foldhoist.delivery.dispatch import Ended, Refused
+    from foldhoist.routing.policies import Scored
+
+LINES_PER_S = 20.0
+"""Lines of one kind a second, in the long run."""
+LINES_BURST = 200.0
+"""Lines of one kind that may be written at once."""
+FAILED = 500
+"""Statuses from this on are failures of an upstream."""
+
+
+class Events:
+    """Turns records into lines; `write(event, fields)` takes them, `share` of ordinary calls."""
+
+    def __init__(
+        self, write: Callable[[str, dict[str, Any]], None], share: float, rng: Random
+    ) -> None:
+        self._write = write
+        self._share = share
+        self._rng = rng
+        self._buckets: dict[str, TokenBucket] = {}
+        self._left_out: dict[str, int] = {}
+
+    def call(self, now: float, record: Record) -> None:
+        """Tell of a call that has ended: each attempt, then its final answer."""
+        if _is_ordinary(record) and self._rng.random() >= self._share:
+            return
+        for attempt in record.attempts:
+            self._tell(now, "attempt", _attempt_fields(record, attempt))
+        self._tell(now, "call", _call_fields(record))
+
+    def hop(self, now: float, hop: Ended) -> None:
+        """Tell of a call that the upstream has ended."""
+        ordinary = hop.result.startswith(("answered 2", "answered 3", "answered 4"))
+        if ordinary and self._rng.random() >= self._share:
+            return
+        fields = {
+            "request": hop.name,
+            "trace": trace_id(hop.trace),
+            "seq": hop.seq,
+            "result": hop.result,
+            "waited_ms": hop.waited_us / 1000,
+            "served_ms": hop.served_us / 1000,
+            "busy": hop.busy,
+            "queued": hop.queued,
+        }
+        self._tell(now, "hop", fields)
+
+    def refused(self, now: float, refused: Refused) -> None:
+        """Tell of a call that the owner sent back without running it."""
+        fields = refused._asdict()
+        fields["trace"] = trace_id(refused.trace)
+        self._tell(now, "refused", fields)
+
+    def changed(self, now: float, event: str, fields: dict[str, Any]) -> None:
+        """Tell of a change of what this process believes."""
+        self._tell(now, event, fields)
+
+    def _tell(self, now: float, event: str, fields: dict[str, Any]) -> None:
+        bucket = self._buckets.get(event)
+        if bucket is None:
+            bucket = self._buckets[event] = TokenBucket(LINES_PER_S, LINES_BURST, now)
+        if not bucket.take(now):
+            self._left_out[event] = self._left_out.get(event, 0) + 1
+            return
+        left_out = self._left_out.pop(event, 0)
+        if left_out:
+            fields["left_out"] = left_out
+        self._write(event, fields)
+
+
+def _is_ordinary(record: Record) -> bool:
+    return record.verdict == "answered" and record.status < FAILED and len(record.attempts) == 1
+
+
+def _call_fields(record: Record) -> dict[str, Any]:
+    return {
+        "request": record.name,
+        "trace": trace_id(record.trace),
+        "service": record.service,
+        "method": record.method,
+        "path": record.path,
+        "repeatable": record.repeatable,
+        "version": record.generation,
+        "verdict": record.verdict,
+        "reason": record.reason,
+        "status": record.status,
+        "total_ms": _ms(record.ended - record.arrived),
+        "attempts": len(record.attempts),
+    }
+
+
+def _attempt_fields(record: Record, attempt: Attempt) -> dict[str, Any]:
+    return {
+        "request": record.name,
+        "trace": trace_id(record.trace),
+        "seq": attempt.seq,
+        "upstream": attempt.target,
+        "why": attempt.reason,
+        "sent_ms": _ms(attempt.sent - record.arrived),
+        "ended_ms": _ms(attempt.ended - record.arrived),
+        "result": attempt.result,
+        "waited_ms": attempt.waited_us / 1000,
+        "served_ms": attempt.served_us / 1000,
+        "version": record.generation,
+        "candidates": [_candidate_fields(scored) for scored in attempt.candidates],
+    }
+
+
+def _candidate_fields(scored: Scored) -> dict[str, Any]:
+    return {
+        "name": scored.name,
+        "expected_ms": _ms(scored.score),
+        "own": scored.in_flight,
+        "calls": round(scored.occupancy, 1),
+        "latency_ms": _ms(scored.latency_s),
+        "report_age_ms": _ms(scored.report_age_s),
+        "state": scored.state,
+    }
+
+
+def _ms(seconds: float) -> float:
+    return round(seconds * 1000, 1)
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -127,6 +127,10 @@
     """
     W3C traceparent of the ingress span.
     """
+    name: NotRequired[str]
+    """
+    The caller's own name for the request; absent if it has none.
+    """
     caller: NotRequired[str]
     """
     Service of the host at which the call started; absent if the deployment does not tell callers apart.
--- a/foldhoist/schema/settings.py
+++ b/foldhoist/schema/settings.py
@@ -211,6 +211,10 @@
     """
     Share of ordinary calls whose spans are kept; refusals, retries and errors always are.
     """
+    log_share: float
+    """
+    Share of ordinary calls of which log lines tell, with an adapter; refusals, retries and errors always are told, within a bound.
+    """
     records: int
     """
     Decision records kept for explain and watch.
--- /dev/null
+++ b/tests/unit/observe/test_events.py
@@ -0,0 +1,65 @@
+"""Log lines of calls: what is told, how it is bounded, and that nothing waits for a reader."""
+
+from __future__ import annotations
+
+import os
+import random
+from typing import Any
+
+from foldhoist.delivery.call import Attempt, Record
+from foldhoist.observe.events import LINES_BURST, Events
+from foldhoist.observe.logs import LineWriter
+
+
+def record(verdict: str = "not-run", attempts: int = 1) -> Record:
+    """Return the record of a call."""
+    tried = [Attempt(n, "a", "trial", (), 1.0, 1.1, "no:full", 0, 0) for n in range(attempts)]
+    trace = f"00-{1:032x}-{2:016x}-00"
+    return Record(
+        trace, "s", "GET", "/", False, True, "", 3, 1.0, 1.2, verdict, "", 200, tuple(tried), "id"
+    )
+
+
+def told(share: float, records: list[Record]) -> list[tuple[str, dict[str, Any]]]:
+    """Return the lines that tell of these calls, all at one moment."""
+    lines: list[tuple[str, dict[str, Any]]] = []
+    events = Events(lambda event, fields: lines.append((event, fields)), share, random.Random(1))
+    for each in records:
+        events.call(5.0, each)
+    return lines
+
+
+def test_a_refused_call_is_told_with_every_attempt_and_its_id() -> None:
+    lines = told(0.0, [record(attempts=2)])
+    assert [event for event, _ in lines] == ["attempt", "attempt", "call"]
+    assert {fields["request"] for _, fields in lines} == {"id"}
+    assert lines[-1][1]["verdict"] == "not-run"
+
+
+def test_ordinary_calls_are_sampled() -> None:
+    assert told(0.0, [record("answered")]) == []
+    assert len(told(1.0, [record("answered")])) == 2
+    assert len(told(0.0, [record("answered", attempts=2)])) == 3
+
+
+def test_a_bound_holds_for_each_kind_and_what_is_left_out_is_counted() -> None:
+    lines: list[tuple[str, dict[str, Any]]] = []
+    events = Events(lambda event, fields: lines.append((event, fields)), 0.0, random.Random(1))
+    for _ in range(int(LINES_BURST) + 30):
+        events.call(5.0, record(attempts=0))
+    assert len(lines) == LINES_BURST
+    events.call(6.0, record(attempts=0))
+    assert lines[-1][1]["left_out"] == 30
+
+
+def test_a_full_pipe_is_not_waited_for() -> None:
+    reader, writer = os.pipe()
+    lines = LineWriter(writer)
+    for _ in range(100):
+        lines.write("x" * 5000)
+    assert lines.left_out > 0
+    first = os.read(reader, 4096)
+    assert first.endswith(b"\n")
+    assert len(first) == 4096
+    os.close(reader)
+    os.close(writer)
