--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -194,15 +194,13 @@
             self.addresses[name] = "{}:{}".format(*server.sockets[0].getsockname()[:2])
 
     def _on_adopt(self, state: State, fleet: Fleet) -> None:
-        now = asyncio.get_running_loop().time()
         mine = fleet["targets"].get(self.name)
         if mine is not None:
             self._adopt_as_owner(state, fleet)
         centre = self.cfg["daemon"]["data_centre"]
         chosen = tracked(fleet, self.name, centre)
         self.links.adopt({name: target["frames"] for name, target in fleet["targets"].items()})
-        ingress = self.ingress_task.ingress
-        ingress.adopt(now, state.generation, fleet, chosen, homes(fleet))
+        self.ingress_task.adopt(state.generation, fleet, chosen, homes(fleet))
         names = {member.name for members in chosen.values() for member in members}
         if self.name in names or mine is not None:
             self.ingress_task.local_up(self.incarnation)
--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -10,7 +10,7 @@
 from foldhoist.observe.records import trace_id
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from foldhoist.daemon.callers import CallerConnection
     from foldhoist.daemon.links import Links
@@ -21,6 +21,7 @@
     from foldhoist.observe.records import Ring
     from foldhoist.observe.spans import Spans
     from foldhoist.routing.picker import Member
+    from foldhoist.schema.fleet import Fleet
 
 
 class IngressTask:
@@ -86,6 +87,18 @@
         """Take in that an owner's process is gone."""
         self._carry_out(self.ingress.link_refused(self._loop.time(), target))
 
+    def adopt(
+        self,
+        generation: int,
+        fleet: Fleet,
+        tracked: Mapping[str, list[Member]],
+        homes: Mapping[str, tuple[str, ...]],
+        daemons: int = 1,
+    ) -> None:
+        """Take over a configuration."""
+        now = self._loop.time()
+        self._carry_out(self.ingress.adopt(now, generation, fleet, tracked, homes, daemons))
+
     def track(self, tracked: dict[str, list[Member]], daemons: int) -> None:
         """Take over the upstreams to choose from."""
         self._carry_out(self.ingress.track(self._loop.time(), tracked, daemons))
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -234,11 +234,10 @@
         }
 
     def _on_adopt(self, version: Version, fleet: Fleet) -> None:
-        now = asyncio.get_running_loop().time()
         self.shared.limits = _limits(self.cfg["limits"], fleet)
-        ingress = self.ingress_task.ingress
-        ingress.adopt(now, version.number, fleet, {}, {})
-        self._track()
+        tracked = self.registry.tracked(self.upstream.known.current)
+        daemons = len(self.registry.peers) + 1
+        self.ingress_task.adopt(version.number, fleet, tracked, {}, daemons)
 
     def _on_upstream(self, replaced: bool) -> None:
         """Take in that the upstream beside this daemon has changed."""
--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -187,6 +187,21 @@
         self.maybe = ""
         self.failure: Response | None = None
 
+    def note(self, now: float, live: Live, result: str, waited_us: int, served_us: int) -> None:
+        """Keep what became of an attempt for the record."""
+        attempt = Attempt(
+            live.seq,
+            live.target,
+            live.reason,
+            live.candidates,
+            live.sent,
+            now,
+            result,
+            waited_us,
+            served_us,
+        )
+        self.attempts.append(attempt)
+
 
 def record_of(call: Call, now: float, verdict: Verdict, generation: int) -> Record:
     """Return the story of a call that ends now."""
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -123,10 +123,21 @@
 class Peer:
     """One life of one ingress process."""
 
-    __slots__ = ("epoch", "forgotten", "kept", "kept_bytes", "link", "live", "lost_at", "name")
+    __slots__ = (
+        "epoch",
+        "forgotten",
+        "incarnation",
+        "kept",
+        "kept_bytes",
+        "link",
+        "live",
+        "lost_at",
+        "name",
+    )
 
-    def __init__(self, name: str, epoch: int, link: int) -> None:
+    def __init__(self, name: str, incarnation: str, epoch: int, link: int) -> None:
         self.name = name
+        self.incarnation = incarnation
         self.epoch = epoch
         self.link: int | None = link
         self.live: dict[int, int] = {}
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -6,12 +6,11 @@
 
 from __future__ import annotations
 
-from heapq import heappop, heappush
 from typing import TYPE_CHECKING
 
+from foldhoist.delivery.book import CallBook
 from foldhoist.delivery.call import (
     Action,
-    Attempt,
     Call,
     CallerRequest,
     Connect,
@@ -23,13 +22,13 @@
     Timer,
     record_of,
 )
-from foldhoist.delivery.keys import issued_by_uuid7
+from foldhoist.delivery.outgoing import dispatch_of
+from foldhoist.delivery.rules import LEAST_BUDGET_S, may_retry, refusal_of, remote_cost_s
 from foldhoist.delivery.services import Services
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response, Verdict
 from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice, Picker
-from foldhoist.routing.policies import REMOTE_COST_S
 from foldhoist.routing.rendezvous import home
-from foldhoist.routing.routes import NO_RANK, Routed, RouteTable
+from foldhoist.routing.routes import Routed, RouteTable
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -37,26 +36,12 @@
 
     from foldhoist.routing.picker import Member
     from foldhoist.schema.fleet import Fleet
-    from foldhoist.schema.messages import Answer, Dispatch, Refusal, Report
+    from foldhoist.schema.messages import Answer, Refusal, Report
 
 FATE_S = 1.0
 """Longest wait for an owner to say what became of a call, seconds."""
-DEADLINE_MARGIN_S = 0.005
-"""The owner is given this much less than is left, so that its refusal comes in time, seconds."""
-MOST_REFUSALS = 3
-"""Owners that may refuse a call before it is given up."""
-WAIT_SHARE = 0.6
-"""Longest wait for a slot, as a share of the route's objective."""
-LEAST_WAIT_MS = 5
-"""Wait for a slot that every attempt is allowed, milliseconds."""
-REMOTE_SHARE = 0.4
-"""What another data centre costs beside the time of a call, as a share of its objective."""
-REMOTE_SHARE_KB = 0.08
-"""What each kilobyte of the call's bodies adds to that share."""
 HEDGE_SHARE = 0.5
 """A repeatable call is hedged after this share of its route's objective."""
-LEAST_BUDGET_S = 0.001
-"""A call with less time left than this is not dispatched, seconds."""
 PARK_S = 0.3
 """Longest wait of a call for a first connection to an owner, seconds."""
 SERVER_ERROR = 500
@@ -77,13 +62,9 @@
         self._hops = 32
         self._routes: RouteTable | None = None
         self._services = Services(data_centre, rng, retry_slack)
-        self._calls: dict[int, Call] = {}
-        self._by_seq: dict[int, Call] = {}
+        self._book = CallBook()
         self._linked: dict[str, str] = {}
         self._up: set[str] = set()
-        self._next_seq = 1
-        self._timers: list[tuple[float, int, Timer]] = []
-        self._parked: dict[int, Call] = {}
 
     # What the tasks tell it
 
@@ -94,13 +75,14 @@
         fleet: Fleet,
         tracked: Mapping[str, list[Member]],
         homes: Mapping[str, tuple[str, ...]],
-    ) -> None:
+        daemons: int = 1,
+    ) -> list[Action]:
         """Take over a configuration; what is known of upstreams that stay is kept."""
         self.generation = generation
         self._hops = fleet["fleet"]["hops"]
         self._routes = RouteTable(fleet)
         self._services.adopt(fleet, homes)
-        self.track(now, tracked)
+        return self.track(now, tracked, daemons)
 
     def track(
         self, now: float, tracked: Mapping[str, list[Member]], daemons: int = 1
@@ -129,13 +111,13 @@
         limit = routed.timeout_s or state.cfg["deadline_ms"] / 1000
         budget = min(req.budget_s, limit) if req.budget_s > 0 else limit
         call = Call(call_id, req, routed, now, now + budget)
-        self._calls[call_id] = call
+        self._book.add(call)
         state.budget.call()
-        heappush(self._timers, (call.deadline, call_id, Timer.EXPIRE))
+        self._book.remind(call.deadline, call, Timer.EXPIRE)
         actions = self._attempt(now, call)
         hedge_s = state.cfg["hedge_ms"] / 1000 or routed.objective_s * HEDGE_SHARE
         if hedge_s and call.repeatable and not req.retried:
-            heappush(self._timers, (now + hedge_s, call_id, Timer.HEDGE))
+            self._book.remind(now + hedge_s, call, Timer.HEDGE)
         return actions
 
     def answer(self, now: float, target: str, message: Answer) -> list[Action]:
@@ -149,7 +131,7 @@
             load, ahead = message["load"], message["ahead"]
             size = len(call.req.body) + len(message["body"])
             picker.answered(live.target, live.seq, now, failed, load, ahead, call.route, size)
-        self._note(now, call, live, "answered", message["waited_us"], message["served_us"])
+        call.note(now, live, "answered", message["waited_us"], message["served_us"])
         response = Response(message["status"], message["headers"], message["body"])
         if failed and call.repeatable and not call.req.key:
             call.failure = response
@@ -169,7 +151,7 @@
             picker.abandoned(live.target, live.seq, now)
         elif picker is not None:
             picker.lost(live.target, live.seq, now)
-        self._note(now, call, live, f"{message['ran']}:{message['reason']}", 0, 0)
+        call.note(now, live, f"{message['ran']}:{message['reason']}", 0, 0)
         if message["ran"] == "maybe":
             call.maybe = message["reason"]
         else:
@@ -196,14 +178,14 @@
         for state in self._services.all():
             state.picker.linked(target, now, False, fresh=False)
         actions: list[Action] = []
-        for call, live in self._at(target):
+        for call, live in self._book.at(target):
             if live.asking:
                 continue
             if call.repeatable and not call.req.key:
                 actions += self._lose(now, call, live, "owner-connection-lost")
                 continue
             live.asking = now + FATE_S
-            heappush(self._timers, (min(live.asking, call.deadline), call.call_id, Timer.UNASKED))
+            self._book.remind(min(live.asking, call.deadline), call, Timer.UNASKED)
         return actions
 
     def link_refused(self, now: float, target: str) -> list[Action]:
@@ -212,21 +194,16 @@
 
     def caller_gone(self, now: float, call_id: int) -> list[Action]:
         """Take in that a caller has closed its connection: nobody waits for the call."""
-        call = self._calls.pop(call_id, None)
+        call = self._book.remove(call_id)
         if call is None:
             return []
-        self._parked.pop(call_id, None)
         self.count.gone += 1
         return self._withdraw_all(now, call)
 
     def tick(self, now: float) -> list[Action]:
         """Give the final answer to calls whose time is up, and send hedges."""
         actions: list[Action] = []
-        while self._timers and self._timers[0][0] <= now:
-            _, call_id, kind = heappop(self._timers)
-            call = self._calls.get(call_id)
-            if call is None:
-                continue
+        for call, kind in self._book.due(now):
             actions += self._on_timer(now, call, kind)
         return actions
 
@@ -234,28 +211,22 @@
 
     def next_at(self) -> float | None:
         """Return when `tick` has something to do, monotonic seconds."""
-        while self._timers and self._timers[0][1] not in self._calls:
-            heappop(self._timers)
-        return self._timers[0][0] if self._timers else None
+        return self._book.next_at()
 
     @property
     def calls(self) -> int:
         """Return the calls without a final answer."""
-        return len(self._calls)
+        return len(self._book)
 
     def pickers(self) -> dict[str, Picker]:
         """Return the picker of each service."""
         return {name: state.picker for name, state in self._services.items()}
 
-    def waiting_for(self, target: str) -> int:
-        """Return the calls that wait for an answer of this owner."""
-        return len(self._at(target))
-
     # Steps
 
     def _end_attempt(self, seq: int) -> tuple[Call, Live, Picker | None] | None:
         """Return the call and the attempt that a result is for, or None if it comes too late."""
-        call = self._by_seq.pop(seq, None)
+        call = self._book.by_seq.pop(seq, None)
         if call is None:
             self.count.late += 1
             return None
@@ -270,8 +241,7 @@
                 return self._hedge(now, call)
             case Timer.UNASKED:
                 return self._end_unasked(now, call)
-            case Timer.UNPARK if call.call_id in self._parked:
-                del self._parked[call.call_id]
+            case Timer.UNPARK if self._book.unpark(call.call_id):
                 return self._give_up(now, call, NO_CONNECTION, 1.0)
         return []
 
@@ -279,19 +249,17 @@
         state = self._services.get(call.service)
         if state is None:
             return self._give_up(now, call, "service-removed", 0.0)
-        self._parked[call.call_id] = call
-        heappush(self._timers, (now + PARK_S, call.call_id, Timer.UNPARK))
+        self._book.park(call)
+        self._book.remind(now + PARK_S, call, Timer.UNPARK)
         if call.req.key:
             name = home(state.homes, call.req.key)
             return [Connect((name,) if name else ())]
         return [Connect(tuple(state.picker.tracks))]
 
     def _unpark(self, now: float) -> list[Action]:
-        parked = list(self._parked.values())
-        self._parked.clear()
         actions: list[Action] = []
-        for call in parked:
-            if call.call_id in self._calls:
+        for call in self._book.unpark_all():
+            if call.call_id in self._book:
                 actions += self._attempt(now, call)
         return actions
 
@@ -309,15 +277,9 @@
             return NotRun("daemon-leaving", 0.0)
         if self._routes is None:
             return NotRun("no-configuration", 1.0)
-        if routed is None:
-            return NotRun("no-such-service", 0.0, status=404)
-        if req.hops > self._hops:
-            return NotRun("nested-too-deep", 0.0, status=508)
-        if len(self._calls) >= self.most_calls:
+        if len(self._book) >= self.most_calls:
             return NotRun("daemon-full", 0.1)
-        if req.budget_s < 0:
-            return NotRun("deadline-passed", 0.0, status=504)
-        return None
+        return refusal_of(req, routed, self._hops)
 
     def _refuse_at_door(
         self, now: float, call_id: int, req: CallerRequest, routed: Routed | None, verdict: NotRun
@@ -333,30 +295,27 @@
             if pick.reason == NO_CONNECTION and not call.tries:
                 return self._park(now, call)
             return self._give_up(now, call, first_reason or pick.reason, pick.retry_after_s)
-        left = call.deadline - now
-        if left < LEAST_BUDGET_S:
+        if call.deadline - now < LEAST_BUDGET_S:
             return self._give_up(now, call, "deadline-passed", 0.0)
-        seq = self._next_seq
-        self._next_seq += 1
+        seq = self._book.next_seq()
         call.tries += 1
         call.arrivals += 1
         call.excluded.add(pick.name)
         call.live[seq] = Live(seq, pick.name, pick, now)
-        self._by_seq[seq] = call
+        self._book.by_seq[seq] = call
         state = self._services.get(call.service)
         if state is not None:
             state.picker.sent(pick.name, seq, now)
-        return [SendTo(pick.name, Outgoing("Dispatch", self._dispatch(now, call, seq, left)))]
+        acked = self._book.oldest_seq(seq)
+        message = dispatch_of(now, call, seq, acked, self.generation, self._expected_s(call))
+        return [SendTo(pick.name, Outgoing("Dispatch", message))]
 
     def _pick(self, now: float, call: Call) -> Choice | NoChoice:
         state = self._services.get(call.service)
         if state is None:
             return NoChoice("service-removed", 0.0)
         if not call.req.key:
-            remote_s = REMOTE_COST_S
-            if call.objective_s:
-                kilobytes = state.picker.times.size(call.route) / 1000
-                remote_s = call.objective_s * (REMOTE_SHARE + REMOTE_SHARE_KB * kilobytes)
+            remote_s = remote_cost_s(call, state)
             return state.picker.pick(now, call.excluded, self.explain, call.route, remote_s)
         name = home(state.homes, call.req.key)
         if name is None:
@@ -365,40 +324,6 @@
             return NoChoice(NO_CONNECTION, 1.0)
         return Choice(name, "home-of-the-key", ())
 
-    def _dispatch(self, now: float, call: Call, seq: int, left_s: float) -> Dispatch:
-        req = call.req
-        margin = DEADLINE_MARGIN_S if left_s > 4 * DEADLINE_MARGIN_S else 0.0
-        message: Dispatch = {
-            "seq": seq,
-            "acked": next(iter(self._by_seq), seq),
-            "service": call.service,
-            "method": req.method,
-            "path": req.path,
-            "headers": req.headers,
-            "body": req.body,
-            "budget_ms": max(1, int((left_s - margin) * 1000)),
-            "urgent": call.urgent,
-            "repeatable": call.repeatable,
-            "key": req.key,
-            "key_issued_ms": req.key_issued_ms or issued_by_uuid7(req.key),
-            "generation": self.generation,
-            "hops": req.hops,
-            "retried": req.retried or call.tries > 1,
-            "trace": req.trace,
-        }
-        if req.caller:
-            message["caller"] = req.caller
-        if req.name:
-            message["name"] = req.name
-        if call.rank != NO_RANK:
-            message["rank"] = call.rank
-        if call.objective_s:
-            wait_s = call.objective_s * WAIT_SHARE - (now - call.arrived)
-            message["wait_ms"] = max(LEAST_WAIT_MS, int(wait_s * 1000))
-            message["due_ms"] = int((call.arrived + call.objective_s - now) * 1000)
-            message["expect_ms"] = int(self._expected_s(call) * 1000)
-        return message
-
     def _expected_s(self, call: Call) -> float:
         state = self._services.get(call.service)
         return state.picker.times.mean(call.route) if state is not None else 0.0
@@ -406,29 +331,13 @@
     def _go_on(self, now: float, call: Call, reason: str, retry_after_s: float) -> list[Action]:
         if call.live:
             return []
-        if not self._may_retry(now, call):
+        if not may_retry(now, call, self._services.get(call.service)):
             return self._give_up(now, call, reason, retry_after_s)
         self.count.retried += 1
         return self._attempt(now, call, first_reason=reason)
 
-    def _may_retry(self, now: float, call: Call) -> bool:
-        state = self._services.get(call.service)
-        if state is None or call.req.key or call.req.retried:
-            return False
-        if call.maybe and not call.repeatable:
-            return False
-        attempts = call.attempts_allowed or state.cfg["attempts"]
-        refusals = call.tries - call.arrivals
-        if call.arrivals >= attempts or refusals > MOST_REFUSALS:
-            return False
-        if now + LEAST_BUDGET_S >= call.deadline:
-            return False
-        if isinstance(state.picker.pick(now, call.excluded, explain=False), NoChoice):
-            return False
-        return call.arrivals == 0 or state.budget.spend()
-
     def _hedge(self, now: float, call: Call) -> list[Action]:
-        if len(call.live) != 1 or not self._may_retry(now, call):
+        if len(call.live) != 1 or not may_retry(now, call, self._services.get(call.service)):
             return []
         self.count.hedged += 1
         return self._attempt(now, call)
@@ -450,11 +359,10 @@
         return self._finish(now, call, NotRun("deadline-passed", 0.0, status=504))
 
     def _finish(self, now: float, call: Call, verdict: Verdict) -> list[Action]:
-        if self._calls.pop(call.call_id, None) is None:
+        if self._book.remove(call.call_id) is None:
             return []
-        self._parked.pop(call.call_id, None)
         for live in call.live.values():
-            self._note(now, call, live, "withdrawn", 0, 0)
+            call.note(now, live, "withdrawn", 0, 0)
         match verdict:
             case Answered():
                 self.count.answered += 1
@@ -471,26 +379,15 @@
         actions: list[Action] = []
         state = self._services.get(call.service)
         for seq, live in call.live.items():
-            self._by_seq.pop(seq, None)
+            self._book.by_seq.pop(seq, None)
             if state is not None:
                 state.picker.abandoned(live.target, seq, now)
             actions.append(SendTo(live.target, Outgoing("Withdraw", {"seq": seq})))
         call.live = {}
         return actions
 
-    def _at(self, target: str) -> list[tuple[Call, Live]]:
-        found: list[tuple[Call, Live]] = []
-        for call in self._calls.values():
-            for live in call.live.values():
-                if live.target == target:
-                    found.append((call, live))
-        return found
-
-    def _asking(self, target: str) -> list[tuple[Call, Live]]:
-        return [(call, live) for call, live in self._at(target) if live.asking]
-
     def _ask_fate(self, now: float, target: str, fresh: bool) -> list[Action]:
-        asked = self._asking(target)
+        asked = self._book.asking(target)
         if not asked:
             return []
         if fresh:
@@ -501,7 +398,7 @@
 
     def _end_asking(self, now: float, target: str, reason: str) -> list[Action]:
         actions: list[Action] = []
-        for call, live in self._asking(target):
+        for call, live in self._book.asking(target):
             actions += self._lose(now, call, live, reason)
         return actions
 
@@ -514,27 +411,10 @@
 
     def _lose(self, now: float, call: Call, live: Live, reason: str) -> list[Action]:
         call.live.pop(live.seq, None)
-        self._by_seq.pop(live.seq, None)
+        self._book.by_seq.pop(live.seq, None)
         state = self._services.get(call.service)
         if state is not None:
             state.picker.lost(live.target, live.seq, now)
         call.maybe = reason
-        self._note(now, call, live, f"maybe:{reason}", 0, 0)
+        call.note(now, live, f"maybe:{reason}", 0, 0)
         return self._go_on(now, call, reason, 0.5)
-
-    def _note(
-        self, now: float, call: Call, live: Live, result: str, waited_us: int, served_us: int
-    ) -> None:
-        call.attempts.append(
-            Attempt(
-                live.seq,
-                live.target,
-                live.reason,
-                live.candidates,
-                live.sent,
-                now,
-                result,
-                waited_us,
-                served_us,
-            )
-        )
--- /dev/null
+++ b/foldhoist/delivery/outgoing.py
@@ -0,0 +1,62 @@
+"""The message by which an ingress hands a call to an owner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from foldhoist.delivery.keys import issued_by_uuid7
+from foldhoist.routing.routes import NO_RANK
+
+if TYPE_CHECKING:
+    from foldhoist.delivery.call import Call
+    from foldhoist.schema.messages import Dispatch
+
+DEADLINE_MARGIN_S = 0.005
+"""The owner is given this much less than is left, so that its refusal comes in time, seconds."""
+WAIT_SHARE = 0.6
+"""Longest wait for a slot, as a share of the route's objective."""
+LEAST_WAIT_MS = 5
+"""Wait for a slot that every attempt is allowed, milliseconds."""
+
+
+def dispatch_of(
+    now: float, call: Call, seq: int, acked: int, generation: int, expected_s: float
+) -> Dispatch:
+    """Return the message of an attempt; `expected_s` is how long such a call takes."""
+    req = call.req
+    left_s = call.deadline - now
+    margin = DEADLINE_MARGIN_S if left_s > 4 * DEADLINE_MARGIN_S else 0.0
+    message: Dispatch = {
+        "seq": seq,
+        "acked": acked,
+        "service": call.service,
+        "method": req.method,
+        "path": req.path,
+        "headers": req.headers,
+        "body": req.body,
+        "budget_ms": max(1, int((left_s - margin) * 1000)),
+        "urgent": call.urgent,
+        "repeatable": call.repeatable,
+        "key": req.key,
+        "key_issued_ms": req.key_issued_ms or issued_by_uuid7(req.key),
+        "generation": generation,
+        "hops": req.hops,
+        "retried": req.retried or call.tries > 1,
+        "trace": req.trace,
+    }
+    if req.caller:
+        message["caller"] = req.caller
+    if req.name:
+        message["name"] = req.name
+    if call.rank != NO_RANK:
+        message["rank"] = call.rank
+    if call.objective_s:
+        _add_objective(message, now, call, expected_s)
+    return message
+
+
+def _add_objective(message: Dispatch, now: float, call: Call, expected_s: float) -> None:
+    wait_s = call.objective_s * WAIT_SHARE - (now - call.arrived)
+    message["wait_ms"] = max(LEAST_WAIT_MS, int(wait_s * 1000))
+    message["due_ms"] = int((call.arrived + call.objective_s - now) * 1000)
+    message["expect_ms"] = int(expected_s * 1000)
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 from foldhoist.admission.due import DueQueue, Wish
 from foldhoist.admission.slots import Refuse, Shape, SlotQueue, Start
@@ -28,47 +28,37 @@
     Whole,
 )
 from foldhoist.delivery.keys import Deny, Join, KeyTable, Replay, fingerprint
+from foldhoist.delivery.peers import Peers, drop_acked
+from foldhoist.delivery.replies import (
+    answer_frame,
+    ended_record,
+    refusal_frame,
+    refused_record,
+)
+from foldhoist.delivery.standing import Standing
 from foldhoist.delivery.verdict import Response
 
 if TYPE_CHECKING:
     from foldhoist.admission.slots import Decision
     from foldhoist.schema.messages import (
         Announced,
-        Answer,
         Dispatch,
         FateAsk,
         Hello,
         Load,
-        Refusal,
         Withdraw,
     )
 
-KEPT_RESULTS = 512
-"""Results kept for one ingress until it says that it has them."""
-KEPT_BYTES = 4 * 1024 * 1024
-"""Bytes of results kept for one ingress."""
-KEPT_TOTAL_BYTES = 32 * 1024 * 1024
-"""Bytes of results kept for all ingresses, an equal part for each."""
-RESULT_BYTES = 100
-"""Bytes that a kept result is counted for beside its body."""
 PEER_FORGET_S = 600.0
 """An ingress without connection or calls is forgotten after this, seconds."""
 ORPHAN_S = 1.0
 """Waiting calls of an ingress whose connection fell are dropped after this, seconds."""
-ERROR_SMOOTHING = 0.1
-"""Weight of the newest answer in the share of errors."""
 NOTED_REFUSALS = 100
 """Refusals that are noted until somebody takes them for the log."""
-USUAL_PACE = 100
-"""Pace of an upstream that works as usual, percent."""
-PACE_CHANGE = 1.5
-"""A pace is told when it is another one by at least this factor."""
 RANK_S = 0.02
 """Each rank counts as if its calls were due this much later, seconds."""
 STEADY_SHARE = 0.8
 """Share of the slots that an upstream announces up to which it is taken to keep its speed."""
-LEAVING_QUEUE_S = 0.8
-"""Calls that wait when the upstream begins to leave may still start for this long, seconds."""
 LOCAL_LINK = 0
 """Link number of the ingress in the owner's own process."""
 
@@ -89,18 +79,8 @@
         self.queue = queue if queue is not None else SlotQueue(shape)
         self.keys = KeyTable(name, key_window_s)
         self.count = Counters()
-        self.state = "warm"
-        self.upstream: Announced | None = None
-        self.pace = 0
-        self._told_pace = 0
-        self._cold_until = 0.0
-        self._stop_at = float("inf")
-        self.leaving_why: dict[str, bool] = {}
-        self.errors = 0.0
-        self.waits_us: list[int] = []
-        self._answered_any = False
-        self._peers: dict[str, Peer] = {}
-        self._by_link: dict[int, str] = {}
+        self.standing = Standing()
+        self._peers = Peers()
         self._tickets: dict[int, Ticket] = {}
         self.refusals: list[Refused] = []
         self._joined: dict[str, list[tuple[str, int]]] = {}
@@ -110,59 +90,43 @@
 
     def hello(self, now: float, link: int, hello: Hello) -> list[Action]:
         """Take in a new connection; an older one of the same ingress is closed and refused."""
-        incarnation = hello["incarnation"]
-        peer = self._peers.get(incarnation)
-        if peer is None:
-            self._peers[incarnation] = Peer(hello["name"], hello["epoch"], link)
-            self._by_link[link] = incarnation
-            return [SendTo(link, self._report())]
-        if hello["epoch"] <= peer.epoch:
+        greeting = self._peers.greet(link, hello)
+        if not greeting.taken:
             self.count.fenced += 1
             return [CloseLink(link)]
         actions: list[Action] = []
-        if peer.link is not None:
-            self._by_link.pop(peer.link, None)
-            actions.append(CloseLink(peer.link))
-        peer.epoch = hello["epoch"]
-        peer.link = link
-        self._by_link[link] = incarnation
+        if greeting.ended_link is not None:
+            actions.append(CloseLink(greeting.ended_link))
         actions.append(SendTo(link, self._report()))
         return actions
 
     def link_lost(self, now: float, link: int) -> None:
         """Take in that a connection fell; its ingress may come back and ask."""
-        incarnation = self._by_link.pop(link, None)
-        if incarnation is None:
-            return
-        peer = self._peers[incarnation]
-        peer.link = None
-        peer.lost_at = now
+        self._peers.lost(now, link)
 
     def dispatch(self, now: float, wall_ms: int, link: int, req: Dispatch) -> list[Action]:
         """Take in a call."""
-        incarnation = self._by_link.get(link)
-        if incarnation is None:
+        peer = self._peers.at(link)
+        if peer is None:
             self.count.fenced += 1
             return []
-        peer = self._peers[incarnation]
-        _drop_acked(peer, req["acked"])
+        drop_acked(peer, req["acked"])
         seq = req["seq"]
         refused = self._refusal_at_door(req)
         if refused is not None:
             self._note_refusal(req, refused, 1.0)
             return [self._refuse(peer, seq, refused, 1.0)]
         if req["key"]:
-            early = self._claim(now, wall_ms, incarnation, req)
+            early = self._claim(now, wall_ms, peer, req)
             if early is not None:
                 return early
-        return self._admit(now, incarnation, peer, req)
+        return self._admit(now, peer, req)
 
     def withdraw(self, now: float, link: int, message: Withdraw) -> list[Action]:
         """Take in that nobody waits for a call any more."""
-        incarnation = self._by_link.get(link)
-        if incarnation is None:
+        peer = self._peers.at(link)
+        if peer is None:
             return []
-        peer = self._peers[incarnation]
         ticket_id = peer.live.get(message["seq"])
         if ticket_id is None:
             return []
@@ -178,13 +142,12 @@
 
     def fate(self, now: float, link: int, message: FateAsk) -> list[Action]:
         """Say what became of calls whose connection fell."""
-        incarnation = self._by_link.get(link)
-        if incarnation is None:
+        peer = self._peers.at(link)
+        if peer is None:
             return []
-        peer = self._peers[incarnation]
         actions: list[Action] = []
         for seq in message["seqs"]:
-            if seq in peer.live or self._is_joined(incarnation, seq):
+            if seq in peer.live or self._is_joined(peer.incarnation, seq):
                 continue
             frame = peer.kept.get(seq)
             if frame is not None:
@@ -192,7 +155,7 @@
                 continue
             ran = "maybe" if seq <= peer.forgotten else "no"
             reason = "result-forgotten" if ran == "maybe" else "never-arrived"
-            actions.append(SendTo(link, self._refusal(seq, ran, reason, 0.0)))
+            actions.append(SendTo(link, refusal_frame(seq, ran, reason, 0.0, self.load())))
         return actions
 
     def finished(self, now: float, ticket_id: int, result: Result) -> list[Action]:
@@ -203,43 +166,32 @@
         served = now - ticket.started
         match result:
             case Whole():
-                self.pace = result.pace
-                self._count_answer(result.status)
+                self.standing.answered(result.status, result.pace)
                 started = self._apply(now, self.queue.release(now, served))
-                told = self._tell_pace()
+                told = self._tell_all() if self.standing.is_pace_news() else []
                 return [*self._end_answered(now, ticket_id, result, served), *started, *told]
             case Shed():
-                self.state = "shedding"
+                self.standing.state = "shedding"
                 started = self._apply(now, self.queue.release(now, None))
                 ended = self._end_refused(ticket_id, "no", result.reason, result.retry_after_s)
                 return [*ended, *started]
             case Broken():
                 self.count.lost += 1
-                self.errors += ERROR_SMOOTHING * (1.0 - self.errors)
+                self.standing.broke()
                 started = self._apply(now, self.queue.release(now, None))
                 ran = "maybe" if result.sent else "no"
                 return [*self._end_refused(ticket_id, ran, result.reason, 0.5), *started]
 
     def announce(self, now: float, upstream: Announced) -> list[Action]:
         """Take in what the upstream says of itself; "gone" is said when none is known."""
-        before = self.upstream
-        self.upstream = upstream
-        self._cold_until = now + upstream["cold_ms"] / 1000
-        if before is None or before["instance"] != upstream["instance"]:
-            self.state = "warm"
-            self.pace = 0
-            self.errors = 0.0
-            self.leaving_why.pop("upstream", None)
         actions: list[Action] = []
-        if before is not None and before["service"] != upstream["service"]:
+        if self.standing.announce(now, upstream):
             actions += self._refuse_waiting(now, "upstream-replaced")
         self.service = upstream["service"]
-        self.queue.shape = self.queue.shape._replace(
-            slots=max(1, int(upstream["slots"] * STEADY_SHARE))
-        )
+        slots = max(1, int(upstream["slots"] * STEADY_SHARE))
+        self.queue.shape = self.queue.shape._replace(slots=slots)
         if upstream["state"] == "ready":
             return [*actions, *self.stay("upstream")]
-        self._stop_at = min(self._stop_at, now + LEAVING_QUEUE_S)
         return [*actions, *self.leave("upstream")]
 
     def set_state(self, state: str) -> list[Action]:
@@ -248,36 +200,29 @@
             return []
         if state == "leaving":
             return self.leave("upstream")
-        if state == self.state:
+        if state == self.standing.state:
             return []
-        self.state = state
+        self.standing.state = state
         return self._tell_all()
 
     def leave(self, source: str) -> list[Action]:
         """Stop taking new work, because `source` says that the upstream is leaving."""
-        if self.leaving_why.get(source):
-            return []
-        self.leaving_why[source] = True
-        return self._tell_all()
+        return self._tell_all() if self.standing.leave(source) else []
 
     def stay(self, source: str) -> list[Action]:
         """Take back what `source` said; other sources still count."""
-        if not self.leaving_why.pop(source, False):
-            return []
-        if not self.leaving_why:
-            self._stop_at = float("inf")
-        return self._tell_all()
+        return self._tell_all() if self.standing.stay(source) else []
 
     def tick(self, now: float) -> list[Action]:
         """Refuse what has waited too long, drop what nobody will ask for, forget old peers."""
         actions = self._apply(now, self.queue.expire(now))
-        for incarnation, peer in list(self._peers.items()):
-            if peer.link is not None or incarnation == "":
+        for peer in list(self._peers.values()):
+            if peer.link is not None or not peer.incarnation:
                 continue
             if now - peer.lost_at > ORPHAN_S:
                 self._drop_waiting(peer)
             if now - peer.lost_at > PEER_FORGET_S and not peer.live:
-                del self._peers[incarnation]
+                self._peers.forget(peer)
         self.keys.expire(now)
         return actions
 
@@ -286,7 +231,17 @@
     @property
     def leaving(self) -> bool:
         """Return whether this upstream takes no new work."""
-        return bool(self.leaving_why)
+        return self.standing.leaving
+
+    @property
+    def leaving_why(self) -> dict[str, bool]:
+        """Return the sources that say that the upstream is leaving."""
+        return self.standing.leaving_why
+
+    @property
+    def upstream(self) -> Announced | None:
+        """Return what the upstream last said of itself, None if it says nothing."""
+        return self.standing.upstream
 
     @property
     def calls(self) -> int:
@@ -295,8 +250,8 @@
 
     def peer_name(self, link: int) -> str:
         """Return the name of the daemon at the other end of a connection, empty if unknown."""
-        incarnation = self._by_link.get(link)
-        return self._peers[incarnation].name if incarnation is not None else ""
+        peer = self._peers.at(link)
+        return peer.name if peer is not None else ""
 
     def running(self) -> list[tuple[int, float]]:
         """Return ticket and deadline of the calls that are at the upstream."""
@@ -307,33 +262,11 @@
         ticket = self._tickets.get(ticket_id)
         if ticket is None:
             return None
-        match result:
-            case Whole(status):
-                name = f"answered {status}"
-            case Shed():
-                name = "shed"
-            case Broken(_, reason):
-                name = reason
-        req = ticket.request
-        waited_us = int((ticket.started - ticket.arrived) * 1e6)
-        served_us = int((now - ticket.started) * 1e6)
-        busy, queued = self.queue.busy, self.queue.queued
-        told = req.get("name", "")
-        return Ended(req["trace"], req["seq"], waited_us, served_us, name, busy, queued, told)
+        return ended_record(now, ticket, result, self.queue.busy, self.queue.queued)
 
     def load(self) -> Load:
         """Return the load as it is now."""
-        load: Load = {
-            "busy": self.queue.busy,
-            "queued": self.queue.queued,
-            "slots": self.queue.shape.slots,
-            "service_us": int(self.queue.service_s * 1e6) if self._answered_any else 0,
-            "errors": round(self.errors, 3),
-            "state": "leaving" if self.leaving else self.state,  # type: ignore[typeddict-item]
-        }
-        if self.pace:
-            load["pace"] = self.pace
-        return load
+        return self.standing.load(self.queue)
 
     # Steps
 
@@ -342,38 +275,41 @@
             return "upstream-leaving"
         if req["service"] != self.service:
             return "not-my-service"
-        if self.state == "down":
+        if self.standing.state == "down":
             return "upstream-down"
         return None
 
-    def _claim(
-        self, now: float, wall_ms: int, incarnation: str, req: Dispatch
-    ) -> list[Action] | None:
+    def _claim(self, now: float, wall_ms: int, peer: Peer, req: Dispatch) -> list[Action] | None:
         mark = fingerprint(req["method"], req["path"], req["body"])
-        peer = self._peers[incarnation]
         seq = req["seq"]
         claim = self.keys.claim(now, wall_ms, req["key"], req["key_issued_ms"], mark)
         match claim:
             case Deny():
                 self.count.key_denied += 1
-                frame = self._refusal(seq, claim.ran, claim.reason, claim.retry_after_s)
+                frame = refusal_frame(
+                    seq, claim.ran, claim.reason, claim.retry_after_s, self.load()
+                )
                 return [self._send(peer, seq, frame)]
             case Replay():
                 self.count.key_replayed += 1
-                return [self._send(peer, seq, self._answer(seq, claim.response, -1, 0, 0))]
+                return [
+                    self._send(
+                        peer, seq, answer_frame(seq, claim.response, -1, (0, 0), self.load())
+                    )
+                ]
             case Join():
-                self._joined.setdefault(req["key"], []).append((incarnation, seq))
+                self._joined.setdefault(req["key"], []).append((peer.incarnation, seq))
                 return []
         return None
 
-    def _admit(self, now: float, incarnation: str, peer: Peer, req: Dispatch) -> list[Action]:
+    def _admit(self, now: float, peer: Peer, req: Dispatch) -> list[Action]:
         ticket_id = self._next_ticket
         self._next_ticket += 1
         deadline = now + req["budget_ms"] / 1000
         start_by = deadline
         if "wait_ms" in req:
             start_by = min(deadline, now + req["wait_ms"] / 1000)
-        ticket = Ticket(incarnation, req, now, deadline)
+        ticket = Ticket(peer.incarnation, req, now, deadline)
         ticket.ahead = self.queue.busy + self.queue.queued
         self._tickets[ticket_id] = ticket
         peer.live[req["seq"]] = ticket_id
@@ -388,7 +324,7 @@
         actions: list[Action] = []
         for decision in decisions:
             match decision:
-                case Start(ticket_id) if now > self._stop_at:
+                case Start(ticket_id) if now > self.standing.stop_at:
                     actions += self._apply(now, self.queue.release(now, None))
                     actions += self._end_refused(ticket_id, "no", "upstream-leaving", 0.0)
                 case Start(ticket_id):
@@ -411,14 +347,13 @@
         ticket = self._tickets.pop(ticket_id)
         self.count.answered += 1
         response = Response(whole.status, whole.headers, whole.body)
-        waited_us = int((ticket.started - ticket.arrived) * 1e6)
-        served_us = int(served_s * 1e6)
+        times_us = (int((ticket.started - ticket.arrived) * 1e6), int(served_s * 1e6))
         actions: list[Action] = []
         for incarnation, seq in self._waiters(ticket):
             peer = self._peers.get(incarnation)
             if peer is None:
                 continue
-            frame = self._answer(seq, response, ticket.ahead, waited_us, served_us)
+            frame = answer_frame(seq, response, ticket.ahead, times_us, self.load())
             actions.append(self._end(peer, seq, frame))
         if ticket.key:
             self.keys.ended(ticket.key, response, ran=True)
@@ -436,7 +371,7 @@
             peer = self._peers.get(incarnation)
             if peer is None:
                 continue
-            frame = self._refusal(seq, ran, reason, retry_after_s)
+            frame = refusal_frame(seq, ran, reason, retry_after_s, self.load())
             actions.append(self._end(peer, seq, frame))
         if ticket.key:
             self.keys.ended(ticket.key, None, ran=ran != "no")
@@ -455,18 +390,12 @@
     def _send(self, peer: Peer, seq: int, frame: Frame) -> Action:
         if peer.link == LOCAL_LINK:
             return SendTo(LOCAL_LINK, frame)
-        peer.kept[seq] = frame
-        peer.kept_bytes += _size(frame)
-        limit = min(KEPT_BYTES, KEPT_TOTAL_BYTES // len(self._peers))
-        while len(peer.kept) > KEPT_RESULTS or peer.kept_bytes > limit:
-            old, dropped = peer.kept.popitem(last=False)
-            peer.kept_bytes -= _size(dropped)
-            peer.forgotten = max(peer.forgotten, old)
+        self._peers.keep(peer, seq, frame)
         return SendTo(-1 if peer.link is None else peer.link, frame)
 
     def _refuse(self, peer: Peer, seq: int, reason: str, retry_after_s: float) -> Action:
         self.count.refused += 1
-        return self._send(peer, seq, self._refusal(seq, "no", reason, retry_after_s))
+        return self._send(peer, seq, refusal_frame(seq, "no", reason, retry_after_s, self.load()))
 
     def _is_joined(self, incarnation: str, seq: int) -> bool:
         return any((incarnation, seq) in waiters for waiters in self._joined.values())
@@ -475,19 +404,7 @@
         """Note a refusal for the log; the task that runs this object takes it from there."""
         if len(self.refusals) >= NOTED_REFUSALS:
             return
-        load = self.load()
-        refused = Refused(
-            req.get("name", ""),
-            req["trace"],
-            req["seq"],
-            reason,
-            int(retry_after_s * 1000),
-            load["busy"],
-            load["queued"],
-            load["slots"],
-            load["state"],
-        )
-        self.refusals.append(refused)
+        self.refusals.append(refused_record(req, reason, retry_after_s, self.load()))
 
     def _refuse_waiting(self, now: float, reason: str) -> list[Action]:
         actions: list[Action] = []
@@ -507,71 +424,15 @@
             self.count.withdrawn += 1
             self._end_refused(ticket_id, "no", "ingress-gone", 0.0)
 
-    def _count_answer(self, status: int) -> None:
-        failed = 1.0 if status >= 500 else 0.0
-        self.errors += ERROR_SMOOTHING * (failed - self.errors)
-        self._answered_any = True
-        if self.state in ("shedding", "cold"):
-            self.state = "warm"
-
-    def _tell_pace(self) -> list[Action]:
-        """Tell every ingress if the upstream's pace is another one than was last told."""
-        if not self.pace:
-            return []
-        low, high = sorted((self.pace, self._told_pace or USUAL_PACE))
-        if high < low * PACE_CHANGE:
-            return []
-        self._told_pace = self.pace
-        return self._tell_all()
-
     def _tell_all(self) -> list[Action]:
         report = self._report()
-        return [SendTo(link, report) for link in self._by_link]
+        return [SendTo(link, report) for link in self._peers.links()]
 
     def _report(self) -> Frame:
         return Frame("Report", {"load": self.load()})
 
-    def _answer(
-        self, seq: int, response: Response, ahead: int, waited_us: int, served_us: int
-    ) -> Frame:
-        body: Answer = {
-            "seq": seq,
-            "status": response.status,
-            "headers": response.headers,
-            "body": response.body,
-            "ahead": ahead,
-            "waited_us": waited_us,
-            "served_us": served_us,
-            "load": self.load(),
-        }
-        return Frame("Answer", body)
-
-    def _refusal(self, seq: int, ran: str, reason: str, retry_after_s: float) -> Frame:
-        body: Refusal = {
-            "seq": seq,
-            "ran": ran,  # type: ignore[typeddict-item]
-            "reason": reason,
-            "retry_after_ms": int(retry_after_s * 1000),
-            "load": self.load(),
-        }
-        return Frame("Refusal", body)
-
 
 def _wish(now: float, req: Dispatch, start_by: float) -> Wish:
     due = now + req.get("due_ms", req["budget_ms"]) / 1000
     rank_s = max(0, req.get("rank", 0)) * RANK_S
     return Wish(due + rank_s, start_by, req.get("expect_ms", 0) / 1000)
-
-
-def _drop_acked(peer: Peer, acked: int) -> None:
-    while peer.kept:
-        seq = next(iter(peer.kept))
-        if seq >= acked:
-            return
-        peer.kept_bytes -= _size(peer.kept.pop(seq))
-
-
-def _size(frame: Frame) -> int:
-    if frame.kind != "Answer":
-        return RESULT_BYTES
-    return RESULT_BYTES + len(cast("Answer", frame.body)["body"])
--- /dev/null
+++ b/foldhoist/delivery/peers.py
@@ -0,0 +1,112 @@
+"""The ingresses that an owner serves: their connections, and the results kept for them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple, cast
+
+from foldhoist.delivery.dispatch import Peer
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from foldhoist.delivery.dispatch import Frame
+    from foldhoist.schema.messages import Answer, Hello
+
+KEPT_RESULTS = 512
+"""Results kept for one ingress until it says that it has them."""
+KEPT_BYTES = 4 * 1024 * 1024
+"""Bytes of results kept for one ingress."""
+KEPT_TOTAL_BYTES = 32 * 1024 * 1024
+"""Bytes of results kept for all ingresses, an equal part for each."""
+RESULT_BYTES = 100
+"""Bytes that a kept result is counted for beside its body."""
+
+
+class Greeting(NamedTuple):
+    """Whether a connection is taken, and the older one that ends for it."""
+
+    taken: bool
+    ended_link: int | None
+
+
+class Peers:
+    """Ingresses by the name of their life, and by connection."""
+
+    def __init__(self) -> None:
+        self._by_life: dict[str, Peer] = {}
+        self._by_link: dict[int, Peer] = {}
+
+    def __getitem__(self, life: str) -> Peer:
+        """Return an ingress by its life."""
+        return self._by_life[life]
+
+    def get(self, life: str) -> Peer | None:
+        """Return an ingress by its life, or None."""
+        return self._by_life.get(life)
+
+    def values(self) -> Iterable[Peer]:
+        """Return every ingress."""
+        return self._by_life.values()
+
+    def at(self, link: int) -> Peer | None:
+        """Return the ingress at a connection, or None if it has not greeted or was replaced."""
+        return self._by_link.get(link)
+
+    def links(self) -> list[int]:
+        """Return the connections that stand."""
+        return list(self._by_link)
+
+    def greet(self, link: int, hello: Hello) -> Greeting:
+        """Take in a new connection; one that is older than the newest is not taken."""
+        peer = self._by_life.get(hello["incarnation"])
+        if peer is None:
+            peer = Peer(hello["name"], hello["incarnation"], hello["epoch"], link)
+            self._by_life[hello["incarnation"]] = peer
+            self._by_link[link] = peer
+            return Greeting(True, None)
+        if hello["epoch"] <= peer.epoch:
+            return Greeting(False, None)
+        ended = peer.link
+        if ended is not None:
+            self._by_link.pop(ended, None)
+        peer.epoch = hello["epoch"]
+        peer.link = link
+        self._by_link[link] = peer
+        return Greeting(True, ended)
+
+    def lost(self, now: float, link: int) -> None:
+        """Take in that a connection fell; its ingress may come back."""
+        peer = self._by_link.pop(link, None)
+        if peer is None:
+            return
+        peer.link = None
+        peer.lost_at = now
+
+    def forget(self, peer: Peer) -> None:
+        """Forget an ingress that will not come back."""
+        del self._by_life[peer.incarnation]
+
+    def keep(self, peer: Peer, seq: int, frame: Frame) -> None:
+        """Keep a result until the ingress says that it has it, or there are too many."""
+        peer.kept[seq] = frame
+        peer.kept_bytes += _size(frame)
+        limit = min(KEPT_BYTES, KEPT_TOTAL_BYTES // len(self._by_life))
+        while len(peer.kept) > KEPT_RESULTS or peer.kept_bytes > limit:
+            old, dropped = peer.kept.popitem(last=False)
+            peer.kept_bytes -= _size(dropped)
+            peer.forgotten = max(peer.forgotten, old)
+
+
+def drop_acked(peer: Peer, acked: int) -> None:
+    """Drop the results that the ingress has."""
+    while peer.kept:
+        seq = next(iter(peer.kept))
+        if seq >= acked:
+            return
+        peer.kept_bytes -= _size(peer.kept.pop(seq))
+
+
+def _size(frame: Frame) -> int:
+    if frame.kind != "Answer":
+        return RESULT_BYTES
+    return RESULT_BYTES + len(cast("Answer", frame.body)["body"])
--- /dev/null
+++ b/foldhoist/delivery/replies.py
@@ -0,0 +1,73 @@
+"""The frames and records by which an owner tells what became of a call."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from foldhoist.delivery.dispatch import Broken, Ended, Frame, Refused, Shed, Whole
+
+if TYPE_CHECKING:
+    from foldhoist.delivery.dispatch import Result, Ticket
+    from foldhoist.delivery.verdict import Response
+    from foldhoist.schema.messages import Answer, Dispatch, Load, Refusal
+
+
+def answer_frame(
+    seq: int, response: Response, ahead: int, times_us: tuple[int, int], load: Load
+) -> Frame:
+    """Return an answer; `times_us` are the wait for a slot and the time at the upstream."""
+    waited_us, served_us = times_us
+    body: Answer = {
+        "seq": seq,
+        "status": response.status,
+        "headers": response.headers,
+        "body": response.body,
+        "ahead": ahead,
+        "waited_us": waited_us,
+        "served_us": served_us,
+        "load": load,
+    }
+    return Frame("Answer", body)
+
+
+def refusal_frame(seq: int, ran: str, reason: str, retry_after_s: float, load: Load) -> Frame:
+    """Return a refusal; `ran` is "no" or "maybe"."""
+    body: Refusal = {
+        "seq": seq,
+        "ran": ran,  # type: ignore[typeddict-item]
+        "reason": reason,
+        "retry_after_ms": int(retry_after_s * 1000),
+        "load": load,
+    }
+    return Frame("Refusal", body)
+
+
+def refused_record(req: Dispatch, reason: str, retry_after_s: float, load: Load) -> Refused:
+    """Return what the log tells of a refusal."""
+    return Refused(
+        req.get("name", ""),
+        req["trace"],
+        req["seq"],
+        reason,
+        int(retry_after_s * 1000),
+        load["busy"],
+        load["queued"],
+        load["slots"],
+        load["state"],
+    )
+
+
+def ended_record(now: float, ticket: Ticket, result: Result, busy: int, queued: int) -> Ended:
+    """Return what is recorded of a call that the upstream has ended."""
+    match result:
+        case Whole(status):
+            name = f"answered {status}"
+        case Shed(_, reason):
+            name = "shed" if reason == "upstream-shed" else reason
+        case Broken(_, reason):
+            name = reason
+    req = ticket.request
+    waited_us = int((ticket.started - ticket.arrived) * 1e6)
+    served_us = int((now - ticket.started) * 1e6)
+    told = req.get("name", "")
+    return Ended(req["trace"], req["seq"], waited_us, served_us, name, busy, queued, told)
--- /dev/null
+++ b/foldhoist/delivery/rules.py
@@ -0,0 +1,62 @@
+"""What an ingress refuses at the door, and what may be tried again."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from foldhoist.delivery.verdict import NotRun
+from foldhoist.routing.picker import NoChoice
+from foldhoist.routing.policies import REMOTE_COST_S
+
+if TYPE_CHECKING:
+    from foldhoist.delivery.call import Call, CallerRequest
+    from foldhoist.delivery.services import ServiceState
+    from foldhoist.routing.routes import Routed
+
+MOST_REFUSALS = 3
+"""Owners that may refuse a call before it is given up."""
+LEAST_BUDGET_S = 0.001
+"""A call with less time left than this is not dispatched, seconds."""
+REMOTE_SHARE = 0.4
+"""What another data centre costs beside the time of a call, as a share of its objective."""
+REMOTE_SHARE_KB = 0.08
+"""What each kilobyte of the call's bodies adds to that share."""
+
+
+def refusal_of(req: CallerRequest, routed: Routed | None, hops: int) -> NotRun | None:
+    """Return why a request gets no attempt, or None if it may; `hops` is the deepest nesting."""
+    if routed is None:
+        return NotRun("no-such-service", 0.0, status=404)
+    if req.hops > hops:
+        return NotRun("nested-too-deep", 0.0, status=508)
+    if req.budget_s < 0:
+        return NotRun("deadline-passed", 0.0, status=504)
+    return None
+
+
+def may_retry(now: float, call: Call, state: ServiceState | None) -> bool:
+    """Return whether a call may be sent once more, and take that from the budget.
+
+    What an owner refused never reached its upstream: trying another costs nothing of the budget.
+    """
+    if state is None or call.req.key or call.req.retried:
+        return False
+    if call.maybe and not call.repeatable:
+        return False
+    attempts = call.attempts_allowed or state.cfg["attempts"]
+    refusals = call.tries - call.arrivals
+    if call.arrivals >= attempts or refusals > MOST_REFUSALS:
+        return False
+    if now + LEAST_BUDGET_S >= call.deadline:
+        return False
+    if isinstance(state.picker.pick(now, call.excluded, explain=False), NoChoice):
+        return False
+    return call.arrivals == 0 or state.budget.spend()
+
+
+def remote_cost_s(call: Call, state: ServiceState) -> float:
+    """Return what another data centre costs this call beside its time, seconds."""
+    if not call.objective_s:
+        return REMOTE_COST_S
+    kilobytes = state.picker.times.size(call.route) / 1000
+    return call.objective_s * (REMOTE_SHARE + REMOTE_SHARE_KB * kilobytes)
--- /dev/null
+++ b/foldhoist/delivery/standing.py
@@ -0,0 +1,103 @@
+"""What an owner knows of its upstream: announced, leaving, failing, slow."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from foldhoist.admission.due import DueQueue
+    from foldhoist.admission.slots import SlotQueue
+    from foldhoist.schema.messages import Announced, Load
+
+ERROR_SMOOTHING = 0.1
+"""Weight of the newest answer in the share of errors."""
+USUAL_PACE = 100
+"""Pace of an upstream that works as usual, percent."""
+PACE_CHANGE = 1.5
+"""A pace is told when it is another one by at least this factor."""
+LEAVING_QUEUE_S = 0.8
+"""Calls that wait when the upstream begins to leave may still start for this long, seconds."""
+
+
+class Standing:
+    """The upstream as its owner sees it; times are monotonic seconds."""
+
+    def __init__(self) -> None:
+        self.state = "warm"
+        self.upstream: Announced | None = None
+        self.pace = 0
+        self.errors = 0.0
+        self.leaving_why: dict[str, bool] = {}
+        self.stop_at = float("inf")
+        self._told_pace = 0
+        self._answered_any = False
+
+    @property
+    def leaving(self) -> bool:
+        """Return whether the upstream takes no new work."""
+        return bool(self.leaving_why)
+
+    def announce(self, now: float, upstream: Announced) -> bool:
+        """Take in what it says of itself; returns whether it runs another service than before."""
+        before = self.upstream
+        self.upstream = upstream
+        if before is None or before["instance"] != upstream["instance"]:
+            self.state = "warm"
+            self.pace = 0
+            self.errors = 0.0
+            self.leaving_why.pop("upstream", None)
+        if upstream["state"] != "ready":
+            self.stop_at = min(self.stop_at, now + LEAVING_QUEUE_S)
+        return before is not None and before["service"] != upstream["service"]
+
+    def leave(self, source: str) -> bool:
+        """Take in that `source` says that it is leaving; returns whether that is news."""
+        if self.leaving_why.get(source):
+            return False
+        self.leaving_why[source] = True
+        return True
+
+    def stay(self, source: str) -> bool:
+        """Take back what `source` said; returns whether it had said so."""
+        if not self.leaving_why.pop(source, False):
+            return False
+        if not self.leaving_why:
+            self.stop_at = float("inf")
+        return True
+
+    def answered(self, status: int, pace: int) -> None:
+        """Count an answer, and the pace that came with it."""
+        self.pace = pace
+        failed = 1.0 if status >= 500 else 0.0
+        self.errors += ERROR_SMOOTHING * (failed - self.errors)
+        self._answered_any = True
+        if self.state in ("shedding", "cold"):
+            self.state = "warm"
+
+    def broke(self) -> None:
+        """Count a call without a whole answer."""
+        self.errors += ERROR_SMOOTHING * (1.0 - self.errors)
+
+    def is_pace_news(self) -> bool:
+        """Return whether the pace is another one than was last told; it counts as told then."""
+        if not self.pace:
+            return False
+        low, high = sorted((self.pace, self._told_pace or USUAL_PACE))
+        if high < low * PACE_CHANGE:
+            return False
+        self._told_pace = self.pace
+        return True
+
+    def load(self, queue: SlotQueue | DueQueue) -> Load:
+        """Return the load as it is now."""
+        load: Load = {
+            "busy": queue.busy,
+            "queued": queue.queued,
+            "slots": queue.shape.slots,
+            "service_us": int(queue.service_s * 1e6) if self._answered_any else 0,
+            "errors": round(self.errors, 3),
+            "state": "leaving" if self.leaving else self.state,  # type: ignore[typeddict-item]
+        }
+        if self.pace:
+            load["pace"] = self.pace
+        return load
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -297,3 +297,16 @@
     assert answered > 1
     await stop
     assert daemon.stopped.is_set()
+
+
+@played
+async def test_a_new_version_keeps_what_is_known_of_upstreams(cluster: Cluster) -> None:
+    await two(cluster)
+    assert (await cluster.ask("a")).status == 200
+    pickers = cluster.daemons["a"].ingress_task.ingress.pickers()
+    before = dict(pickers["shop"].tracks)
+    assert before
+    await cluster.configure(9, [route(), route("/b/")])
+    await cluster.settle(9)
+    after = cluster.daemons["a"].ingress_task.ingress.pickers()["shop"].tracks
+    assert after == before
