--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -17,11 +17,15 @@
 
 
 class Wish(NamedTuple):
-    """What a call asks for; times are monotonic seconds, `expect_s` how long it takes."""
+    """What a call asks for; times are monotonic seconds, `expect_s` how long it takes.
+
+    It waits until `start_by`; a slot that is free then is still taken before the `deadline`.
+    """
 
     due: float
     start_by: float
     expect_s: float
+    deadline: float
 
 
 class DueQueue:
@@ -80,7 +84,7 @@
             if ticket is None:
                 return decisions
             wish = self._waiting.pop(ticket)
-            if now >= wish.start_by:
+            if now + wish.expect_s >= wish.deadline:
                 decisions.append(Refuse(ticket, "no-slot-in-time", self.service_s))
                 continue
             self.busy += 1
--- a/foldhoist/commands/explain.py
+++ b/foldhoist/commands/explain.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from foldhoist.commands.fetch import fetch_json
+from foldhoist.commands.log_story import lines_of, read_lines, story_of
 from foldhoist.commands.output import EXIT_FAULTS, EXIT_NOT_FOUND, EXIT_OK, print_json
 from foldhoist.config.fleet import parse_fleet
 from foldhoist.exceptions import UnreachableError
@@ -22,13 +23,21 @@
 """Reasons of a choice, as sentences."""
 
 
-def explain(trace: str, *, daemon: str, json: bool = False) -> int:
-    """Tell why a call went where it did, from the daemons that it passed.
+def explain(
+    trace: str, *, daemon: str = "", log: list[str] | None = None, json: bool = False
+) -> int:
+    """Tell why a call went where it did, from the daemons that it passed or from their logs.
 
-    :param trace: Id of the call, from its Foldhoist-Trace header.
+    :param trace: Id of the call, from its Foldhoist-Trace header; with --log also its own id.
     :param daemon: Operators address of any daemon, as IP:port.
+    :param log: Files with the log lines of the daemons, - for standard input.
     :param json: Print for a program.
     """
+    if log:
+        return _explain_by_log(trace, log, json)
+    if not daemon:
+        print("say where to look: --daemon IP:port, or --log with files of log lines")
+        return EXIT_FAULTS
     if len(trace) != 32 or any(char not in "0123456789abcdef" for char in trace):
         print(f"{trace} is no trace: give the 32 characters of a Foldhoist-Trace header")
         return EXIT_FAULTS
@@ -43,6 +52,22 @@
     return EXIT_OK
 
 
+def _explain_by_log(request: str, paths: list[str], json: bool) -> int:
+    try:
+        lines = lines_of(request, read_lines(paths))
+    except OSError as exc:
+        print(f"{exc.filename}: cannot be read: {exc.strerror}; name files of log lines")
+        return EXIT_FAULTS
+    if not lines:
+        print(f"no line tells of {request}: ordinary calls are sampled, and lines are bounded")
+        return EXIT_NOT_FOUND
+    if json:
+        print_json(lines)
+    else:
+        print(story_of(request, lines))
+    return EXIT_OK
+
+
 async def gather(trace: str, daemon: str) -> dict[str, Any]:
     """Ask every daemon of the configuration in force at one of them."""
     snapshot = await fetch_json(daemon, "/configuration")
--- a/foldhoist/delivery/outgoing.py
+++ b/foldhoist/delivery/outgoing.py
@@ -13,7 +13,7 @@
 
 DEADLINE_MARGIN_S = 0.005
 """The owner is given this much less than is left, so that its refusal comes in time, seconds."""
-WAIT_SHARE = 0.6
+WAIT_SHARE = 0.25
 """Longest wait for a slot, as a share of the route's objective."""
 LEAST_WAIT_MS = 5
 """Wait for a slot that every attempt is allowed, milliseconds."""
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -317,7 +317,7 @@
             case SlotQueue() as queue:
                 decision = queue.submit(now, ticket_id, req["urgent"], start_by)
             case DueQueue() as queue:
-                decision = queue.submit(now, ticket_id, _wish(now, req, start_by))
+                decision = queue.submit(now, ticket_id, _wish(now, req, start_by, deadline))
         return self._apply(now, [decision])
 
     def _apply(self, now: float, decisions: list[Decision]) -> list[Action]:
@@ -432,7 +432,7 @@
         return Frame("Report", {"load": self.load()})
 
 
-def _wish(now: float, req: Dispatch, start_by: float) -> Wish:
+def _wish(now: float, req: Dispatch, start_by: float, deadline: float) -> Wish:
     due = now + req.get("due_ms", req["budget_ms"]) / 1000
     rank_s = max(0, req.get("rank", 0)) * RANK_S
-    return Wish(due + rank_s, start_by, req.get("expect_ms", 0) / 1000)
+    return Wish(due + rank_s, start_by, req.get("expect_ms", 0) / 1000, deadline)
