--- a/tools/kinds.py
+++ b/tools/kinds.py
@@ -22,11 +22,21 @@
 
     day: str
     site: str
-    line: str
     broken: str
+    worth: str
     served: str
     failed: str
-    score: str
+
+
+PLAN = (
+    '{ at = 5.0, kind = "config_change", how = "idle" }',
+    '{ at = 6.0, kind = "scale_in", share = 0.1 }',
+    '{ at = 22.0, kind = "roll_term", share = 0.3, gap_s = 1.0, how = "busy" }',
+    '{ at = 23.0, kind = "config_change", how = "route" }',
+)
+"""Planned work beside every kind of trouble."""
+PLANNED = ("release", "scale_in", "scale_out", "roll_term", "config_", "big_config", "hup")
+"""Kinds that are planned work by themselves."""
 
 
 def day_text(site: dict, name: str, trouble: str) -> str:
@@ -35,7 +45,11 @@
     lines = ["[[day]]", f'name = "{name}"', 'slot = "trouble"', "seed = 7"]
     lines += [f"one = {base['one']}", f"zero = {base['zero']}", "goal = { floor = 0.0 }"]
     lines += ["floor_classes = [0.0]", "floor_zones = [0.0]", "labels = []", "wall = 3.0"]
-    return "\n".join([*lines, "light = true", trouble, ""])
+    planned = name.startswith(PLANNED)
+    plan = ", ".join([*PLAN, trouble] if planned else PLAN)
+    faults = '{ at = 9.0, kind = "burst", x = 1.5, for_s = 3.0 }'
+    faults = faults if planned else f"{faults}, {trouble}"
+    return "\n".join([*lines, "light = true", f"plan = [ {plan} ]", f"faults = [ {faults} ]", ""])
 
 
 def play(bench: str, site_path: Path, name: str, trouble: str) -> Outcome:
@@ -48,17 +62,15 @@
     text = subprocess.run(command, capture_output=True, text=True, check=False).stdout
     Path(file.name).unlink()
     rows = [line for line in text.splitlines() if line.startswith(f"{name} ")]
-    broken = sorted(set(re.findall(r"^\\s*([A-Z]{4,})\\b.*", text, re.M)))
     row = rows[0].split() if rows else []
-    said = re.findall(r"broken[^\\n]*", text)
+    broken = re.findall(r"(?m)^.*\b(?:broken|BROKEN|fault)\b.*$", text)
     return Outcome(
         name,
         site_path.stem,
-        rows[0] if rows else text[-300:],
-        "; ".join(broken + said[:3]) or "none",
+        " / ".join(line.strip()[:160] for line in broken[:3]) or ("none" if row else text[-300:]),
+        row[3] if len(row) > 3 else "?",
         row[4] if len(row) > 4 else "?",
         row[6] if len(row) > 6 else "?",
-        row[2] if len(row) > 2 else "?",
     )
 
 
@@ -73,10 +85,10 @@
     ]
     with ThreadPoolExecutor(AT_ONCE) as pool:
         outcomes = list(pool.map(lambda job: play(bench, *job), jobs))
-    print("| day | site | score | served | failed | rules broken |")
+    print("| day | site | worth | served | failed | rules broken |")
     print("|---|---|---|---|---|---|")
     for each in outcomes:
-        cells = (each.day, each.site, each.score, each.served, each.failed, each.broken)
+        cells = (each.day, each.site, each.worth, each.served, each.failed, each.broken)
         print(f"| {' | '.join(cells)} |")
     return 1 if any(each.broken != "none" for each in outcomes) else 0
 
