--- a/foldhoist/config/fleet.py
+++ b/foldhoist/config/fleet.py
@@ -7,6 +7,7 @@
 from foldhoist.config.faults import Fault
 from foldhoist.config.ini import read_section, read_sections, split_sections
 from foldhoist.config.options import close_to, load_schema
+from foldhoist.routing.routes import parse_split
 
 if TYPE_CHECKING:
     from foldhoist.schema.fleet import Fleet, Service, Target
@@ -151,6 +152,13 @@
             mend = close_to(service, services) if services else "add a [service NAME] section"
             where = f"{kind} {name}"
             faults.append(Fault(file, where, "service", service, "is no service", mend))
+    for name, route in fleet["routes"].items():
+        for part in parse_split(route["split"]):
+            if part.service in services:
+                continue
+            mend = close_to(part.service, services) if services else "add a [service NAME] section"
+            where = f"route {name}"
+            faults.append(Fault(file, where, "split", part.service, "is no service", mend))
     for name, target in fleet["targets"].items():
         centre = target["data_centre"]
         if centre in centres:
--- a/foldhoist/config/options.py
+++ b/foldhoist/config/options.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from foldhoist.routing.routes import parse_split
+
 LONGEST_SHOWN = 80
 """Characters of a faulty value that a message repeats."""
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
@@ -56,6 +58,8 @@
             return _address(text, option)
         case {"x-kind": "addresses"}:
             return _addresses(text)
+        case {"x-kind": "split"}:
+            return _split(text)
         case {"x-kind": "methods"}:
             return _methods(text)
         case {"pattern": pattern}:
@@ -139,6 +143,14 @@
     return Good(", ".join(parts))
 
 
+def _split(text: str) -> Parsed:
+    try:
+        parse_split(text)
+    except ValueError as exc:
+        return Bad(f"is no split: {exc}", "write services with weights, as a:90, b:10")
+    return Good(text)
+
+
 def _pattern(text: str, pattern: str) -> Parsed:
     if re.search(pattern, text):
         return Good(text)
--- a/foldhoist/routing/routes.py
+++ b/foldhoist/routing/routes.py
@@ -73,13 +73,20 @@
     for entry in text.split(","):
         if not entry.strip():
             continue
-        service, colon, weight = entry.partition(":")
-        if not colon or not service.strip() or float(weight) < 0:
-            raise ValueError(entry)
+        service, _, weight = entry.partition(":")
+        if not service.strip() or not _is_weight(weight):
+            raise ValueError(f"{entry.strip()} is no service with a weight")
         parts.append(Part(service.strip(), float(weight)))
     return tuple(parts)
 
 
+def _is_weight(text: str) -> bool:
+    try:
+        return float(text) >= 0
+    except ValueError:
+        return False
+
+
 def _rules(fleet: Fleet) -> dict[str, list[_Rule]]:
     by_host: dict[str, list[_Rule]] = {}
     for name, route in fleet["routes"].items():
--- /dev/null
+++ b/tests/unit/admission/test_due.py
@@ -0,0 +1,107 @@
+"""The queue that is ordered by when answers are due."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from foldhoist.admission.due import DueQueue, Wish
+from foldhoist.admission.slots import Refuse, Shape, Start, Wait
+
+
+def queue(slots: int = 1, most: int = 10) -> DueQueue:
+    return DueQueue(Shape(slots, most, 0, 8))
+
+
+def wish(due: float, start_by: float = 9.0, expect: float = 0.1, deadline: float = 10.0) -> Wish:
+    return Wish(due, start_by, expect, deadline)
+
+
+def test_the_call_that_is_due_first_goes_first() -> None:
+    slots = queue()
+    assert slots.submit(0.0, 1, wish(5.0)) == Start(1)
+    assert slots.submit(0.0, 2, wish(4.0)) == Wait(2)
+    assert slots.submit(0.0, 3, wish(2.0)) == Wait(3)
+    assert slots.release(0.5, 0.5) == [Start(3)]
+    assert slots.release(1.0, 0.5) == [Start(2)]
+
+
+def test_calls_that_cannot_be_on_time_wait_behind_those_that_can() -> None:
+    slots = queue()
+    slots.submit(0.0, 1, wish(5.0))
+    slots.submit(0.0, 2, wish(1.0))
+    slots.submit(0.0, 3, wish(4.0))
+    assert slots.release(2.0, 2.0) == [Start(3)]
+    assert slots.release(3.0, 1.0) == [Start(2)]
+
+
+def test_a_late_call_takes_a_free_slot_but_not_after_its_deadline() -> None:
+    slots = queue()
+    slots.submit(0.0, 1, wish(5.0))
+    slots.submit(0.0, 2, wish(1.0, start_by=1.5, deadline=4.0))
+    assert slots.release(2.0, 2.0) == [Start(2)]
+    slots.submit(2.0, 3, wish(3.0, start_by=3.5, deadline=4.0))
+    (refused,) = slots.release(3.95, 2.0)
+    assert isinstance(refused, Refuse)
+    assert slots.busy == 0
+
+
+def test_what_would_wait_too_long_is_refused_at_once_with_a_time_to_come_back() -> None:
+    slots = queue()
+    slots.submit(0.0, 1, wish(9.0))
+    slots.submit(0.0, 2, wish(1.0, expect=0.5))
+    refused = slots.submit(0.0, 3, wish(2.0, start_by=0.3))
+    assert isinstance(refused, Refuse)
+    assert refused.retry_after_s >= 0.5
+
+
+def test_waiting_calls_are_refused_when_they_may_not_start_any_more() -> None:
+    slots = queue()
+    slots.submit(0.0, 1, wish(9.0))
+    slots.submit(0.0, 2, wish(5.0, start_by=0.2))
+    assert slots.expire(0.1) == []
+    assert [type(each) for each in slots.expire(0.2)] == [Refuse]
+    assert slots.release(0.3, 0.3) == []
+
+
+Steps = st.lists(st.tuples(st.integers(0, 3), st.floats(0.0, 2.0)), max_size=60)
+
+
+@settings(max_examples=200, derandomize=True)
+@given(Steps, st.integers(1, 3))
+def test_slots_are_never_exceeded_and_every_call_is_decided_once(
+    steps: list[tuple[int, float]], size: int
+) -> None:
+    slots = queue(size, 4)
+    now = 0.0
+    running: list[int] = []
+    waiting: set[int] = set()
+    decided: list[int] = []
+
+    def take(decisions: list[object]) -> None:
+        for decision in decisions:
+            match decision:
+                case Start(ticket):
+                    running.append(ticket)
+                    waiting.discard(ticket)
+                    decided.append(ticket)
+                case Refuse(ticket):
+                    waiting.discard(ticket)
+                    decided.append(ticket)
+                case Wait(ticket):
+                    waiting.add(ticket)
+
+    for ticket, (kind, amount) in enumerate(steps):
+        now += 0.1
+        match kind:
+            case 0 | 1:
+                asked = wish(now + amount, now + amount / 2, 0.1, now + 2 * amount)
+                take([slots.submit(now, ticket, asked)])
+            case 2 if running:
+                running.pop()
+                take(list(slots.release(now, 0.1)))
+            case 3:
+                take(list(slots.expire(now)))
+        assert slots.busy == len(running) <= size
+        assert slots.queued == len(waiting)
+    assert len(decided) == len(set(decided))
--- a/tests/unit/config/test_fleet.py
+++ b/tests/unit/config/test_fleet.py
@@ -81,3 +81,16 @@
     faults = parse_fleet(text, "x")[1]
     assert len(faults) == 1
     assert errors(faults) == []
+
+
+@pytest.mark.parametrize(
+    ("split", "told"),
+    [
+        ("s:90, t:10", "[route r] split = t: is no service"),
+        ("s", "[route r] split = s: is no split"),
+    ],
+)
+def test_a_split_names_known_services_with_weights(split: str, told: str) -> None:
+    route = f"\n[route r]\nservice = s\nprefix = /s/x/\nsplit = {split}\n"
+    assert any(told in line for line in faults_of(GOOD + route))
+    assert faults_of(GOOD + "\n[route r]\nservice = s\nprefix = /s/x/\nsplit = s:1\n") == []
--- /dev/null
+++ b/tests/unit/configlog/test_versions.py
@@ -0,0 +1,65 @@
+"""Who reads the store, as seen by each daemon of a data centre."""
+
+from __future__ import annotations
+
+from foldhoist.configlog.versions import READERS, SILENT_S, STEP_S, Readers
+
+NAMES = [f"d{number}" for number in range(6)]
+
+
+def all_readers() -> dict[str, Readers]:
+    found = {name: Readers(name, 6.0) for name in NAMES}
+    for readers in found.values():
+        readers.place(NAMES)
+    return found
+
+
+def reading(found: dict[str, Readers], now: float, told_by: list[str]) -> list[str]:
+    """Return who reads, when `told_by` have just said that the store answers them."""
+    for name in told_by:
+        for other, readers in found.items():
+            if other != name:
+                readers.told(now, name, 0.0)
+    return [name for name, readers in found.items() if readers.reads(now)]
+
+
+def test_everybody_finds_the_same_few_readers() -> None:
+    found = all_readers()
+    first = reading(found, 0.0, NAMES)
+    assert len(first) == READERS
+    assert reading(found, 0.1, first) == first
+
+
+def test_when_no_reader_is_heard_the_others_step_in_one_after_the_other() -> None:
+    found = all_readers()
+    first = reading(found, 0.0, NAMES)
+    silent = SILENT_S + 0.1
+    assert set(reading(found, silent, [])) >= set(first)
+    counts = [len(reading(found, silent + step * STEP_S, [])) for step in range(1, 6)]
+    assert counts == sorted(counts)
+    assert counts[-1] == len(NAMES)
+
+
+def test_one_that_the_store_answers_is_enough() -> None:
+    found = all_readers()
+    first = reading(found, 0.0, NAMES)
+    others = [name for name in NAMES if name not in first]
+    for number in range(50):
+        now = number * 0.5
+        assert set(reading(found, now, first[:1])) <= set(first)
+    assert others
+
+
+def test_a_reader_that_the_store_does_not_answer_does_not_count() -> None:
+    readers = Readers("d0", 6.0)
+    readers.place(NAMES)
+    order = [name for name in NAMES if name != "d0"]
+    for number in range(20):
+        for name in order:
+            readers.told(number * 0.5, name, 1000.0)
+        last = readers.reads(number * 0.5)
+    assert last
+
+
+def test_a_daemon_that_knows_nobody_reads() -> None:
+    assert Readers("d0", 6.0).reads(0.0)
--- /dev/null
+++ b/tests/unit/membership/test_registry.py
@@ -0,0 +1,110 @@
+"""What a daemon knows of its peers, from the store and from their own word."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from foldhoist.membership.registry import (
+    SILENT_S,
+    TRACKED,
+    Changed,
+    Connect,
+    Disconnect,
+    Registration,
+    Registry,
+)
+
+if TYPE_CHECKING:
+    from foldhoist.schema.messages import Announced, Member
+
+
+def announced(instance: str = "i-1", service: str = "shop", state: str = "ready") -> Announced:
+    found: Any = {
+        "instance": instance,
+        "service": service,
+        "slots": 4,
+        "state": state,
+        "sequence": 1,
+        "cold_ms": 0,
+    }
+    return found
+
+
+def member(name: str, frames: str, upstream: Announced | None = None, life: str = "l1") -> Member:
+    return {
+        "name": name,
+        "incarnation": life,
+        "frames": frames,
+        "data_centre": "one",
+        "version": 1,
+        "upstream": upstream or announced(),
+        "ended": [],
+    }
+
+
+def test_a_record_of_the_store_opens_a_connection_once() -> None:
+    registry = Registry("me", "one")
+    record = Registration("b", "l1", "b:1", "two")
+    assert registry.stored(0.0, [record]) == [Connect("b", "b:1")]
+    assert registry.stored(1.0, [record]) == []
+    assert registry.stored(1.0, [Registration("me", "l", "me:1", "one")]) == []
+
+
+def test_a_peers_own_word_goes_before_an_older_record() -> None:
+    registry = Registry("me", "one")
+    registry.told(0.0, member("b", "b:2"))
+    assert registry.stored(1.0, [Registration("b", "l0", "b:1", "one")]) == []
+    assert registry.peers["b"].frames == "b:2"
+
+
+def test_an_upstream_that_is_another_one_is_told() -> None:
+    registry = Registry("me", "one")
+    assert Changed("b") in registry.told(0.0, member("b", "b:1"))
+    assert registry.told(0.1, member("b", "b:1")) == []
+    changed = registry.told(0.2, member("b", "b:1", announced("i-2", "pay")))
+    assert changed == [Changed("b")]
+
+
+def test_an_address_that_another_daemon_has_now_ends_the_former_peer() -> None:
+    registry = Registry("me", "one")
+    registry.told(0.0, member("b", "b:1"))
+    actions = registry.told(1.0, member("c", "b:1"))
+    assert Disconnect("b") in actions
+    assert Connect("c", "b:1") in actions
+    assert set(registry.peers) == {"c"}
+
+
+def test_a_peer_that_cannot_be_reached_is_forgotten_only_after_long() -> None:
+    registry = Registry("me", "one")
+    registry.told(0.0, member("b", "b:1"))
+    assert registry.expire(SILENT_S - 1, set()) == []
+    assert registry.expire(SILENT_S + 1, {"b"}) == []
+    assert Disconnect("b") in registry.expire(2 * SILENT_S + 2, set())
+
+
+def test_ended_lives_are_remembered_for_the_next_life_of_a_peer() -> None:
+    registry = Registry("me", "one")
+    registry.told(0.0, {**member("b", "b:1"), "ended": ["i-1"]})
+    registry.told(1.0, member("b", "b:1", life="l2"))
+    assert registry.remembered("b") == ["i-1"]
+    assert registry.remembered("nobody") == []
+
+
+def test_only_upstreams_that_stand_are_tracked_the_own_one_too() -> None:
+    registry = Registry("me", "one")
+    registry.told(0.0, member("b", "b:1"))
+    registry.told(0.0, member("c", "c:1", announced("i-2", "shop", "gone")))
+    registry.stored(0.0, [Registration("d", "l", "d:1", "two")])
+    names = [each.name for each in registry.tracked(announced("i-me"))["shop"]]
+    assert sorted(names) == ["b", "me"]
+
+
+def test_what_is_tracked_is_bounded_and_keeps_some_of_other_data_centres() -> None:
+    registry = Registry("me", "one")
+    for number in range(100):
+        told = member(f"p{number}", f"p{number}:1")
+        told["data_centre"] = "one" if number % 2 else "two"
+        registry.told(0.0, told)
+    tracked = registry.tracked(None)["shop"]
+    assert len(tracked) == TRACKED
+    assert 0 < sum(each.data_centre == "two" for each in tracked) < TRACKED / 2
--- /dev/null
+++ b/tests/unit/routing/test_routes.py
@@ -0,0 +1,74 @@
+"""Routes by host and prefix, and split routes."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from foldhoist.routing.routes import Part, RouteTable, parse_split
+from foldhoist.routing.split import Split
+
+
+def table(*routes: tuple[str, str, str]) -> RouteTable:
+    plain: dict[str, Any] = {
+        "methods": "",
+        "repeatable": True,
+        "urgent": False,
+        "split": "",
+        "timeout_ms": 500,
+        "attempts": 2,
+        "rank": 1,
+        "objective_ms": 100,
+    }
+    found: Any = {
+        "services": {},
+        "routes": {
+            f"{host}{prefix}": {**plain, "host": host, "prefix": prefix, "service": service}
+            for host, prefix, service in routes
+        },
+    }
+    return RouteTable(found)
+
+
+def test_the_longest_prefix_of_the_host_wins() -> None:
+    routes = table(("a.x", "/", "one"), ("a.x", "/b/", "two"), ("b.x", "/b/c/", "three"))
+    for path, service in (("/", "one"), ("/b", "one"), ("/b/", "two"), ("/b/c/d", "two")):
+        found = routes.find("GET", path, "a.x")
+        assert found is not None
+        assert found.service == service
+    assert routes.find("GET", "/", "c.x") is None
+    assert routes.find("GET", "/b/", "b.x") is None
+
+
+def test_a_route_says_how_its_calls_are_treated() -> None:
+    found = table(("a.x", "/", "one")).find("POST", "/x", "a.x")
+    assert found is not None
+    assert (found.timeout_s, found.attempts, found.rank, found.objective_s) == (0.5, 2, 1, 0.1)
+
+
+@pytest.mark.parametrize("text", ["a", "a:", "a:-1", ":3", "a:b"])
+def test_what_is_no_split_is_refused(text: str) -> None:
+    with pytest.raises(ValueError, match="no service with a weight"):
+        parse_split(text)
+
+
+@settings(max_examples=100, derandomize=True)
+@given(st.lists(st.integers(1, 99), min_size=2, max_size=4), st.integers(0, 1000))
+def test_even_a_hundred_calls_come_close_to_the_weights(weights: list[int], seed: int) -> None:
+    parts = tuple(Part(f"s{number}", weight) for number, weight in enumerate(weights))
+    split = Split(parts, random.Random(seed))
+    able = {part.service for part in parts}
+    drawn = Counter(split.draw(able) for _ in range(100))
+    for part in parts:
+        assert abs(drawn[part.service] - 100 * part.weight / sum(weights)) <= 4
+
+
+def test_a_part_that_cannot_take_calls_leaves_them_to_the_others() -> None:
+    split = Split((Part("a", 90), Part("b", 10)), random.Random(1))
+    assert {split.draw({"b"}) for _ in range(20)} == {"b"}
+    assert {split.draw(set()) for _ in range(200)} == {"a", "b"}
