--- a/foldhoist/commands/log_story.py
+++ b/foldhoist/commands/log_story.py
@@ -73,7 +73,8 @@
             )
     reason = f" ({line['reason']})" if line["reason"] else ""
     kind = "repeatable" if line["repeatable"] else "not repeatable"
-    verdict = f"{line['verdict']}{reason}, status {line['status']}"
+    late = ", late by its objective" if line.get("late") else ""
+    verdict = f"{line['verdict']}{reason}, status {line['status']}{late}"
     return (
         f"{where} final answer to {line['method']} {line['path']}, {kind}, of service "
         f"{line['service'] or '(none)'}, configuration {line['version']}: {verdict}, "
--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -101,6 +101,7 @@
     status: int
     attempts: tuple[Attempt, ...]
     name: str = ""
+    late: bool = False
 
 
 @dataclass(slots=True)
@@ -229,4 +230,5 @@
         status,
         tuple(call.attempts),
         req.name,
+        0 < call.objective_s < now - call.arrived,
     )
--- a/foldhoist/observe/events.py
+++ b/foldhoist/observe/events.py
@@ -1,8 +1,8 @@
 """Log lines of calls: one for each decision that touched a call, bounded in number.
 
-Calls that were answered at the first try are sampled; all others are told as long as the bound
-allows. Each kind of line has a bound of its own; the next line after a gap says how many were left
-out.
+Calls that were answered in time at the first try are sampled; all others are told as long as the
+bound allows. Each kind of line has a bound of its own; the next line after a gap says how many were
+left out.
 """
 
 from __future__ import annotations
@@ -89,7 +89,8 @@
 
 
 def _is_ordinary(record: Record) -> bool:
-    return record.verdict == "answered" and record.status < FAILED and len(record.attempts) == 1
+    answered = record.verdict == "answered" and record.status < FAILED
+    return answered and len(record.attempts) == 1 and not record.late
 
 
 def _call_fields(record: Record) -> dict[str, Any]:
@@ -106,6 +107,7 @@
         "status": record.status,
         "total_ms": _ms(record.ended - record.arrived),
         "attempts": len(record.attempts),
+        "late": record.late,
     }
 
 
--- a/tests/unit/observe/test_events.py
+++ b/tests/unit/observe/test_events.py
@@ -39,6 +39,7 @@
 def test_ordinary_calls_are_sampled() -> None:
     assert told(0.0, [record("answered")]) == []
     assert len(told(1.0, [record("answered")])) == 2
+    assert len(told(0.0, [record("answered")._replace(late=True)])) == 2
     assert len(told(0.0, [record("answered", attempts=2)])) == 3
 
 
