Gain the slack of the retry budget over its window

Change: 0.35 of the slack is held, 0.25 gained over a window, divided by the daemons (at least 8, since one that knows fewer may not know all).

--- a/foldhoist/admission/bucket.py
+++ b/foldhoist/admission/bucket.py
@@ -42,19 +42,28 @@
     def __init__(self, share: float) -> None:
         self.share = share
         self.cap = self.CAP
+        self.per_s = 0.0
+        self._at = 0.0
         self._tokens = self.RESERVE if share > 0 else 0.0
 
-    def bound(self, cap: float) -> None:
-        """Hold at most `cap` attempts: this daemon's part of what all together may make."""
+    def bound(self, cap: float, per_s: float) -> None:
+        """Hold at most `cap` attempts and gain `per_s` of them a second, whatever is called.
+
+        Both are this daemon's part of what all daemons together may make beside a share of calls.
+        """
         self.cap = cap
+        self.per_s = per_s
         self._tokens = min(self._tokens, cap)
 
     def call(self) -> None:
         """Count a first attempt, which earns `share` of a further one."""
         self._tokens = min(self.cap, self._tokens + self.share)
 
-    def spend(self) -> bool:
-        """Take one further attempt if the budget has it."""
+    def spend(self, now: float = 0.0) -> bool:
+        """Take one further attempt if the budget has it; `now` is in seconds, monotonic."""
+        gained = max(0.0, now - self._at) * self.per_s
+        self._at = max(self._at, now)
+        self._tokens = min(self.cap, self._tokens + gained)
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -25,6 +25,7 @@
 from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
 from foldhoist.delivery.ingress import Ingress
 from foldhoist.delivery.owner import Owner
+from foldhoist.delivery.services import RetrySlack
 from foldhoist.membership.registry import Registry
 from foldhoist.observe.counters import counters_of
 from foldhoist.observe.events import Events
@@ -174,9 +175,9 @@
             self.adapter.dialect,
             self._on_inbound,
         )
-        ingress = Ingress(
-            self.data_centre, cfg["limits"]["calls"], self.rng, cfg["platform"]["retry_slack"]
-        )
+        platform = cfg["platform"]
+        slack = RetrySlack(platform["retry_slack"], platform["retry_window_s"])
+        ingress = Ingress(self.data_centre, cfg["limits"]["calls"], self.rng, slack)
         ring = Ring(cfg["observe"]["records"])
         self.ingress_task = IngressTask(ingress, ring, self.latencies, self._spans())
         events = LinkEvents(
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -24,7 +24,7 @@
 )
 from foldhoist.delivery.outgoing import dispatch_of
 from foldhoist.delivery.rules import LEAST_BUDGET_S, may_retry, refusal_of, remote_cost_s
-from foldhoist.delivery.services import Services
+from foldhoist.delivery.services import RetrySlack, Services
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response, Verdict
 from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice, Picker
 from foldhoist.routing.rendezvous import home
@@ -52,7 +52,7 @@
     """Every call that entered at this daemon and has no final answer yet."""
 
     def __init__(
-        self, data_centre: str, most_calls: int, rng: Random, retry_slack: float = 0.0
+        self, data_centre: str, most_calls: int, rng: Random, slack: RetrySlack | None = None
     ) -> None:
         self.most_calls = most_calls
         self.generation = 0
@@ -61,7 +61,7 @@
         self.count = Counters()
         self._hops = 32
         self._routes: RouteTable | None = None
-        self._services = Services(data_centre, rng, retry_slack)
+        self._services = Services(data_centre, rng, slack)
         self._book = CallBook()
         self._linked: dict[str, str] = {}
         self._up: set[str] = set()
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -51,7 +51,7 @@
         return False
     if isinstance(state.picker.pick(now, call.excluded, explain=False), NoChoice):
         return False
-    return call.arrivals == 0 or state.budget.spend()
+    return call.arrivals == 0 or state.budget.spend(now)
 
 
 def remote_cost_s(call: Call, state: ServiceState) -> float:
--- a/foldhoist/delivery/services.py
+++ b/foldhoist/delivery/services.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from foldhoist.admission.bucket import RetryBudget
 from foldhoist.routing.picker import Picker
@@ -17,8 +17,19 @@
     from foldhoist.routing.routes import Routed
     from foldhoist.schema.fleet import Fleet, Service
 
-SLACK_SHARE = 0.5
+HELD_SHARE = 0.35
 """Share of the retries allowed beside a share of calls that all daemons together may hold."""
+GAINED_SHARE = 0.25
+"""Share of these that all daemons together gain in a window."""
+FEWEST_DAEMONS = 8
+"""A daemon that knows fewer others may not know all of them, and takes no larger part."""
+
+
+class RetrySlack(NamedTuple):
+    """Further attempts that all daemons together may make in a window beside a share of calls."""
+
+    attempts: float
+    window_s: float
 
 
 class ServiceState:
@@ -36,10 +47,10 @@
 class Services:
     """All services by name; what is known of those that stay is kept."""
 
-    def __init__(self, data_centre: str, rng: Random, retry_slack: float) -> None:
+    def __init__(self, data_centre: str, rng: Random, slack: RetrySlack | None) -> None:
         self._data_centre = data_centre
         self._rng = rng
-        self._retry_slack = retry_slack
+        self._slack = slack
         self._by_name: dict[str, ServiceState] = {}
         self._splits: dict[str, Split] = {}
 
@@ -61,8 +72,10 @@
             state.picker.members(tracked.get(name, []), now)
             for target in state.picker.tracks:
                 state.picker.linked(target, now, target in up, fresh=False)
-            if self._retry_slack:
-                state.budget.bound(max(1.0, self._retry_slack * SLACK_SHARE / daemons))
+            if self._slack is not None:
+                part = self._slack.attempts / max(FEWEST_DAEMONS, daemons)
+                per_s = part * GAINED_SHARE / self._slack.window_s
+                state.budget.bound(max(1.0, part * HELD_SHARE), per_s)
 
     def draw(self, routed: Routed) -> str:
         """Return the service that takes the next call of a split route."""
--- a/foldhoist/schema/settings.py
+++ b/foldhoist/schema/settings.py
@@ -111,6 +111,10 @@
     """
     Further attempts that all daemons together may make in a window beside their share of calls, with an adapter.
     """
+    retry_window_s: float
+    """
+    Length of that window, seconds.
+    """
 
 
 class Peers(TypedDict):
