--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -98,6 +98,10 @@
             del self._waiting[ticket]
         return [Refuse(ticket, "no-slot-in-time", self.service_s) for ticket in late]
 
+    def next_at(self) -> float | None:
+        """Return when the first waiting call may not start any more, None if none waits."""
+        return min((wish.start_by for wish in self._waiting.values()), default=None)
+
     def _next(self, now: float) -> int | None:
         while self._timely:
             _, ticket = heappop(self._timely)
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -47,6 +47,7 @@
         self.owner = owner
         self._on_peer = on_peer
         self.on_refused: Callable[[Refused], None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
         self._reaching: asyncio.Task[None] | None = None
         self._hello = hello
         self._on_local = on_local
@@ -75,6 +76,8 @@
         """Close every connection."""
         if self._task is not None:
             self._task.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         for conn in list(self._conns.values()):
             conn.close()
         self.pool.close()
@@ -188,6 +191,7 @@
 
     def _carry_out(self, actions: list[Action]) -> None:
         self._tell_refusals()
+        self._set_timer()
         for action in actions:
             match action:
                 case SendTo(link, frame):
@@ -223,6 +227,19 @@
         self._reaching = None
         self.set_state("warm")
 
+    def _set_timer(self) -> None:
+        """Refuse a waiting call on time: its ingress can still try another owner."""
+        at = self.owner.next_at()
+        if at is None or (self._timer is not None and self._timer.when() <= at):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_at(at, self._expire)
+
+    def _expire(self) -> None:
+        self._timer = None
+        self._carry_out(self.owner.tick(self._loop.time()))
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -248,6 +248,13 @@
         """Return the calls that wait or run here."""
         return len(self._tickets)
 
+    def next_at(self) -> float | None:
+        """Return when `tick` has a waiting call to refuse, monotonic seconds; None for never."""
+        match self.queue:
+            case DueQueue() as queue:
+                return queue.next_at()
+        return None
+
     def peer_name(self, link: int) -> str:
         """Return the name of the daemon at the other end of a connection, empty if unknown."""
         peer = self._peers.at(link)
--- a/foldhoist/routing/picker.py
+++ b/foldhoist/routing/picker.py
@@ -46,7 +46,7 @@
 """A new upstream is given its full share after this long, seconds."""
 REFUSED_S = 0.02
 """An upstream that refused is left out at least this long, seconds."""
-REFUSED_LONGEST_S = 1.0
+REFUSED_LONGEST_S = 0.05
 """An upstream that refused is left out at most this long, seconds."""
 
 
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -310,3 +310,24 @@
     await cluster.settle(9)
     after = cluster.daemons["a"].ingress_task.ingress.pickers()["shop"].tracks
     assert after == before
+
+
+@played
+async def test_what_waits_too_long_is_refused_truly_before_its_deadline(cluster: Cluster) -> None:
+    await cluster.add("a")
+    await cluster.configure(1, [route(route_type="unsafe", slo_latency_s=2)])
+    await cluster.settle(1)
+    target = cluster.targets["a"]
+    target.gate = asyncio.Event()
+    long = {"X-Deadline-Ms": "9000"}
+    running = [asyncio.ensure_future(cluster.ask("a", method="POST", headers=long))]
+    slots = cluster.daemons["a"].owner.queue.shape.slots
+    for number in range(1, slots):
+        asked = cluster.ask("a", method="POST", headers=long, attempt=f"{number:x}")
+        running.append(asyncio.ensure_future(asked))
+    await until(lambda: len(target.ran) == slots)
+    late = await cluster.ask("a", method="POST", attempt="ff", headers={"X-Deadline-Ms": "60"})
+    assert late.status == 503
+    target.gate.set()
+    assert [answer.status for answer in await asyncio.gather(*running)] == [200] * slots
+    assert len(target.ran) == slots
