Read the settings again on SIGHUP

Change: limits and the service are taken over, other sections are named in a warning, a file with faults changes nothing and each fault is logged. The test with a process failed before (ended) and passes.

--- a/foldhoist/commands/daemon.py
+++ b/foldhoist/commands/daemon.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from foldhoist.commands.output import EXIT_FAULTS, EXIT_OK, EXIT_UNREACHABLE, print_faults
+from foldhoist.config.faults import show
 from foldhoist.config.settings import load_settings
 from foldhoist.observe.logs import set_up_logs
 
@@ -33,10 +34,10 @@
         return EXIT_FAULTS
     cfg = loaded.ok
     set_up_logs(cfg["observe"], cfg["daemon"]["name"])
-    return asyncio.run(_run(cfg))
+    return asyncio.run(_run(cfg, settings))
 
 
-async def _run(cfg: Settings) -> int:
+async def _run(cfg: Settings, path: str) -> int:
     running = _make(cfg)
     try:
         await running.start()
@@ -47,6 +48,7 @@
     stops: set[asyncio.Task[None]] = set()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, lambda: stops.add(loop.create_task(running.drain())))
+    loop.add_signal_handler(signal.SIGHUP, _reload, running, path)
     ready = {"ready": running.name, "addresses": running.addresses}
     sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
     sys.stdout.flush()
@@ -54,6 +56,16 @@
     return EXIT_OK
 
 
+def _reload(running: Daemon | MeshDaemon, path: str) -> None:
+    """Read the settings again; a file with faults changes nothing."""
+    loaded = load_settings(path)
+    if loaded.is_error():
+        for fault in loaded.error:
+            logger.error("settings are kept as they were: {}", show(fault))
+        return
+    running.reload(loaded.ok)
+
+
 def _make(cfg: Settings) -> Daemon | MeshDaemon:
     """Return the kind of daemon that the settings ask for; only its libraries are loaded."""
     if cfg["platform"]["adapter"]:
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -135,6 +135,13 @@
         await asyncio.sleep(REPLY_GRACE_S)
         await self.stop()
 
+    def reload(self, cfg: Settings) -> None:
+        """Take over the limits of settings that have changed; others need a restart."""
+        changed = sorted(name for name in cfg if cfg[name] != self.cfg[name])  # type: ignore[literal-required]
+        logger.info("settings read again, changed: {}", ", ".join(changed) or "nothing")
+        self.cfg = {**self.cfg, "limits": cfg["limits"]}
+        self.shared.limits = cfg["limits"]
+
     async def stop(self) -> None:
         """Close every socket and end every task."""
         self._counters_task.cancel()
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -46,6 +46,8 @@
 """Calls that may wait at an owner for each slot of its upstream."""
 SHAPE_UNKNOWN = Shape(slots=1, queue=0, urgent_slots=0, urgent_run=8)
 """Shape of the owner before its upstream has announced itself."""
+RELOADED = ("limits", "upstream")
+"""Sections of the settings that a daemon takes over while it runs."""
 KEY_WINDOW_S = 600.0
 """How long an idempotency key is remembered, seconds."""
 
@@ -115,6 +117,18 @@
         """Stop as planned."""
         await self.stopping.run()
 
+    def reload(self, cfg: Settings) -> None:
+        """Take over settings that have changed: limits and the service; others need a restart."""
+        changed = sorted(name for name in cfg if cfg[name] != self.cfg[name])  # type: ignore[literal-required]
+        logger.info("settings read again, changed: {}", ", ".join(changed) or "nothing")
+        for name in changed:
+            if name not in RELOADED:
+                logger.warning("[{}] has changed: restart the daemon for it", name)
+        self.cfg = {**self.cfg, "limits": cfg["limits"], "upstream": cfg["upstream"]}
+        self.adapter.reload(self.cfg)
+        if self.versions.fleet is not None:
+            self.shared.limits = _limits(cfg["limits"], self.versions.fleet)
+
     async def stop(self) -> None:
         """Close every socket and end every task."""
         self._late_task.cancel()
--- a/foldhoist/daemon/peers_task.py
+++ b/foldhoist/daemon/peers_task.py
@@ -112,10 +112,6 @@
             answer = await self._store.register(self._registration())
         return bool(answer.is_ok())
 
-    async def withdraw(self) -> None:
-        """Take this daemon's record away: it stops for good or for now."""
-        await self._store.withdraw(self.registry.name)
-
     # Steps
 
     async def _join(self, first: bool) -> None:
--- a/foldhoist/daemon/ports.py
+++ b/foldhoist/daemon/ports.py
@@ -44,9 +44,6 @@
     async def registrations(self) -> Result[list[Registration], StoreFault]:
         """Return where all daemons listen."""
 
-    async def withdraw(self, name: str) -> Result[None, StoreFault]:
-        """Take a daemon's record away."""
-
     def close(self) -> None:
         """Close every connection."""
 
@@ -75,6 +72,9 @@
 
     dialect: Dialect
 
+    def reload(self, cfg: Settings) -> None:
+        """Take over settings that have changed."""
+
     def store(self) -> Store:
         """Return the client of the platform's store."""
 
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -44,10 +44,6 @@
     """
     How long work takes there at this moment, in percent of the usual; absent if the upstream does not say.
     """
-    cold_ms: NotRequired[int]
-    """
-    How much longer the upstream is slow from its start, milliseconds; absent if it is not.
-    """
 
 
 class Hello(TypedDict):
