--- a/tools/kinds.py
+++ b/tools/kinds.py
@@ -63,7 +63,7 @@
     Path(file.name).unlink()
     rows = [line for line in text.splitlines() if line.startswith(f"{name} ")]
     row = rows[0].split() if rows else []
-    broken = re.findall(r"(?m)^.*\b[A-Z]{4,} (?:broken|breaks)\b.*$|^.*\bbroke rule.*$", text)
+    broken = re.findall(r"(?m)rules broken: .*$|^.*\bfault: .*$", text)
     return Outcome(
         name,
         site_path.stem,
