--- /dev/null
+++ b/tests/adapter/test_headers.py
@@ -0,0 +1,110 @@
+"""What the platform's headers mean."""
+
+from __future__ import annotations
+
+import pytest
+
+from foldhoist.daemon.http import HeadReader
+from foldhoist.daemon.request import BadRequest
+from foldhoist.delivery.call import CallerRequest
+from foldhoist.delivery.dispatch import Broken, Shed, StartCall, Whole
+from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response
+from foldhoist_adapter.headers import PlatformDialect
+from tests.unit.daemon.calls import dispatch_of
+
+DIALECT = PlatformDialect("web")
+CALL = StartCall(1, dispatch_of("GET", [[b"X-Attempt-Id", b"a1"]]), 0.5, "i-1")
+SIGNED = {b"X-Attempt-Id": b"a1", b"X-Response-Signature": b"s"}
+
+
+def head(fields: dict[bytes, bytes], of_caller: bool = False) -> HeadReader:
+    reader = HeadReader(DIALECT.caller_rules if of_caller else DIALECT.upstream_rules)
+    for name, value in fields.items():
+        reader.add(name, value)
+    return reader
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "kind"),
+    [
+        (200, SIGNED, Whole),
+        (500, SIGNED, Whole),
+        (200, {b"X-Attempt-Id": b"a1"}, Broken),
+        (200, {b"X-Response-Signature": b"s"}, Broken),
+        (200, {**SIGNED, b"Content-Encoding": b"gzip"}, Broken),
+        (503, {b"X-Attempt-Id": b"a1", b"X-Not-Executed": b"1"}, Shed),
+        (429, {b"X-Not-Executed": b"1"}, Shed),
+        (400, {b"X-Not-Executed": b"1"}, Shed),
+        (421, {b"X-Instance-Id": b"i-2"}, Shed),
+        (503, {b"X-Attempt-Id": b"a1"}, Broken),
+        (200, {**SIGNED, b"X-Attempt-Id": b"of-another"}, type(None)),
+        (503, {b"X-Attempt-Id": b"of-another", b"X-Not-Executed": b"1"}, type(None)),
+    ],
+)
+def test_what_an_answer_of_a_target_means(
+    status: int, fields: dict[bytes, bytes], kind: type
+) -> None:
+    assert type(DIALECT.result(status, head(fields), b"", CALL)) is kind
+
+
+@pytest.mark.parametrize(
+    ("load", "pace"),
+    [(b"1,0,12,400", 400), (b"1,0,12", 0), (b"", 0), (b"1,0,12,soon", 0), (b"1,0,12,", 0)],
+)
+def test_the_fourth_figure_of_the_load_is_the_pace(load: bytes, pace: int) -> None:
+    result = DIALECT.result(200, head({**SIGNED, b"X-Server-Load": load}), b"", CALL)
+    assert isinstance(result, Whole)
+    assert result.pace == pace
+
+
+def test_a_request_is_handed_to_the_target_with_what_the_system_sets() -> None:
+    req = dispatch_of("GET", [[b"Host", b"x"], [b"X-Attempt-Id", b"a1"]])
+    sent = dict(DIALECT.request_headers(StartCall(1, {**req, "caller": "web"}, 0.25, "i-1"), b""))
+    assert sent[b"X-Deadline-Ms"] == b"250"
+    assert sent[b"X-Caller-Service"] == b"web"
+    assert sent[b"X-Expect-Instance"] == b"i-1"
+    assert sent[b"Host"] == b"x"
+
+
+@pytest.mark.parametrize(
+    ("url", "fields", "reason"),
+    [
+        (b"http://x/", {}, "target-is-no-path"),
+        (b"/", {b"X-Deadline-Ms": b"soon"}, "bad-deadline"),
+        (b"/", {b"X-Deadline-Ms": b"9" * 20}, "bad-deadline"),
+    ],
+)
+def test_a_request_that_cannot_be_read_is_refused(
+    url: bytes, fields: dict[bytes, bytes], reason: str
+) -> None:
+    found = DIALECT.read_request("GET", url, head(fields, of_caller=True), b"")
+    assert found == BadRequest(400, reason)
+
+
+def test_a_request_says_its_host_deadline_and_id_and_not_who_calls() -> None:
+    fields = {
+        b"Host": b"Shop.Example:80",
+        b"X-Deadline-Ms": b"800",
+        b"X-Attempt-Id": b"0a1b",
+        b"X-Caller-Service": b"forged",
+        b"X-Expect-Instance": b"forged",
+    }
+    found = DIALECT.read_request("GET", b"/a", head(fields, of_caller=True), b"")
+    assert isinstance(found, CallerRequest)
+    assert (found.host, found.budget_s, found.name) == ("shop.example", 0.8, "0a1b")
+    assert found.caller == "web"
+    assert [name for name, _ in found.headers] == [b"Host", b"X-Attempt-Id"]
+    assert found.trace[3:35] == "0a1b".rjust(32, "0")
+
+
+def test_final_answers_promise_only_what_is_true() -> None:
+    status, headers, _ = DIALECT.answer(NotRun("full", 0.25), "")
+    assert (status, dict(headers)) == (503, {b"Retry-After": b"0.250"})
+    assert DIALECT.answer(NotRun("deadline-passed", 0.0, status=504), "")[0] == 503
+    assert DIALECT.answer(NotRun("no-such-service", 0.0, status=404), "")[0] == 404
+    for verdict in (MayHaveRun("lost"), MayHaveRun("deadline-passed", status=504)):
+        status, headers, _ = DIALECT.answer(verdict, "")
+        assert status in (502, 504)
+        assert headers == []
+    answered = Answered(Response(200, [[b"X-Response-Signature", b"s"]], b"body"))
+    assert DIALECT.answer(answered, "") == (200, [[b"X-Response-Signature", b"s"]], b"body")
--- /dev/null
+++ b/tests/adapter/test_store.py
@@ -0,0 +1,126 @@
+"""The client of the store: versions, registrations, and a store that fails."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+from foldhoist.configlog.versions import Version
+from foldhoist.membership.registry import Registration
+from foldhoist_adapter.configuration import translate
+from foldhoist_adapter.store import LogStore
+from tests.adapter.cluster import route
+from tests.adapter.keyed_log import KeyedLog
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+BODY = {"services": [{"name": "shop"}], "virtual_hosts": []}
+
+
+def content(version: int) -> bytes:
+    return json.dumps({**BODY, "version": f"{version:08x}"}).encode()
+
+
+def stored(test: Callable[[KeyedLog, LogStore], Awaitable[None]]) -> Callable[[], None]:
+    """Run a test with a store of its own and a client."""
+
+    async def run() -> None:
+        log = KeyedLog()
+        client = LogStore(log.address, "daemons")
+        try:
+            await test(log, client)
+        finally:
+            client.close()
+            log.close()
+
+    def wrapped() -> None:
+        asyncio.run(run())
+
+    wrapped.__name__ = test.__name__
+    return wrapped
+
+
+@stored
+async def test_the_newest_version_is_read_then_only_news(log: KeyedLog, client: LogStore) -> None:
+    assert (await client.newest()).ok is None
+    await log.put("keyed.op", "config", content(0x1F))
+    assert (await client.news(2000)).ok == Version(0x1F, content(0x1F))
+    assert (await client.news(10)).ok is None
+    await log.put("keyed.op", "config", content(0x20))
+    await log.put("keyed.op", "other", b"x")
+    await log.put("keyed.op", "config", content(0x30))
+    assert (await client.news(2000)).ok == Version(0x30, content(0x30))
+
+
+@stored
+async def test_a_record_without_a_number_is_passed_over(log: KeyedLog, client: LogStore) -> None:
+    await client.newest()
+    await log.put("keyed.op", "config", content(5))
+    await log.put("keyed.op", "config", b"{}")
+    await log.put("keyed.op", "config", b"\xff")
+    assert (await client.news(2000)).ok == Version(5, content(5))
+
+
+@stored
+async def test_when_history_is_gone_the_newest_is_read(log: KeyedLog, client: LogStore) -> None:
+    await client.newest()
+    await log.put("keyed.op", "config", content(7))
+    log.forget("keyed.op")
+    assert (await client.news(2000)).ok == Version(7, content(7))
+    await log.put("keyed.op", "config", content(8))
+    assert (await client.news(2000)).ok == Version(8, content(8))
+
+
+@stored
+async def test_a_store_that_refuses_was_not_changed_one_that_is_silent_may_be(
+    log: KeyedLog, client: LogStore
+) -> None:
+    mine = Registration("a", "life", "a:1", "one", ("i-1",))
+    log.down = True
+    refused = await client.register(mine)
+    assert refused.is_error()
+    assert not refused.error.sent
+    log.down = False
+    log.lose_answers = 1
+    lost = await client.register(mine)
+    assert lost.is_error()
+    assert lost.error.sent
+    assert (await client.registrations()).ok == [mine]
+
+
+@stored
+async def test_records_that_are_none_of_ours_are_passed_over(
+    log: KeyedLog, client: LogStore
+) -> None:
+    await log.put("keyed.daemons", "old", b'{"name":"old"}')
+    await log.put("keyed.daemons", "junk", b"\x00")
+    mine = Registration("a", "life", "a:1", "one")
+    await client.register(mine)
+    await client.register(mine._replace(frames="a:2"))
+    assert (await client.registrations()).ok == [mine._replace(frames="a:2")]
+
+
+def translated(**more: object) -> str:
+    body = {**BODY, "version": "1", **more}
+    found = translate(Version(1, json.dumps(body).encode()))
+    return found.error if found.is_error() else ""
+
+
+def test_a_configuration_is_taken_whole_or_not_at_all() -> None:
+    good = {"host": "x", "route_paths": [route()]}
+    assert translated(virtual_hosts=[good]) == ""
+    for bad in (
+        {"host": "x"},
+        {"host": "x", "route_paths": [{"path_prefix": "/a/"}]},
+        {"host": "x", "route_paths": [route(service="")]},
+        {"host": "x", "route_paths": [route(timeout_s="soon")]},
+    ):
+        assert "is no configuration" in translated(virtual_hosts=[good, bad])
+
+
+def test_fields_that_are_not_known_are_ignored() -> None:
+    found = translate(Version(1, content(1)[:-1] + b', "new": {"x": 1}}'))
+    assert found.is_ok()
+    assert list(found.ok["services"]) == ["shop"]
--- a/tests/unit/admission/test_bucket.py
+++ b/tests/unit/admission/test_bucket.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import random
+
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bench.stages import fleet_text
 from foldhoist.admission.bucket import RetryBudget, TokenBucket
+from foldhoist.config.fleet import parse_fleet
+from foldhoist.delivery.services import RetrySlack, Services
 
 
 @given(
@@ -43,3 +48,31 @@
     budget = RetryBudget(0.0)
     budget.call()
     assert not budget.spend()
+
+
+def test_all_daemons_together_stay_within_the_allowance_in_any_window() -> None:
+    """Every daemon spends whenever it can; nobody knows of the others."""
+    rng = random.Random(5)
+    daemons, slack, ratio, window = 13, 58.0, 0.2, 10.0
+    fleet, _ = parse_fleet(fleet_text(3), "x")
+    budgets: list[RetryBudget] = []
+    for _ in range(daemons):
+        services = Services("a", rng, RetrySlack(slack, window))
+        services.adopt(fleet, {})
+        services.track(0.0, {}, (), daemons)
+        state = services.get("depo")
+        assert state is not None
+        budgets.append(state.budget)
+    calls: list[float] = []
+    spent: list[float] = []
+    for step in range(6000):
+        now = step * 0.01
+        busy = 4 if 20 < now < 25 else 1
+        for _ in range(busy):
+            calls.append(now)
+            budgets[rng.randrange(daemons)].call()
+        spent += [now for budget in budgets if budget.spend(now)]
+    for start in range(0, 50):
+        inside = sum(start <= at < start + window for at in spent)
+        asked = sum(start <= at < start + window for at in calls)
+        assert inside <= ratio * asked + slack
