Tell a restarted daemon what its earlier lives acknowledged, whichever side connects first

Cause: found by a test that failed once under load (with the store down a peer remembers the leaving); the test was vacuous: its requests went to the upstream near by, and the daemon under test served again after 1 s without having been told. A peer that had learned the new life by its own connection took it for known when the restarted daemon connected, and said nothing of the earlier one. Change: a peer remembers that it knew an earlier life and says so in both directions; a restarted daemon waits 2 s instead of 1; links try again every 0.5 s instead of up to 2. The test now asks at the daemon under test and waits until it serves: failed before, passes (three runs of the adapter's tests).

--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -14,6 +14,10 @@
 
 if TYPE_CHECKING:
     from foldhoist.admission.slots import Decision, Shape
+    from foldhoist.schema.messages import Dispatch
+
+RANK_S = 0.02
+"""Each rank counts as if its calls were due this much later, seconds."""
 
 
 class Wish(NamedTuple):
@@ -116,3 +120,10 @@
             if ticket in self._waiting:
                 return ticket
         return None
+
+
+def wish_of(now: float, req: Dispatch, start_by: float, deadline: float) -> Wish:
+    """Return what a call asks for; without an objective it is due at its deadline."""
+    due = now + req.get("due_ms", req["budget_ms"]) / 1000
+    rank_s = max(0, req.get("rank", 0)) * RANK_S
+    return Wish(due + rank_s, start_by, req.get("expect_ms", 0) / 1000, deadline)
--- a/foldhoist/daemon/links.py
+++ b/foldhoist/daemon/links.py
@@ -17,7 +17,7 @@
 
 RETRY_FIRST_S = 0.02
 """First pause before a connection is tried again, seconds; it doubles each time."""
-RETRY_LONGEST_S = 2.0
+RETRY_LONGEST_S = 0.5
 """Longest pause before a connection is tried again, seconds."""
 CONNECT_S = 1.0
 """Longest wait for a connection and its first message, seconds."""
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -296,6 +296,9 @@
         match kind:
             case "Member":
                 self.peers.told(body)
+                ended = self.registry.remembered(name)
+                if ended is not None:
+                    self.links.send(name, "Remembered", {"ended": ended})
             case "Remembered":
                 self.upstream.remember(body["ended"])
             case "Noted":
@@ -310,6 +313,8 @@
         match kind:
             case "Member":
                 self._on_member(link, body)
+            case "Remembered":
+                self.upstream.remember(body["ended"])
             case "Versioned":
                 self.versions.on_versioned(body)
             case "Fresh":
@@ -320,10 +325,10 @@
     def _on_member(self, link: int, member: Member) -> None:
         known = self.registry.peers.get(member["name"])
         is_new = known is None or known.incarnation != member["incarnation"]
-        ended = self.registry.remembered(member["name"])
         self.peers.told(member)
         reply = self.owner_task.reply
-        if is_new and known is not None:
+        ended = self.registry.remembered(member["name"])
+        if ended is not None:
             reply(link, "Remembered", {"ended": ended})
         if is_new:
             reply(link, "Member", self._describe())
--- a/foldhoist/daemon/operators.py
+++ b/foldhoist/daemon/operators.py
@@ -116,7 +116,7 @@
         "reader": daemon.configuration.peers.place.reader,
         "log_reachable": daemon.configuration.log_ok,
         "load": daemon.owner.load(),
-        "leaving_why": sorted(daemon.owner.leaving_why),
+        "leaving_why": sorted(daemon.owner.standing.leaving_why),
         "keys_pending": sorted(daemon.owner.keys.pending),
         "keys_since_ms": daemon.owner.keys.since_ms,
         "gauges": daemon.gauges(),
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -103,7 +103,7 @@
 
     def announce(self, upstream: Announced) -> None:
         """Take in what the upstream says of itself."""
-        before = self.owner.upstream
+        before = self.owner.standing.upstream
         if before is not None and before["instance"] != upstream["instance"]:
             self.pool.forget()
         self._carry_out(self.owner.announce(self._loop.time(), upstream))
@@ -133,7 +133,7 @@
     def _log_change(self, before: str) -> None:
         after = self.owner.load()["state"]
         if after != before:
-            why = ", ".join(self.owner.leaving_why) or "upstream"
+            why = ", ".join(self.owner.standing.leaving_why) or "upstream"
             logger.info("upstream {} (by {}), was {}", after, why, before)
 
     def _message(self, conn: FrameConnection, kind: str, body: Any) -> None:
@@ -174,7 +174,7 @@
     def _result(self, ticket: int, result: Result) -> None:
         now = self._loop.time()
         hop = self.owner.ended(now, ticket, result)
-        if self.owner.upstream is not None and _is_away(result):
+        if self.owner.standing.upstream is not None and _is_away(result):
             self._look_for_upstream()
         self._carry_out(self.owner.finished(now, ticket, result))
         if hop is not None:
@@ -220,7 +220,7 @@
             self._reaching = self._loop.create_task(self._reach())
 
     async def _reach(self) -> None:
-        while self.owner.upstream is not None:
+        while self.owner.standing.upstream is not None:
             await asyncio.sleep(REACH_S)
             if await self.pool.reach():
                 break
--- a/foldhoist/daemon/upstream_task.py
+++ b/foldhoist/daemon/upstream_task.py
@@ -16,7 +16,7 @@
     from foldhoist.daemon.peers_task import PeersTask
     from foldhoist.schema.messages import Announced
 
-SETTLE_S = 1.0
+SETTLE_S = 2.0
 """Longest wait of a restarted daemon for what earlier lives have acknowledged, seconds."""
 BIND_S = 0.6
 """Longest wait for a peer or the store to note that the upstream leaves, seconds."""
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -23,7 +23,13 @@
     record_of,
 )
 from foldhoist.delivery.outgoing import dispatch_of
-from foldhoist.delivery.rules import LEAST_BUDGET_S, may_retry, refusal_of, remote_cost_s
+from foldhoist.delivery.rules import (
+    LEAST_BUDGET_S,
+    home_of_key,
+    may_retry,
+    refusal_of,
+    remote_cost_s,
+)
 from foldhoist.delivery.services import RetrySlack, Services
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response, Verdict
 from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice, Picker
@@ -93,8 +99,7 @@
 
     def replaced(self, now: float, target: str) -> None:
         """Take in that another upstream stands where this one stood."""
-        for state in self._services.all():
-            state.picker.linked(target, now, target in self._up, fresh=True)
+        self._services.linked(now, target, target in self._up, fresh=True)
 
     def arrive(self, now: float, call_id: int, req: CallerRequest) -> list[Action]:
         """Take in a request of a caller."""
@@ -168,15 +173,13 @@
         fresh = self._linked.get(target) != incarnation
         self._linked[target] = incarnation
         self._up.add(target)
-        for state in self._services.all():
-            state.picker.linked(target, now, True, fresh)
+        self._services.linked(now, target, True, fresh)
         return [*self._ask_fate(now, target, fresh), *self._unpark(now)]
 
     def link_lost(self, now: float, target: str) -> list[Action]:
         """Take in that a connection to an owner fell."""
         self._up.discard(target)
-        for state in self._services.all():
-            state.picker.linked(target, now, False, fresh=False)
+        self._services.linked(now, target, False, fresh=False)
         actions: list[Action] = []
         for call, live in self._book.at(target):
             if live.asking:
@@ -307,26 +310,18 @@
         if state is not None:
             state.picker.sent(pick.name, seq, now)
         acked = self._book.oldest_seq(seq)
-        message = dispatch_of(now, call, seq, acked, self.generation, self._expected_s(call))
+        expected_s = state.picker.times.mean(call.route) if state is not None else 0.0
+        message = dispatch_of(now, call, seq, acked, self.generation, expected_s)
         return [SendTo(pick.name, Outgoing("Dispatch", message))]
 
     def _pick(self, now: float, call: Call) -> Choice | NoChoice:
         state = self._services.get(call.service)
         if state is None:
             return NoChoice("service-removed", 0.0)
-        if not call.req.key:
-            remote_s = remote_cost_s(call, state)
-            return state.picker.pick(now, call.excluded, self.explain, call.route, remote_s)
-        name = home(state.homes, call.req.key)
-        if name is None:
-            return NoChoice("key-has-no-home", 1.0)
-        if name not in self._up:
-            return NoChoice(NO_CONNECTION, 1.0)
-        return Choice(name, "home-of-the-key", ())
-
-    def _expected_s(self, call: Call) -> float:
-        state = self._services.get(call.service)
-        return state.picker.times.mean(call.route) if state is not None else 0.0
+        if call.req.key:
+            return home_of_key(call, state, self._up)
+        remote_s = remote_cost_s(call, state)
+        return state.picker.pick(now, call.excluded, self.explain, call.route, remote_s)
 
     def _go_on(self, now: float, call: Call, reason: str, retry_after_s: float) -> list[Action]:
         if call.live:
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -8,8 +8,9 @@
 
 from typing import TYPE_CHECKING
 
-from foldhoist.admission.due import DueQueue, Wish
+from foldhoist.admission.due import DueQueue, wish_of
 from foldhoist.admission.slots import Refuse, Shape, SlotQueue, Start
+from foldhoist.delivery import replies
 from foldhoist.delivery.dispatch import (
     Action,
     Broken,
@@ -28,13 +29,7 @@
     Whole,
 )
 from foldhoist.delivery.keys import Deny, Join, KeyTable, Replay, fingerprint
-from foldhoist.delivery.peers import Peers, drop_acked
-from foldhoist.delivery.replies import (
-    answer_frame,
-    ended_record,
-    refusal_frame,
-    refused_record,
-)
+from foldhoist.delivery.peers import Peers, drop_acked, fate_without_result
 from foldhoist.delivery.standing import Standing
 from foldhoist.delivery.verdict import Response
 
@@ -55,8 +50,6 @@
 """Waiting calls of an ingress whose connection fell are dropped after this, seconds."""
 NOTED_REFUSALS = 100
 """Refusals that are noted until somebody takes them for the log."""
-RANK_S = 0.02
-"""Each rank counts as if its calls were due this much later, seconds."""
 STEADY_SHARE = 0.8
 """Share of the slots that an upstream announces up to which it is taken to keep its speed."""
 LOCAL_LINK = 0
@@ -97,7 +90,7 @@
         actions: list[Action] = []
         if greeting.ended_link is not None:
             actions.append(CloseLink(greeting.ended_link))
-        actions.append(SendTo(link, self._report()))
+        actions.append(SendTo(link, Frame("Report", {"load": self.load()})))
         return actions
 
     def link_lost(self, now: float, link: int) -> None:
@@ -111,11 +104,9 @@
             self.count.fenced += 1
             return []
         drop_acked(peer, req["acked"])
-        seq = req["seq"]
         refused = self._refusal_at_door(req)
         if refused is not None:
-            self._note_refusal(req, refused, 1.0)
-            return [self._refuse(peer, seq, refused, 1.0)]
+            return [self._refuse(peer, req, refused, 1.0)]
         if req["key"]:
             early = self._claim(now, wall_ms, peer, req)
             if early is not None:
@@ -150,12 +141,10 @@
             if seq in peer.live or self._is_joined(peer.incarnation, seq):
                 continue
             frame = peer.kept.get(seq)
-            if frame is not None:
-                actions.append(SendTo(link, frame))
-                continue
-            ran = "maybe" if seq <= peer.forgotten else "no"
-            reason = "result-forgotten" if ran == "maybe" else "never-arrived"
-            actions.append(SendTo(link, refusal_frame(seq, ran, reason, 0.0, self.load())))
+            if frame is None:
+                ran, reason = fate_without_result(peer, seq)
+                frame = replies.refusal_frame(seq, ran, reason, 0.0, self.load())
+            actions.append(SendTo(link, frame))
         return actions
 
     def finished(self, now: float, ticket_id: int, result: Result) -> list[Action]:
@@ -186,7 +175,7 @@
         """Take in what the upstream says of itself; "gone" is said when none is known."""
         actions: list[Action] = []
         if self.standing.announce(now, upstream):
-            actions += self._refuse_waiting(now, "upstream-replaced")
+            actions += self._refuse_waiting(list(self._tickets), "upstream-replaced")
         self.service = upstream["service"]
         slots = max(1, int(upstream["slots"] * STEADY_SHARE))
         self.queue.shape = self.queue.shape._replace(slots=slots)
@@ -196,14 +185,7 @@
 
     def set_state(self, state: str) -> list[Action]:
         """Take in what the upstream says of itself; tells every ingress if it changed."""
-        if self.leaving_why.get("upstream"):
-            return []
-        if state == "leaving":
-            return self.leave("upstream")
-        if state == self.standing.state:
-            return []
-        self.standing.state = state
-        return self._tell_all()
+        return self._tell_all() if self.standing.set_state(state) else []
 
     def leave(self, source: str) -> list[Action]:
         """Stop taking new work, because `source` says that the upstream is leaving."""
@@ -220,7 +202,8 @@
             if peer.link is not None or not peer.incarnation:
                 continue
             if now - peer.lost_at > ORPHAN_S:
-                self._drop_waiting(peer)
+                dropped = self._refuse_waiting(list(peer.live.values()), "ingress-gone")
+                self.count.withdrawn += len(dropped)
             if now - peer.lost_at > PEER_FORGET_S and not peer.live:
                 self._peers.forget(peer)
         self.keys.expire(now)
@@ -233,16 +216,6 @@
         """Return whether this upstream takes no new work."""
         return self.standing.leaving
 
-    @property
-    def leaving_why(self) -> dict[str, bool]:
-        """Return the sources that say that the upstream is leaving."""
-        return self.standing.leaving_why
-
-    @property
-    def upstream(self) -> Announced | None:
-        """Return what the upstream last said of itself, None if it says nothing."""
-        return self.standing.upstream
-
     @property
     def calls(self) -> int:
         """Return the calls that wait or run here."""
@@ -269,7 +242,7 @@
         ticket = self._tickets.get(ticket_id)
         if ticket is None:
             return None
-        return ended_record(now, ticket, result, self.queue.busy, self.queue.queued)
+        return replies.ended_record(now, ticket, result, self.queue.busy, self.queue.queued)
 
     def load(self) -> Load:
         """Return the load as it is now."""
@@ -293,7 +266,7 @@
         match claim:
             case Deny():
                 self.count.key_denied += 1
-                frame = refusal_frame(
+                frame = replies.refusal_frame(
                     seq, claim.ran, claim.reason, claim.retry_after_s, self.load()
                 )
                 return [self._send(peer, seq, frame)]
@@ -301,7 +274,9 @@
                 self.count.key_replayed += 1
                 return [
                     self._send(
-                        peer, seq, answer_frame(seq, claim.response, -1, (0, 0), self.load())
+                        peer,
+                        seq,
+                        replies.answer_frame(seq, claim.response, -1, (0, 0), self.load()),
                     )
                 ]
             case Join():
@@ -324,7 +299,7 @@
             case SlotQueue() as queue:
                 decision = queue.submit(now, ticket_id, req["urgent"], start_by)
             case DueQueue() as queue:
-                decision = queue.submit(now, ticket_id, _wish(now, req, start_by, deadline))
+                decision = queue.submit(now, ticket_id, wish_of(now, req, start_by, deadline))
         return self._apply(now, [decision])
 
     def _apply(self, now: float, decisions: list[Decision]) -> list[Action]:
@@ -345,7 +320,7 @@
         ticket.running = True
         ticket.started = now
         self.count.dispatched += 1
-        instance = self.upstream["instance"] if self.upstream is not None else ""
+        instance = self.standing.instance
         return StartCall(ticket_id, ticket.request, ticket.deadline - now, instance)
 
     def _end_answered(
@@ -360,7 +335,7 @@
             peer = self._peers.get(incarnation)
             if peer is None:
                 continue
-            frame = answer_frame(seq, response, ticket.ahead, times_us, self.load())
+            frame = replies.answer_frame(seq, response, ticket.ahead, times_us, self.load())
             actions.append(self._end(peer, seq, frame))
         if ticket.key:
             self.keys.ended(ticket.key, response, ran=True)
@@ -378,7 +353,7 @@
             peer = self._peers.get(incarnation)
             if peer is None:
                 continue
-            frame = refusal_frame(seq, ran, reason, retry_after_s, self.load())
+            frame = replies.refusal_frame(seq, ran, reason, retry_after_s, self.load())
             actions.append(self._end(peer, seq, frame))
         if ticket.key:
             self.keys.ended(ticket.key, None, ran=ran != "no")
@@ -400,46 +375,31 @@
         self._peers.keep(peer, seq, frame)
         return SendTo(-1 if peer.link is None else peer.link, frame)
 
-    def _refuse(self, peer: Peer, seq: int, reason: str, retry_after_s: float) -> Action:
+    def _refuse(self, peer: Peer, req: Dispatch, reason: str, retry_after_s: float) -> Action:
+        self._note_refusal(req, reason, retry_after_s)
         self.count.refused += 1
-        return self._send(peer, seq, refusal_frame(seq, "no", reason, retry_after_s, self.load()))
+        seq = req["seq"]
+        return self._send(
+            peer, seq, replies.refusal_frame(seq, "no", reason, retry_after_s, self.load())
+        )
 
     def _is_joined(self, incarnation: str, seq: int) -> bool:
         return any((incarnation, seq) in waiters for waiters in self._joined.values())
 
     def _note_refusal(self, req: Dispatch, reason: str, retry_after_s: float) -> None:
         """Note a refusal for the log; the task that runs this object takes it from there."""
-        if len(self.refusals) >= NOTED_REFUSALS:
-            return
-        self.refusals.append(refused_record(req, reason, retry_after_s, self.load()))
+        if len(self.refusals) < NOTED_REFUSALS:
+            self.refusals.append(replies.refused_record(req, reason, retry_after_s, self.load()))
 
-    def _refuse_waiting(self, now: float, reason: str) -> list[Action]:
+    def _refuse_waiting(self, tickets: list[int], reason: str) -> list[Action]:
         actions: list[Action] = []
-        for ticket_id, ticket in list(self._tickets.items()):
-            if ticket.running:
+        for ticket_id in tickets:
+            if self._tickets[ticket_id].running:
                 continue
             self.queue.withdraw(ticket_id)
             actions += self._end_refused(ticket_id, "no", reason, 0.0)
         return actions
 
-    def _drop_waiting(self, peer: Peer) -> None:
-        for ticket_id in list(peer.live.values()):
-            ticket = self._tickets[ticket_id]
-            if ticket.running:
-                continue
-            self.queue.withdraw(ticket_id)
-            self.count.withdrawn += 1
-            self._end_refused(ticket_id, "no", "ingress-gone", 0.0)
-
     def _tell_all(self) -> list[Action]:
-        report = self._report()
+        report = Frame("Report", {"load": self.load()})
         return [SendTo(link, report) for link in self._peers.links()]
-
-    def _report(self) -> Frame:
-        return Frame("Report", {"load": self.load()})
-
-
-def _wish(now: float, req: Dispatch, start_by: float, deadline: float) -> Wish:
-    due = now + req.get("due_ms", req["budget_ms"]) / 1000
-    rank_s = max(0, req.get("rank", 0)) * RANK_S
-    return Wish(due + rank_s, start_by, req.get("expect_ms", 0) / 1000, deadline)
--- a/foldhoist/delivery/peers.py
+++ b/foldhoist/delivery/peers.py
@@ -106,6 +106,13 @@
         peer.kept_bytes -= _size(peer.kept.pop(seq))
 
 
+def fate_without_result(peer: Peer, seq: int) -> tuple[str, str]:
+    """Return whether a call of which no result is kept ran ("no" or "maybe"), and why."""
+    if seq <= peer.forgotten:
+        return "maybe", "result-forgotten"
+    return "no", "never-arrived"
+
+
 def _size(frame: Frame) -> int:
     if frame.kind != "Answer":
         return RESULT_BYTES
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -5,10 +5,13 @@
 from typing import TYPE_CHECKING
 
 from foldhoist.delivery.verdict import NotRun
-from foldhoist.routing.picker import NoChoice
+from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice
 from foldhoist.routing.policies import REMOTE_COST_S
+from foldhoist.routing.rendezvous import home
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from foldhoist.delivery.call import Call, CallerRequest
     from foldhoist.delivery.services import ServiceState
     from foldhoist.routing.routes import Routed
@@ -60,3 +63,13 @@
         return REMOTE_COST_S
     kilobytes = state.picker.times.size(call.route) / 1000
     return call.objective_s * (REMOTE_SHARE + REMOTE_SHARE_KB * kilobytes)
+
+
+def home_of_key(call: Call, state: ServiceState, up: Container[str]) -> Choice | NoChoice:
+    """Return the home of the call's idempotency key, if it is among the connected ones."""
+    name = home(state.homes, call.req.key)
+    if name is None:
+        return NoChoice("key-has-no-home", 1.0)
+    if name not in up:
+        return NoChoice(NO_CONNECTION, 1.0)
+    return Choice(name, "home-of-the-key", ())
--- a/foldhoist/delivery/services.py
+++ b/foldhoist/delivery/services.py
@@ -77,6 +77,11 @@
                 per_s = part * GAINED_SHARE / self._slack.window_s
                 state.budget.bound(max(1.0, part * HELD_SHARE), per_s)
 
+    def linked(self, now: float, target: str, up: bool, fresh: bool) -> None:
+        """Take in that the connection to an owner stands or fell; `fresh` marks a new life."""
+        for state in self._by_name.values():
+            state.picker.linked(target, now, up, fresh)
+
     def draw(self, routed: Routed) -> str:
         """Return the service that takes the next call of a split route."""
         split = self._splits.get(routed.route)
--- a/foldhoist/delivery/standing.py
+++ b/foldhoist/delivery/standing.py
@@ -37,6 +37,20 @@
         """Return whether the upstream takes no new work."""
         return bool(self.leaving_why)
 
+    @property
+    def instance(self) -> str:
+        """Return the name of its life, empty if it has none."""
+        return self.upstream["instance"] if self.upstream is not None else ""
+
+    def set_state(self, state: str) -> bool:
+        """Take in a state that was seen; returns whether it is news. Who leaves stays leaving."""
+        if self.leaving_why.get("upstream"):
+            return False
+        if state == "leaving":
+            return self.leave("upstream")
+        before, self.state = self.state, state
+        return before != state
+
     def announce(self, now: float, upstream: Announced) -> bool:
         """Take in what it says of itself; returns whether it runs another service than before."""
         before = self.upstream
--- a/foldhoist/membership/registry.py
+++ b/foldhoist/membership/registry.py
@@ -56,9 +56,21 @@
 
 
 class Peer:
-    """Another daemon; `upstream` is None until it has told of it."""
-
-    __slots__ = ("data_centre", "ended", "frames", "heard_at", "incarnation", "name", "upstream")
+    """Another daemon; `upstream` is None until it has told of it.
+
+    `earlier` says that an earlier life of it was known here.
+    """
+
+    __slots__ = (
+        "data_centre",
+        "earlier",
+        "ended",
+        "frames",
+        "heard_at",
+        "incarnation",
+        "name",
+        "upstream",
+    )
 
     def __init__(self, known: Registration, now: float) -> None:
         self.name = known.name
@@ -67,6 +79,7 @@
         self.data_centre = known.data_centre
         self.ended: list[str] = list(known.ended)
         self.upstream: Announced | None = None
+        self.earlier = False
         self.heard_at = now
 
 
@@ -103,6 +116,7 @@
         if peer is None or peer.frames != known.frames:
             actions += self._place(now, known)
             peer = self.peers[name]
+        peer.earlier = peer.earlier or peer.incarnation != known.incarnation
         before = _identity(peer.upstream)
         peer.incarnation = known.incarnation
         peer.data_centre = known.data_centre
@@ -133,10 +147,13 @@
                 actions += [Disconnect(name), Changed(name)]
         return actions
 
-    def remembered(self, name: str) -> list[str]:
-        """Return the ended lives of a peer's upstreams, for its next life."""
+    def remembered(self, name: str) -> list[str] | None:
+        """Return the ended lives of a peer's upstreams for its present life.
+
+        None if no earlier life of it was known here.
+        """
         peer = self.peers.get(name)
-        return list(peer.ended) if peer is not None else []
+        return list(peer.ended) if peer is not None and peer.earlier else None
 
     def tracked(self, own: Announced | None) -> dict[str, list[Tracked]]:
         """Return the upstreams to choose from, by service; `own` is the one beside this daemon."""
@@ -169,6 +186,7 @@
         peer = Peer(record, now)
         if before is not None:
             peer.ended = [*before.ended, *(e for e in peer.ended if e not in before.ended)]
+            peer.earlier = before.earlier or before.incarnation != record.incarnation
             actions.append(Changed(record.name))
         self.peers[record.name] = peer
         actions.append(Connect(record.name, record.frames))
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -144,7 +144,7 @@
     await cluster.settle(3)
     await until(lambda: cluster.daemons["a"].upstream._settled)
     for _ in range(5):
-        assert (await cluster.ask("b")).status == 200
+        assert (await cluster.ask("a")).status == 200
     assert cluster.targets["a"].ran == []
 
 
@@ -157,8 +157,9 @@
     await cluster.start_daemon("a")
     await cluster.beat("a", "ready", status={"sequence": 1})
     await cluster.settle(3)
+    await until(lambda: cluster.daemons["a"].upstream._settled)
     for _ in range(5):
-        assert (await cluster.ask("b")).status == 200
+        assert (await cluster.ask("a")).status == 200
     assert cluster.targets["a"].ran == []
 
 
--- a/tests/unit/membership/test_registry.py
+++ b/tests/unit/membership/test_registry.py
@@ -85,9 +85,10 @@
 def test_ended_lives_are_remembered_for_the_next_life_of_a_peer() -> None:
     registry = Registry("me", "one")
     registry.told(0.0, {**member("b", "b:1"), "ended": ["i-1"]})
+    assert registry.remembered("b") is None
     registry.told(1.0, member("b", "b:1", life="l2"))
     assert registry.remembered("b") == ["i-1"]
-    assert registry.remembered("nobody") == []
+    assert registry.remembered("nobody") is None
 
 
 def test_only_upstreams_that_stand_are_tracked_the_own_one_too() -> None:
--- a/tests/unit/test_boundaries.py
+++ b/tests/unit/test_boundaries.py
@@ -20,8 +20,8 @@
 """Headers, paths, topics and fields of the users' platform."""
 FORBIDDEN_IN_CORE = {"asyncio", "socket", "time", "tornado", "pynng", "loguru", "os", "selectors"}
 MOST_ADAPTER_LINES = 800
-MOST_LINES = 440
-"""Longest file, lines; 400 is the aim, delivery/owner.py and delivery/ingress.py are above it."""
+MOST_LINES = 400
+"""Longest file, lines."""
 
 
 def sources(*folders: str) -> list[Path]:
