--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING
 
+from foldhoist.delivery import rules
 from foldhoist.delivery.book import CallBook
 from foldhoist.delivery.call import (
     Action,
@@ -23,13 +24,6 @@
     record_of,
 )
 from foldhoist.delivery.outgoing import dispatch_of
-from foldhoist.delivery.rules import (
-    LEAST_BUDGET_S,
-    home_of_key,
-    may_retry,
-    refusal_of,
-    remote_cost_s,
-)
 from foldhoist.delivery.services import RetrySlack, Services
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response, Verdict
 from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice, Picker
@@ -50,8 +44,6 @@
 """A repeatable call is hedged after this share of its route's objective."""
 PARK_S = 0.3
 """Longest wait of a call for a first connection to an owner, seconds."""
-SERVER_ERROR = 500
-"""Statuses from this on count against an upstream."""
 
 
 class Ingress:
@@ -131,11 +123,9 @@
         if ended is None:
             return []
         call, live, picker = ended
-        failed = message["status"] >= SERVER_ERROR
+        failed = message["status"] >= rules.SERVER_ERROR
         if picker is not None:
-            load, ahead = message["load"], message["ahead"]
-            size = len(call.req.body) + len(message["body"])
-            picker.answered(live.target, live.seq, now, failed, load, ahead, call.route, size)
+            rules.tell_answer(now, picker, call, live, message)
         call.note(now, live, "answered", message["waited_us"], message["served_us"])
         response = Response(message["status"], message["headers"], message["body"])
         if failed and call.repeatable and not call.req.key:
@@ -149,19 +139,14 @@
         if ended is None:
             return []
         call, live, picker = ended
-        retry_after_s = message["retry_after_ms"] / 1000
-        if picker is not None and message["ran"] == "no" and not call.req.key:
-            picker.refused(live.target, live.seq, now, retry_after_s, message["load"])
-        elif picker is not None and message["ran"] == "no":
-            picker.abandoned(live.target, live.seq, now)
-        elif picker is not None:
-            picker.lost(live.target, live.seq, now)
+        if picker is not None:
+            rules.tell_refusal(now, picker, call, live, message)
         call.note(now, live, f"{message['ran']}:{message['reason']}", 0, 0)
         if message["ran"] == "maybe":
             call.maybe = message["reason"]
         else:
             call.arrivals -= 1
-        return self._go_on(now, call, message["reason"], retry_after_s)
+        return self._go_on(now, call, message["reason"], message["retry_after_ms"] / 1000)
 
     def report(self, now: float, target: str, message: Report) -> None:
         """Take in a report that an owner sent by itself."""
@@ -282,7 +267,7 @@
             return NotRun("no-configuration", 1.0)
         if len(self._book) >= self.most_calls:
             return NotRun("daemon-full", 0.1)
-        return refusal_of(req, routed, self._hops)
+        return rules.refusal_of(req, routed, self._hops)
 
     def _refuse_at_door(
         self, now: float, call_id: int, req: CallerRequest, routed: Routed | None, verdict: NotRun
@@ -298,7 +283,7 @@
             if pick.reason == NO_CONNECTION and not call.tries:
                 return self._park(now, call)
             return self._give_up(now, call, first_reason or pick.reason, pick.retry_after_s)
-        if call.deadline - now < LEAST_BUDGET_S:
+        if call.deadline - now < rules.LEAST_BUDGET_S:
             return self._give_up(now, call, "deadline-passed", 0.0)
         seq = self._book.next_seq()
         call.tries += 1
@@ -319,20 +304,20 @@
         if state is None:
             return NoChoice("service-removed", 0.0)
         if call.req.key:
-            return home_of_key(call, state, self._up)
-        remote_s = remote_cost_s(call, state)
+            return rules.home_of_key(call, state, self._up)
+        remote_s = rules.remote_cost_s(call, state)
         return state.picker.pick(now, call.excluded, self.explain, call.route, remote_s)
 
     def _go_on(self, now: float, call: Call, reason: str, retry_after_s: float) -> list[Action]:
         if call.live:
             return []
-        if not may_retry(now, call, self._services.get(call.service)):
+        if not rules.may_retry(now, call, self._services.get(call.service)):
             return self._give_up(now, call, reason, retry_after_s)
         self.count.retried += 1
         return self._attempt(now, call, first_reason=reason)
 
     def _hedge(self, now: float, call: Call) -> list[Action]:
-        if len(call.live) != 1 or not may_retry(now, call, self._services.get(call.service)):
+        if len(call.live) != 1 or not rules.may_retry(now, call, self._services.get(call.service)):
             return []
         self.count.hedged += 1
         return self._attempt(now, call)
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -49,7 +49,7 @@
 ORPHAN_S = 1.0
 """Waiting calls of an ingress whose connection fell are dropped after this, seconds."""
 NOTED_REFUSALS = 100
-"""Refusals that are noted until somebody takes them for the log."""
+"""Refusals noted for the log, until the task that runs the owner takes them."""
 STEADY_SHARE = 0.8
 """Share of the slots that an upstream announces up to which it is taken to keep its speed."""
 LOCAL_LINK = 0
@@ -331,10 +331,7 @@
         response = Response(whole.status, whole.headers, whole.body)
         times_us = (int((ticket.started - ticket.arrived) * 1e6), int(served_s * 1e6))
         actions: list[Action] = []
-        for incarnation, seq in self._waiters(ticket):
-            peer = self._peers.get(incarnation)
-            if peer is None:
-                continue
+        for peer, seq in self._waiters(ticket):
             frame = replies.answer_frame(seq, response, ticket.ahead, times_us, self.load())
             actions.append(self._end(peer, seq, frame))
         if ticket.key:
@@ -349,21 +346,20 @@
         if ran == "no":
             self._note_refusal(ticket.request, reason, retry_after_s)
         actions: list[Action] = []
-        for incarnation, seq in self._waiters(ticket):
-            peer = self._peers.get(incarnation)
-            if peer is None:
-                continue
+        for peer, seq in self._waiters(ticket):
             frame = replies.refusal_frame(seq, ran, reason, retry_after_s, self.load())
             actions.append(self._end(peer, seq, frame))
         if ticket.key:
             self.keys.ended(ticket.key, None, ran=ran != "no")
         return actions
 
-    def _waiters(self, ticket: Ticket) -> list[tuple[str, int]]:
-        first = (ticket.incarnation, ticket.request["seq"])
-        if not ticket.key:
-            return [first]
-        return [first, *self._joined.pop(ticket.key, [])]
+    def _waiters(self, ticket: Ticket) -> list[tuple[Peer, int]]:
+        """Return who waits for the call: its ingress, and those that sent its key again."""
+        waiters = [(ticket.incarnation, ticket.request["seq"])]
+        if ticket.key:
+            waiters += self._joined.pop(ticket.key, [])
+        found = [(self._peers.get(incarnation), seq) for incarnation, seq in waiters]
+        return [(peer, seq) for peer, seq in found if peer is not None]
 
     def _end(self, peer: Peer, seq: int, frame: Frame) -> Action:
         peer.live.pop(seq, None)
@@ -387,7 +383,6 @@
         return any((incarnation, seq) in waiters for waiters in self._joined.values())
 
     def _note_refusal(self, req: Dispatch, reason: str, retry_after_s: float) -> None:
-        """Note a refusal for the log; the task that runs this object takes it from there."""
         if len(self.refusals) < NOTED_REFUSALS:
             self.refusals.append(replies.refused_record(req, reason, retry_after_s, self.load()))
 
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -1,4 +1,4 @@
-"""What an ingress refuses at the door, and what may be tried again."""
+"""What an ingress refuses at the door, what may be tried again, what pickers learn."""
 
 from __future__ import annotations
 
@@ -12,12 +12,16 @@
 if TYPE_CHECKING:
     from collections.abc import Container
 
-    from foldhoist.delivery.call import Call, CallerRequest
+    from foldhoist.delivery.call import Call, CallerRequest, Live
     from foldhoist.delivery.services import ServiceState
+    from foldhoist.routing.picker import Picker
     from foldhoist.routing.routes import Routed
+    from foldhoist.schema.messages import Answer, Refusal
 
 MOST_REFUSALS = 3
 """Owners that may refuse a call before it is given up."""
+SERVER_ERROR = 500
+"""Statuses from this on count against an upstream."""
 LEAST_BUDGET_S = 0.001
 """A call with less time left than this is not dispatched, seconds."""
 REMOTE_SHARE = 0.4
@@ -73,3 +77,23 @@
     if name not in up:
         return NoChoice(NO_CONNECTION, 1.0)
     return Choice(name, "home-of-the-key", ())
+
+
+def tell_answer(now: float, picker: Picker, call: Call, live: Live, message: Answer) -> None:
+    """Let the picker learn from an answer."""
+    failed = message["status"] >= SERVER_ERROR
+    size = len(call.req.body) + len(message["body"])
+    load, ahead = message["load"], message["ahead"]
+    picker.answered(live.target, live.seq, now, failed, load, ahead, call.route, size)
+
+
+def tell_refusal(now: float, picker: Picker, call: Call, live: Live, message: Refusal) -> None:
+    """Let the picker learn from a refusal; one of a key says nothing of the upstream's room."""
+    if message["ran"] == "maybe":
+        picker.lost(live.target, live.seq, now)
+        return
+    if call.req.key:
+        picker.abandoned(live.target, live.seq, now)
+        return
+    retry_after_s = message["retry_after_ms"] / 1000
+    picker.refused(live.target, live.seq, now, retry_after_s, message["load"])
