--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -23,10 +23,13 @@
 
 
 async def until_busy(fleet: MutantFleet) -> None:
-    """Wait until the upstream of depo-1 is at work on some calls; the loop goes on meanwhile."""
+    """Wait until the upstream of depo-1 has been at work on some calls; the loop goes on meanwhile.
+
+    What is waited for does not go away again, so that it cannot be missed.
+    """
     while True:
-        status = await asyncio.to_thread(fleet.status, "depo-1")
-        if status["gauges"]["owner_busy"] >= 3:
+        told = await asyncio.to_thread(fleet.executions, "depo-1")
+        if told["most_running"] >= 3:
             return
         await asyncio.sleep(0.02)
 
