--- a/tests/integration/mutants.py
+++ b/tests/integration/mutants.py
@@ -9,7 +9,7 @@
 from foldhoist.admission.bucket import TokenBucket
 from foldhoist.daemon import prober
 from foldhoist.daemon.upstream import UpstreamConnection
-from foldhoist.delivery import ingress, keys, owner
+from foldhoist.delivery import ingress, keys, standing
 
 
 def fate_says_no() -> None:
@@ -58,7 +58,7 @@
 
 def no_leaving() -> None:
     """An owner takes new work whatever it is told."""
-    owner.Owner.leave = lambda self, source: []  # type: ignore[method-assign]
+    standing.Standing.leave = lambda self, source: False  # type: ignore[method-assign]
 
 
 def no_probe_budget() -> None:
