--- a/bench/publish.py
+++ b/bench/publish.py
@@ -7,8 +7,8 @@
 
 from foldhoist.configlog.fold import digest_of
 from foldhoist.configlog.publisher import new_id
-from foldhoist.platform.client import PlatformClient, pack_publish
-from foldhoist.platform.state import read_state
+from foldhoist.logservice.client import PlatformClient, pack_publish
+from foldhoist.logservice.state import read_state
 
 if TYPE_CHECKING:
     from standins.processes import LocalFleet
--- a/foldhoist/commands/apply.py
+++ b/foldhoist/commands/apply.py
@@ -32,8 +32,8 @@
     new_id,
 )
 from foldhoist.exceptions import UnreachableError, UsageError
-from foldhoist.platform.client import PlatformClient, pack_publish
-from foldhoist.platform.state import read_state
+from foldhoist.logservice.client import PlatformClient, pack_publish
+from foldhoist.logservice.state import read_state
 from foldhoist.schema.messages import Snapshot
 
 if TYPE_CHECKING:
--- a/foldhoist/daemon/configuration.py
+++ b/foldhoist/daemon/configuration.py
@@ -21,8 +21,8 @@
 )
 from foldhoist.configlog.keep import Keeper
 from foldhoist.configlog.spread import Peers, place_of
-from foldhoist.platform.client import pack_keep, unpack
-from foldhoist.platform.state import read_kept
+from foldhoist.logservice.client import pack_keep, unpack
+from foldhoist.logservice.state import read_kept
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,7 +30,7 @@
 
     from foldhoist.configlog.fold import LogRecord
     from foldhoist.daemon.control import Control
-    from foldhoist.platform.client import Page, PlatformClient, PlatformError
+    from foldhoist.logservice.client import Page, PlatformClient, PlatformError
     from foldhoist.schema.fleet import Fleet
     from foldhoist.schema.messages import Ask, Held, Snapshot
     from foldhoist.schema.settings import Settings
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -24,13 +24,13 @@
 from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
 from foldhoist.delivery.ingress import Ingress
 from foldhoist.delivery.owner import Owner
+from foldhoist.logservice.client import PlatformClient
 from foldhoist.membership.view import homes, tracked
 from foldhoist.observe.counters import counters_of
 from foldhoist.observe.latencies import Latencies
 from foldhoist.observe.metrics import Metrics
 from foldhoist.observe.records import Hop, Ring
 from foldhoist.observe.spans import Spans
-from foldhoist.platform.client import PlatformClient
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/foldhoist/daemon/prober.py
+++ b/foldhoist/daemon/prober.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from foldhoist.platform.client import PlatformClient
+    from foldhoist.logservice.client import PlatformClient
     from foldhoist.schema.settings import Settings
 
 PROBE_S = 1.0
--- a/foldhoist/platform/state.py
+++ b/foldhoist/logservice/state.py
@@ -7,10 +7,10 @@
 from expression import Error, Ok, Result
 
 from foldhoist.configlog.fold import LogRecord, State, fold_all
-from foldhoist.platform.client import unpack
+from foldhoist.logservice.client import unpack
 
 if TYPE_CHECKING:
-    from foldhoist.platform.client import PlatformClient, PlatformError
+    from foldhoist.logservice.client import PlatformClient, PlatformError
 
 
 class Kept(NamedTuple):
--- a/foldhoist/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Clients of the platform's services."""
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -12,7 +12,7 @@
 import sys
 
 from foldhoist.configlog.fold import digest_of
-from foldhoist.platform.client import pack_keep
+from foldhoist.logservice.client import pack_keep
 from standins.processes import LocalFleet, Target, request_json, wait_until
 from tests.integration.harness import (
     NAMES,
