--- a/standins/processes.py
+++ b/standins/processes.py
@@ -204,7 +204,11 @@
     def command(self, *args: str) -> subprocess.CompletedProcess[str]:
         """Run a command of the command line."""
         return subprocess.run(
-            [sys.executable, "-m", "foldhoist", *args], capture_output=True, text=True, check=False
+            [sys.executable, "-m", "foldhoist", *args],
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=START_S,
         )
 
     def status(self, name: str) -> Any:
--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -11,27 +11,54 @@
 from tests.integration import harness
 from tests.integration.harness import NAMES, Ended, MutantFleet, load, make_fleet
 
+BUSY = 3
+"""Calls at one upstream from which on it counts as busy."""
+MOST_CALLS = 60
+"""Long calls after which the upstream must have been busy."""
+SEND_S = 0.1
+"""Time between two calls that are sent until it is, seconds."""
 
-async def long_calls(fleet: MutantFleet, ingress: str, count: int) -> list[Outcome]:
-    caller = Caller()
-    address = fleet.addresses[ingress]["callers"]
-    calls = [
-        caller.call(address, "POST", "/depo/gift?sleep_ms=1000", f"{i}".encode(), {}, 20.0)
-        for i in range(count)
-    ]
-    return list(await asyncio.gather(*calls))
 
+class LongCalls:
+    """Calls of a second each that run beside the test; more can be sent while they do."""
 
-async def until_busy(fleet: MutantFleet) -> None:
-    """Wait until the upstream of depo-1 has been at work on some calls; the loop goes on meanwhile.
+    def __init__(self, fleet: MutantFleet) -> None:
+        self._fleet = fleet
+        self._caller = Caller()
+        self._tasks: list[asyncio.Task[Outcome]] = []
 
-    What is waited for does not go away again, so that it cannot be missed.
-    """
-    while True:
-        told = await asyncio.to_thread(fleet.executions, "depo-1")
-        if told["most_running"] >= 3:
-            return
-        await asyncio.sleep(0.02)
+    def send(self, ingress: str, count: int) -> None:
+        """Send some through one daemon."""
+        for _ in range(count):
+            self._tasks.append(asyncio.create_task(self._send(ingress, len(self._tasks))))
+
+    async def until_busy(self, target: str) -> None:
+        """Send until the upstream has been at work on some at once.
+
+        Where a call runs is the daemons' choice, so a fixed number of calls may miss an upstream.
+        What is waited for does not go away again, so that it cannot be missed.
+        """
+        while True:
+            told = await asyncio.to_thread(self._fleet.executions, target)
+            if told["most_running"] >= BUSY:
+                return
+            assert len(self._tasks) < MOST_CALLS, told
+            self.send(target, 1)
+            await asyncio.sleep(SEND_S)
+
+    async def ended(self) -> list[Outcome]:
+        """Wait for all of them."""
+        return list(await asyncio.gather(*self._tasks))
+
+    async def _send(self, ingress: str, number: int) -> Outcome:
+        address = self._fleet.addresses[ingress]["callers"]
+        path = "/depo/gift?sleep_ms=1000"
+        return await self._caller.call(address, "POST", path, f"{number}".encode(), {}, 20.0)
+
+
+def failed(outcomes: list[Outcome]) -> list[Outcome]:
+    """Return the calls that were not answered with success."""
+    return [outcome for outcome in outcomes if outcome.status != 200]
 
 
 @pytest.mark.parametrize("how", ["SIGTERM", "drain"])
@@ -39,21 +66,23 @@
     with make_fleet() as fleet:
         fleet.start()
 
-        async def scenario() -> list[list[Outcome]]:
-            as_ingress = asyncio.create_task(long_calls(fleet, "depo-1", 12))
-            as_owner = asyncio.create_task(long_calls(fleet, "depo-2", 12))
-            await until_busy(fleet)
+        async def scenario() -> list[Outcome]:
+            calls = LongCalls(fleet)
+            calls.send("depo-1", 12)
+            calls.send("depo-2", 12)
+            await calls.until_busy("depo-1")
             if how == "drain":
                 operators = fleet.addresses["depo-1"]["operators"]
-                await asyncio.to_thread(fleet.command, "drain", operators)
+                told = await asyncio.to_thread(fleet.command, "drain", operators)
+                assert told.returncode == 0, told.stderr
             else:
                 fleet.daemons["depo-1"].signal(signal.SIGTERM)
-            return [await as_ingress, await as_owner]
+            return await calls.ended()
 
         outcomes = asyncio.run(scenario())
         assert fleet.daemons["depo-1"].wait(20) == 0
-    for part in outcomes:
-        assert [outcome.status for outcome in part] == [200] * 12
+    assert len(outcomes) >= 24
+    assert failed(outcomes) == []
 
 
 def test_a_killed_daemon_does_cut_calls() -> None:
@@ -61,13 +90,14 @@
         fleet.start()
 
         async def scenario() -> list[Outcome]:
-            running = asyncio.create_task(long_calls(fleet, "depo-1", 12))
-            await until_busy(fleet)
+            calls = LongCalls(fleet)
+            calls.send("depo-1", 12)
+            await calls.until_busy("depo-1")
             await asyncio.to_thread(fleet.daemons["depo-1"].kill)
-            return await running
+            return await calls.ended()
 
         outcomes = asyncio.run(scenario())
-    assert any(outcome.status != 200 for outcome in outcomes)
+    assert failed(outcomes)
 
 
 def test_rolling_restart_of_every_daemon_fails_no_call() -> None:
@@ -93,7 +123,7 @@
             asyncio.run(one_daemon(name))
             fleet.wait_generation(1)
         ran = harness.executions(fleet)
-    assert set(harness.verdicts(results)) == {"answered"}
+    assert [end for end in results if end.outcome.verdict != "answered"] == []
     assert len(results) >= 4500
     assert harness.run_twice(results, ran) == []
 
@@ -104,16 +134,18 @@
         fleet.start()
 
         async def scenario() -> tuple[list[Outcome], Outcome]:
-            long = asyncio.create_task(long_calls(fleet, "depo-1", 30))
-            await until_busy(fleet)
+            calls = LongCalls(fleet)
+            calls.send("depo-1", 30)
+            await calls.until_busy("depo-1")
             fleet.daemons["depo-1"].signal(signal.SIGTERM)
             while not fleet.status("depo-1")["draining"]:
                 await asyncio.sleep(0.02)
             address = fleet.addresses["depo-1"]["callers"]
             nested = await Caller().call(address, "POST", "/depo/gift", b"nested", {}, 20.0)
-            return await long, nested
+            return await calls.ended(), nested
 
         outcomes, nested = asyncio.run(scenario())
         assert fleet.daemons["depo-1"].wait(20) == 0
     assert (nested.status, nested.body) == (200, b"nested")
-    assert [outcome.status for outcome in outcomes] == [200] * 30
+    assert len(outcomes) >= 30
+    assert failed(outcomes) == []
