Tell ingresses the slots of an upstream when they become known or change

Cause: test_planned_stop under load failed by deadline-passed: of 31 calls of a second, one upstream of 12 slots got 27 and the two others 2 each, so the last ones waited 3 s. /status showed the others with 1 slot: an ingress that connects before the owner has its configuration (or its upstream's first announcement) is told the placeholder of 1 slot, and nobody tells it when that changes; it learns by its own next answer, and sends few calls there meanwhile. Change: Owner.reshape tells every ingress when the slots are others and starts what waits; announcements and configurations go through it.

--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -222,8 +222,8 @@
             return
         self.owner.service = target["service"]
         self.owner.keys.window_s = service["key_window_s"]
-        self.owner.queue.shape = Shape(
-            target["slots"], service["queue"], service["urgent_slots"], service["urgent_run"]
+        self.owner_task.reshape(
+            Shape(target["slots"], service["queue"], service["urgent_slots"], service["urgent_run"])
         )
         self.owner_task.pool.most = target["connections"]
         if target["state"] == "serving":
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -42,8 +42,6 @@
     from foldhoist.schema.messages import Hello, Member
     from foldhoist.schema.settings import Limits, Settings
 
-QUEUE_PER_SLOT = 3
-"""Calls that may wait at an owner for each slot of its upstream."""
 SHAPE_UNKNOWN = Shape(slots=1, queue=0, urgent_slots=0, urgent_run=8)
 """Shape of the owner before its upstream has announced itself."""
 RELOADED = ("limits", "upstream")
@@ -259,8 +257,6 @@
         now = asyncio.get_running_loop().time()
         if replaced:
             self.ingress_task.ingress.replaced(now, self.name)
-        slots = self.owner.queue.shape.slots
-        self.owner.queue.shape = self.owner.queue.shape._replace(queue=slots * QUEUE_PER_SLOT)
         self._track()
         self.peers.tell_all()
 
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from foldhoist.admission.slots import Shape
     from foldhoist.daemon.dialect import Dialect
     from foldhoist.delivery.dispatch import Action, Ended, Refused, Result
     from foldhoist.delivery.owner import Owner
@@ -108,6 +109,10 @@
             self.pool.forget()
         self._carry_out(self.owner.announce(self._loop.time(), upstream))
 
+    def reshape(self, shape: Shape) -> None:
+        """Take over the sizes of the queue."""
+        self._carry_out(self.owner.reshape(self._loop.time(), shape))
+
     def reply(self, link: int, kind: str, body: Any) -> None:
         """Write a message to the daemon at the other end of a connection."""
         self._send(link, kind, body)
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -28,6 +28,7 @@
     Ticket,
     Whole,
 )
+from foldhoist.delivery.joined import Joined
 from foldhoist.delivery.keys import Deny, Join, KeyTable, Replay, fingerprint
 from foldhoist.delivery.peers import Peers, drop_acked, fate_without_result
 from foldhoist.delivery.standing import Standing
@@ -52,6 +53,8 @@
 """Refusals noted for the log, until the task that runs the owner takes them."""
 STEADY_SHARE = 0.8
 """Share of the slots that an upstream announces up to which it is taken to keep its speed."""
+QUEUE_PER_SLOT = 3
+"""Calls that may wait for each slot of an upstream that announces itself."""
 LOCAL_LINK = 0
 """Link number of the ingress in the owner's own process."""
 
@@ -76,7 +79,7 @@
         self._peers = Peers()
         self._tickets: dict[int, Ticket] = {}
         self.refusals: list[Refused] = []
-        self._joined: dict[str, list[tuple[str, int]]] = {}
+        self._joined = Joined()
         self._next_ticket = 1
 
     # What the tasks tell it
@@ -138,7 +141,7 @@
             return []
         actions: list[Action] = []
         for seq in message["seqs"]:
-            if seq in peer.live or self._is_joined(peer.incarnation, seq):
+            if seq in peer.live or self._joined.holds(peer.incarnation, seq):
                 continue
             frame = peer.kept.get(seq)
             if frame is None:
@@ -178,11 +181,19 @@
             actions += self._refuse_waiting(list(self._tickets), "upstream-replaced")
         self.service = upstream["service"]
         slots = max(1, int(upstream["slots"] * STEADY_SHARE))
-        self.queue.shape = self.queue.shape._replace(slots=slots)
+        queue = slots * QUEUE_PER_SLOT
+        actions += self.reshape(now, self.queue.shape._replace(slots=slots, queue=queue))
         if upstream["state"] == "ready":
             return [*actions, *self.stay("upstream")]
         return [*actions, *self.leave("upstream")]
 
+    def reshape(self, now: float, shape: Shape) -> list[Action]:
+        """Take over the sizes of the queue; tells every ingress if the slots are others."""
+        before, self.queue.shape = self.queue.shape, shape
+        if before.slots == shape.slots:
+            return []
+        return [*self._tell_all(), *self._apply(now, self.queue.advance(now))]
+
     def set_state(self, state: str) -> list[Action]:
         """Take in what the upstream says of itself; tells every ingress if it changed."""
         return self._tell_all() if self.standing.set_state(state) else []
@@ -266,21 +277,13 @@
         match claim:
             case Deny():
                 self.count.key_denied += 1
-                frame = replies.refusal_frame(
-                    seq, claim.ran, claim.reason, claim.retry_after_s, self.load()
-                )
-                return [self._send(peer, seq, frame)]
-            case Replay():
+                return [self._send(peer, seq, replies.denied_frame(seq, claim, self.load()))]
+            case Replay(response):
                 self.count.key_replayed += 1
-                return [
-                    self._send(
-                        peer,
-                        seq,
-                        replies.answer_frame(seq, claim.response, -1, (0, 0), self.load()),
-                    )
-                ]
+                frame = replies.answer_frame(seq, response, -1, (0, 0), self.load())
+                return [self._send(peer, seq, frame)]
             case Join():
-                self._joined.setdefault(req["key"], []).append((peer.incarnation, seq))
+                self._joined.add(req["key"], peer.incarnation, seq)
                 return []
         return None
 
@@ -357,7 +360,7 @@
         """Return who waits for the call: its ingress, and those that sent its key again."""
         waiters = [(ticket.incarnation, ticket.request["seq"])]
         if ticket.key:
-            waiters += self._joined.pop(ticket.key, [])
+            waiters += self._joined.take(ticket.key)
         found = [(self._peers.get(incarnation), seq) for incarnation, seq in waiters]
         return [(peer, seq) for peer, seq in found if peer is not None]
 
@@ -379,9 +382,6 @@
             peer, seq, replies.refusal_frame(seq, "no", reason, retry_after_s, self.load())
         )
 
-    def _is_joined(self, incarnation: str, seq: int) -> bool:
-        return any((incarnation, seq) in waiters for waiters in self._joined.values())
-
     def _note_refusal(self, req: Dispatch, reason: str, retry_after_s: float) -> None:
         if len(self.refusals) < NOTED_REFUSALS:
             self.refusals.append(replies.refused_record(req, reason, retry_after_s, self.load()))
--- a/foldhoist/delivery/replies.py
+++ b/foldhoist/delivery/replies.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from foldhoist.delivery.dispatch import Result, Ticket
+    from foldhoist.delivery.keys import Deny
     from foldhoist.delivery.verdict import Response
     from foldhoist.schema.messages import Answer, Dispatch, Load, Refusal
 
@@ -42,6 +43,11 @@
     return Frame("Refusal", body)
 
 
+def denied_frame(seq: int, denial: Deny, load: Load) -> Frame:
+    """Return the refusal of a call whose idempotency key is not run."""
+    return refusal_frame(seq, denial.ran, denial.reason, denial.retry_after_s, load)
+
+
 def refused_record(req: Dispatch, reason: str, retry_after_s: float, load: Load) -> Refused:
     """Return what the log tells of a refusal."""
     return Refused(
--- a/tests/unit/delivery/test_owner.py
+++ b/tests/unit/delivery/test_owner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 from foldhoist.admission.slots import Shape
 from foldhoist.delivery import peers as peers_module
@@ -137,3 +137,45 @@
     assert owner.leaving
     owner.stay("drain")
     assert not owner.leaving
+
+
+def reported_slots(actions: list[Any]) -> list[tuple[int, int]]:
+    """Return the connections that were told of slots, and how many."""
+    sent = [each for each in actions if isinstance(each, SendTo) and each.frame.kind == "Report"]
+    return [(each.link, cast("Any", each.frame.body)["load"]["slots"]) for each in sent]
+
+
+def test_an_ingress_that_came_early_is_told_the_slots_when_they_become_known() -> None:
+    """Or it takes the upstream for one with a single slot, and sends its calls elsewhere."""
+    owner = make(slots=1)
+    owner.hello(0.0, 2, hello("in-2", 1))
+    assert reported_slots(owner.reshape(0.1, Shape(12, 10, 0, 1))) == [(1, 12), (2, 12)]
+    assert owner.reshape(0.2, Shape(12, 20, 0, 1)) == []
+
+
+def test_an_ingress_is_told_the_slots_that_an_upstream_announces() -> None:
+    owner = make(slots=1)
+    told = owner.announce(0.1, announced(slots=10))
+    assert reported_slots(told) == [(1, 8)]
+    assert owner.announce(0.2, announced(slots=10)) == []
+
+
+def test_waiting_calls_start_when_there_are_more_slots() -> None:
+    owner = make(slots=1)
+    owner.dispatch(0.1, 0, 1, dispatch(1))
+    assert owner.dispatch(0.1, 0, 1, dispatch(2)) == []
+    started = owner.reshape(0.2, Shape(2, 10, 0, 1))
+    assert [each for each in started if isinstance(each, StartCall)]
+    assert owner.queue.queued == 0
+
+
+def announced(**fields: Any) -> Any:
+    plain = {
+        "instance": "i-1",
+        "service": "depo",
+        "slots": 4,
+        "state": "ready",
+        "sequence": 1,
+        "cold_ms": 0,
+    }
+    return {**plain, **fields}
