--- a/tests/adapter/cluster.py
+++ b/tests/adapter/cluster.py
@@ -95,7 +95,7 @@
             frames=_port(addresses.get("frames")),
             address=target.address,
             service=target.service,
-            log=self.log.address,
+            log=self.log.door(name).address,
             first="yes" if first else "no",
         )
         cfg, faults = parse_settings(text, "test")
--- a/tests/adapter/keyed_log.py
+++ b/tests/adapter/keyed_log.py
@@ -36,8 +36,29 @@
         return offset
 
 
+class Door:
+    """Where one host reaches the log; with a fault the log turns just this host away.
+
+    Faults: a status such as "503", "reset" for a closed connection, "silent" for no answer.
+    """
+
+    def __init__(self, log: KeyedLog) -> None:
+        self.log = log
+        self.fault = ""
+        self.calls: dict[str, int] = {}
+        calls = [(r"/foldhoist/(log-[a-z]+)", _Call, {"door": self})]
+        self._server = HTTPServer(Application(calls, log_function=lambda _: None))
+        sockets = bind_sockets(0, "127.0.0.1")
+        self._server.add_sockets(sockets)
+        self.address = "{}:{}".format(*sockets[0].getsockname()[:2])
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+
 class KeyedLog:
-    """State of the stand-in; `refuse` holds addresses of hosts that it turns away."""
+    """State of the stand-in; each host has a door of its own."""
 
     def __init__(self) -> None:
         self.topics: dict[str, Topic] = {}
@@ -45,13 +66,14 @@
         self.delay_s = 0.0
         self.lose_answers = 0
         self.calls: dict[str, int] = {}
-        app = Application(
-            [(r"/foldhoist/(log-[a-z]+)", _Call, {"log": self})], log_function=lambda _: None
-        )
-        self._server = HTTPServer(app)
-        sockets = bind_sockets(0, "127.0.0.1")
-        self._server.add_sockets(sockets)
-        self.address = "{}:{}".format(*sockets[0].getsockname()[:2])
+        self.doors: dict[str, Door] = {}
+        self.address = self.door("").address
+
+    def door(self, host: str) -> Door:
+        """Return the door of a host, opened at its first use."""
+        if host not in self.doors:
+            self.doors[host] = Door(self)
+        return self.doors[host]
 
     def topic(self, name: str) -> Topic:
         """Return a topic, made at its first use."""
@@ -72,21 +94,32 @@
 
     def close(self) -> None:
         """Stop listening."""
-        self._server.stop()
+        for door in self.doors.values():
+            door.close()
 
 
 class _Call(RequestHandler):
-    def initialize(self, log: KeyedLog) -> None:
-        self.log = log
+    def initialize(self, door: Door) -> None:
+        self.door = door
+        self.log = door.log
 
     async def prepare(self) -> None:
         name = self.path_args[0]
-        self.log.calls[name] = self.log.calls.get(name, 0) + 1
+        for calls in (self.log.calls, self.door.calls):
+            calls[name] = calls.get(name, 0) + 1
         if self.log.delay_s:
             await asyncio.sleep(self.log.delay_s)
-        if self.log.down:
-            self.set_status(503)
-            self.finish()
+        match "503" if self.log.down else self.door.fault:
+            case "":
+                return
+            case "reset":
+                self.request.connection.stream.close()  # type: ignore[union-attr]
+                self._finished = True
+            case "silent":
+                await asyncio.Event().wait()
+            case status:
+                self.set_status(int(status))
+                self.finish()
 
     async def get(self, name: str) -> None:
         topic = self.log.topic(self.get_query_argument("topic"))
