Let a leaving bind by what both the store and a peer noted, and say so for repeats

Cause: a small specification of a leaving (the daemon dies, the store goes away, a peer is cut off; real core objects) found two ways to break DRAIN: (1) a leaving said again, or the DELETE after it, was acknowledged at once while the first was still being noted; (2) a restarted daemon served its upstream after the first word of the store or of a peer, though only the other had noted the leaving (the store was away at the acknowledgement and back at the restart). Change: Settling (core, no I/O) decides when a new life has heard enough: the store, and a peer that remembers or all peers the store names; at most 2 s as before. Repeats wait for the same noting. What the store refused is written again with growing pauses.

--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -84,7 +84,7 @@
             self.store,
             self._describe,
             self._on_peers,
-            self.upstream.remember,
+            self.upstream.store_answered,
             self.rng,
         )
         self.readers = Readers(self.name, cfg["platform"]["wait_ms"] / 1000 + 1.5)
@@ -133,7 +133,7 @@
         for server in self._servers:
             server.close()
         self.endpoints.close()
-        for task in (self.versions, self.peers, self.owner_task):
+        for task in (self.versions, self.upstream, self.peers, self.owner_task):
             task.close()
         self.links.close()
         self.store.close()
@@ -298,7 +298,7 @@
             case "Remembered":
                 self.upstream.remember(body["ended"])
             case "Noted":
-                self.upstream.noted(body["ended"])
+                self.upstream.peer_answered(name, body["ended"])
             case "Versioned":
                 self.versions.on_versioned(body)
             case _:
--- a/foldhoist/daemon/peers_task.py
+++ b/foldhoist/daemon/peers_task.py
@@ -36,7 +36,7 @@
         store: Store,
         describe: Callable[[], Member],
         on_change: Callable[[list[str]], None],
-        on_own: Callable[[tuple[str, ...]], None],
+        on_own: Callable[[tuple[str, ...], set[str]], None],
         rng: Random,
     ) -> None:
         self.registry = registry
@@ -136,7 +136,8 @@
         if answer.is_error():
             return False
         own = [record for record in answer.ok if record.name == self.registry.name]
-        self._on_own(own[0].ended if own else ())
+        others = {record.name for record in answer.ok} - {self.registry.name}
+        self._on_own(own[0].ended if own else (), others)
         self.carry_out(self.registry.stored(self._loop.time(), answer.ok))
         self.listed.set()
         return True
--- a/foldhoist/daemon/upstream_task.py
+++ b/foldhoist/daemon/upstream_task.py
@@ -7,10 +7,12 @@
 
 from loguru import logger
 
+from foldhoist.membership.settling import Settling
 from foldhoist.membership.upstream import Heard, OwnUpstream
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
+    from collections.abc import Set as AbstractSet
 
     from foldhoist.daemon.owner_task import OwnerTask
     from foldhoist.daemon.peers_task import PeersTask
@@ -20,6 +22,10 @@
 """Longest wait of a restarted daemon for what earlier lives have acknowledged, seconds."""
 BIND_S = 0.6
 """Longest wait for a peer or the store to note that the upstream leaves, seconds."""
+WRITE_AGAIN_S = 0.1
+"""First pause after the store did not note a leaving, seconds; it doubles each time."""
+WRITE_LONGEST_S = 3.0
+"""Longest such pause, seconds."""
 
 
 class UpstreamTask:
@@ -32,6 +38,7 @@
         self._owner_task = owner_task
         self._on_change = on_change
         self._service = service
+        self._settling = Settling(first=False)
         self._settled = False
         self._noted: dict[str, asyncio.Event] = {}
         self._loop = asyncio.get_running_loop()
@@ -40,10 +47,14 @@
     def start(self, peers: PeersTask, first: bool) -> None:
         """Begin; the first life of a daemon has nothing to learn of earlier ones."""
         self._peers = peers
-        if first:
-            self._settle()
-            return
-        self._loop.call_later(SETTLE_S, self._settle)
+        self._settling = Settling(first)
+        self._loop.call_later(SETTLE_S, self._give_up)
+        self._settle()
+
+    def close(self) -> None:
+        """Stop writing."""
+        for task in self._stores:
+            task.cancel()
 
     def described(self) -> Announced:
         """Return what peers are told; an upstream that may not be used yet is not named."""
@@ -74,35 +85,53 @@
             self._changed(before)
         if heard is Heard.LEAVING:
             await self._bind(announced["instance"])
+        elif announced["state"] != "ready":
+            await self._until_noted(announced["instance"])
 
     async def left(self, instance: str) -> None:
         """Take in that a life of the upstream is over; returns when that may be acknowledged."""
         before = self.known.current
         if self.known.left(instance) is Heard.NOTHING:
+            await self._until_noted(instance)
             return
         logger.info("upstream {} is gone, by its own word", instance)
         self._changed(before)
         await self._bind(instance)
 
-    def noted(self, ended: Iterable[str]) -> None:
-        """Take in that a peer has noted these lives as ended."""
-        for instance in ended:
+    def peer_answered(self, name: str, noted: Iterable[str]) -> None:
+        """Take in that a peer has read what this daemon is; it has noted these lives as ended."""
+        for instance in noted:
             event = self._noted.get(instance)
             if event is not None:
                 event.set()
+        self._settling.peer_answered(name)
+        self._settle()
+
+    def store_answered(self, ended: Iterable[str], peers: AbstractSet[str]) -> None:
+        """Take in what the store knows of this daemon's earlier lives, and which peers it names."""
+        self._settling.store_answered(peers)
+        self._take_ended(ended)
 
     def remember(self, ended: Iterable[str]) -> None:
-        """Take in what the store or a peer knows of this daemon's earlier lives."""
+        """Take in what a peer knows of this daemon's earlier lives."""
+        self._settling.peer_remembered()
+        self._take_ended(ended)
+
+    # Steps
+
+    def _take_ended(self, ended: Iterable[str]) -> None:
         before = self.known.current
         if self.known.remember(list(ended)):
             logger.info("upstream was leaving before this daemon started")
             self._changed(before)
         self._settle()
 
-    # Steps
+    def _give_up(self) -> None:
+        self._settling.give_up()
+        self._settle()
 
     def _settle(self) -> None:
-        if self._settled:
+        if self._settled or not self._settling.done:
             return
         self._settled = True
         if self.known.current is not None:
@@ -122,13 +151,26 @@
         task = self._loop.create_task(self._store(event))
         self._stores.add(task)
         task.add_done_callback(self._stores.discard)
+        if not await self._until_noted(instance):
+            logger.warning("no peer and no store noted that {} leaves", instance)
+        self._noted.pop(instance, None)
+
+    async def _until_noted(self, instance: str) -> bool:
+        """Wait while a leaving is being noted; returns whether that was done in time."""
+        event = self._noted.get(instance)
+        if event is None:
+            return True
         try:
             async with asyncio.timeout(BIND_S):
                 await event.wait()
         except TimeoutError:
-            logger.warning("no peer and no store noted that {} leaves", instance)
-        self._noted.pop(instance, None)
+            return False
+        return True
 
     async def _store(self, event: asyncio.Event) -> None:
-        if await self._peers.store_ended():
-            event.set()
+        """Write the leaving to the store, again and again until that is done."""
+        pause = WRITE_AGAIN_S
+        while not await self._peers.store_ended():
+            await asyncio.sleep(pause)
+            pause = min(WRITE_LONGEST_S, pause * 2)
+        event.set()
