Stop a daemon only when every ingress has read that it takes no calls

Cause: in 1 of 72 rolling restarts under load a call ended may-have-run, owner-gone: sent 3 ms after the owner's last word, to a daemon that left 52 ms after its leaving began. It exited with the call unread in its socket, and nobody can say then that it did not run. Ruled out: the deadline, the upstream (it never had the call). Change: Goaway, the last word of a connection: the stopping owner sends it after its last call, the ingress takes the owner out of its choice and says it back; until then (at most 1 s) the owner reads and refuses. Rolling restarts under load on the new code: not run yet.

--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -74,6 +74,8 @@
                 self._carry_out(self.ingress.refusal(now, target, body))
             case "Report":
                 self.ingress.report(now, target, body)
+            case "Goaway":
+                self.ingress.link_closing(now, target)
 
     def link_up(self, target: str, incarnation: str) -> None:
         """Take in a new connection to an owner."""
--- a/foldhoist/daemon/links.py
+++ b/foldhoist/daemon/links.py
@@ -117,6 +117,8 @@
         if kind == "Hello":
             self._greet(conn, body)
             return
+        if kind == "Goaway":
+            conn.send("Goaway", {"reason": "seen"})
         self._events.on_message(self.name, kind, body)
 
     def _greet(self, conn: FrameConnection, hello: Hello) -> None:
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -28,6 +28,10 @@
 """Time between two looks at what has waited too long, seconds."""
 REACH_S = 0.3
 """Time between two tries to reach an upstream that is away, seconds."""
+PART_S = 1.0
+"""Longest wait for ingresses to read that no call is taken any more, seconds."""
+PART_LOOK_S = 0.01
+"""Time between two looks at whether they have, seconds."""
 AWAY = "upstream-unreachable"
 """Reason of a call for which no connection to the upstream could be opened."""
 
@@ -58,6 +62,7 @@
         self._conns: dict[int, FrameConnection] = {}
         self._next_link = LOCAL_LINK + 1
         self._greeted: set[int] = set()
+        self._unaware: set[int] = set()
         host, _, port = cfg["upstream"]["address"].rpartition(":")
         self.pool = UpstreamPool(
             (host, int(port)),
@@ -113,6 +118,24 @@
         """Take over the sizes of the queue."""
         self._carry_out(self.owner.reshape(self._loop.time(), shape))
 
+    @property
+    def parting(self) -> bool:
+        """Return whether ingresses are being told that no call is taken any more."""
+        return bool(self._unaware)
+
+    async def part(self) -> None:
+        """Tell every ingress that no call is taken any more; returns when all have read it.
+
+        What they had sent before is refused meanwhile. A silent one is not waited for long.
+        """
+        self._unaware = {link for link in self._greeted if link != LOCAL_LINK}
+        for link in self._unaware:
+            self._send(link, "Goaway", {"reason": "drain"})
+        limit = self._loop.time() + PART_S
+        while self._unaware and self._loop.time() < limit:
+            await asyncio.sleep(PART_LOOK_S)
+        self._unaware.clear()
+
     def reply(self, link: int, kind: str, body: Any) -> None:
         """Write a message to the daemon at the other end of a connection."""
         self._send(link, kind, body)
@@ -168,12 +191,15 @@
                 self._carry_out(self.owner.withdraw(now, link, body))
             case "FateAsk":
                 self._carry_out(self.owner.fate(now, link, body))
+            case "Goaway":
+                self._unaware.discard(link)
             case _ if self._on_peer is not None:
                 self._on_peer(link, kind, body)
 
     def _lost(self, conn: FrameConnection) -> None:
         self._conns.pop(conn.number, None)
         self._greeted.discard(conn.number)
+        self._unaware.discard(conn.number)
         self.owner.link_lost(self._loop.time(), conn.number)
 
     def _result(self, ticket: int, result: Result) -> None:
--- a/foldhoist/delivery/codec.py
+++ b/foldhoist/delivery/codec.py
@@ -51,6 +51,7 @@
     "Noted": (15, messages.Noted),
     "Versioned": (16, messages.Versioned),
     "Fresh": (17, messages.Fresh),
+    "Goaway": (18, messages.Goaway),
 }
 _NUMBERS = {name: number for name, (number, _) in _KINDS.items()}
 _DECODERS: dict[int, tuple[str, Any]] = {
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -40,8 +40,6 @@
 
 FATE_S = 1.0
 """Longest wait for an owner to say what became of a call, seconds."""
-HEDGE_SHARE = 0.5
-"""A repeatable call is hedged after this share of its route's objective."""
 PARK_S = 0.3
 """Longest wait of a call for a first connection to an owner, seconds."""
 
@@ -103,8 +101,7 @@
             return [self._refuse_at_door(now, call_id, req, routed, verdict)]
         state = self._services.get(routed.service)
         if state is None:
-            verdict = NotRun("service-removed", 1.0)
-            return [self._refuse_at_door(now, call_id, req, routed, verdict)]
+            return [self._refuse_at_door(now, call_id, req, routed, NotRun("service-removed", 1.0))]
         limit = routed.timeout_s or state.cfg["deadline_ms"] / 1000
         budget = min(req.budget_s, limit) if req.budget_s > 0 else limit
         call = Call(call_id, req, routed, now, now + budget)
@@ -112,8 +109,7 @@
         state.budget.call()
         self._book.remind(call.deadline, call, Timer.EXPIRE)
         actions = self._attempt(now, call)
-        hedge_s = state.cfg["hedge_ms"] / 1000 or routed.objective_s * HEDGE_SHARE
-        if hedge_s and call.repeatable and not req.retried:
+        if hedge_s := rules.hedge_after_s(call, state):
             self._book.remind(now + hedge_s, call, Timer.HEDGE)
         return actions
 
@@ -161,10 +157,14 @@
         self._services.linked(now, target, True, fresh)
         return [*self._ask_fate(now, target, fresh), *self._unpark(now)]
 
-    def link_lost(self, now: float, target: str) -> list[Action]:
-        """Take in that a connection to an owner fell."""
+    def link_closing(self, now: float, target: str) -> None:
+        """Take in that an owner takes no more calls; it still answers those that it has."""
         self._up.discard(target)
         self._services.linked(now, target, False, fresh=False)
+
+    def link_lost(self, now: float, target: str) -> list[Action]:
+        """Take in that a connection to an owner fell."""
+        self.link_closing(now, target)
         actions: list[Action] = []
         for call, live in self._book.at(target):
             if live.asking:
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -24,6 +24,8 @@
 """Statuses from this on count against an upstream."""
 LEAST_BUDGET_S = 0.001
 """A call with less time left than this is not dispatched, seconds."""
+HEDGE_SHARE = 0.5
+"""A repeatable call is hedged after this share of its route's objective."""
 REMOTE_SHARE = 0.4
 """What another data centre costs beside the time of a call, as a share of its objective."""
 REMOTE_SHARE_KB = 0.08
@@ -41,6 +43,13 @@
     return None
 
 
+def hedge_after_s(call: Call, state: ServiceState) -> float:
+    """Return how long a call runs before it is sent to a second upstream, seconds; 0 for never."""
+    if not call.repeatable or call.req.retried:
+        return 0.0
+    return state.cfg["hedge_ms"] / 1000 or call.objective_s * HEDGE_SHARE
+
+
 def may_retry(now: float, call: Call, state: ServiceState | None) -> bool:
     """Return whether a call may be sent once more, and take that from the budget.
 
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -415,6 +415,14 @@
     """
 
 
+class Goaway(TypedDict):
+    """
+    The last word of a connection: an owner takes no more calls on it, or an ingress sends none.
+    """
+
+    reason: str
+
+
 class Noted(TypedDict):
     """
     A peer has taken in a Member.
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from foldhoist.daemon.mesh import MeshDaemon
+
 
 def played(test: Callable[[Cluster], Awaitable[None]]) -> Callable[[], None]:
     """Run a test with a cluster of its own."""
@@ -332,3 +334,44 @@
     target.gate.set()
     assert [answer.status for answer in await asyncio.gather(*running)] == [200] * slots
     assert len(target.ran) == slots
+
+
+@played
+async def test_a_call_sent_before_its_ingress_heard_of_the_stop_is_refused_not_lost(
+    cluster: Cluster,
+) -> None:
+    """The stopping daemon waits until every ingress has read that no call is taken any more."""
+    await cluster.add("a", service="web")
+    await cluster.add("b")
+    await cluster.configure(1, [route(service="web", route_type="unsafe", timeout_s=9)])
+    await cluster.settle(1)
+    owner, ingress = cluster.daemons["a"], cluster.daemons["b"]
+    to_owner, from_ingress = transport_to(ingress, "a"), transport_from(owner, "b")
+    to_owner.pause_reading()
+    from_ingress.pause_reading()
+    stop = asyncio.ensure_future(owner.drain())
+    patient = {"X-Deadline-Ms": "9000"}
+    asked = asyncio.ensure_future(cluster.ask("b", method="POST", headers=patient))
+    await until(lambda: owner.owner_task.parting or owner.stopped.is_set())
+    from_ingress.resume_reading()
+    await until(lambda: owner.owner.count.refused > 0 or owner.stopped.is_set())
+    to_owner.resume_reading()
+    answer = await asked
+    assert (answer.status, answer.body) == (503, b"not run: upstream-leaving\n")
+    await stop
+
+
+def transport_to(daemon: MeshDaemon, peer: str) -> asyncio.Transport:
+    """Return the transport of a daemon's connection to a peer."""
+    conn = daemon.links._links[peer]._conn
+    assert conn is not None
+    assert conn._transport is not None
+    return conn._transport
+
+
+def transport_from(daemon: MeshDaemon, peer: str) -> asyncio.Transport:
+    """Return the transport of the connection that a peer has opened to a daemon."""
+    for number, conn in daemon.owner_task._conns.items():
+        if daemon.owner.peer_name(number) == peer and conn._transport is not None:
+            return conn._transport
+    raise LookupError(peer)
--- a/tests/model/leaving_spec.py
+++ b/tests/model/leaving_spec.py
@@ -1,8 +1,9 @@
 """An upstream leaves, and its daemon, the store and a peer may fail at any step.
 
 The daemon's knowledge of its upstream, what it has heard of earlier lives and the peer's list of
-daemons are the real core objects, built anew for each step. Announcements arrive in any order, late ones too. What an acknowledgement
-promises: no call goes to that life of the upstream any more, whatever dies next.
+daemons are the real core objects, built anew for each step. Announcements arrive in any order, late
+ones too. What an acknowledgement promises: no call goes to that life of the upstream any more,
+whatever dies next.
 
 Assumed: the store or the peer that noted the leaving is reached by a restarted daemon before it
 stops waiting for them.
