--- a/foldhoist/commands/apply.py
+++ b/foldhoist/commands/apply.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+import sys
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
@@ -18,6 +19,7 @@
     print_faults,
     print_json,
 )
+from foldhoist.config.changes import changes
 from foldhoist.config.faults import Fault, errors
 from foldhoist.config.fleet import check_change, parse_fleet
 from foldhoist.configlog.fold import State, from_snapshot, merge
@@ -49,6 +51,7 @@
     log: str,
     stream: str = "configuration",
     daemon: str = "",
+    base: int = -1,
     id: str = "",
     json: bool = False,
 ) -> int:
@@ -56,12 +59,15 @@
 
     Exits with 0 if it was accepted, 1 if the file has faults, 2 if it was rejected (another
     operator was faster, or the platform was not reachable before anything was sent), and 3 if
-    that is not known: then run the command again with the id that it prints.
+    that is not known: then run the command again with the id that it prints. Without --base it
+    says what changes against the generation in force, whoever wrote that.
 
     :param file: Path of the configuration.
     :param log: Address of the platform's log, as IP:port.
     :param stream: Stream that holds the configuration.
     :param daemon: Operators address of a daemon, asked if the log alone cannot tell.
+    :param base: Generation that the file was edited from, as `foldhoist config` prints it; the file
+        is rejected if another one is in force.
     :param id: Id of an earlier run whose end is not known.
     :param json: Print for a program.
     """
@@ -71,7 +77,7 @@
         return EXIT_FAULTS
     if id and base_of(id) is None:
         raise UsageError(f"{id} is no publish id; give the one that an earlier run printed")
-    proposal = Proposal(file, text, fleet, log, stream, daemon)
+    proposal = Proposal(file, text, fleet, log, stream, daemon, base)
     publish_id, ended = asyncio.run(_apply(proposal, id))
     if isinstance(ended, list):
         print_faults(ended, as_json=json)
@@ -88,6 +94,7 @@
     log: str
     stream: str
     daemon: str
+    base: int
 
 
 async def _apply(proposal: Proposal, earlier_id: str) -> tuple[str, Step | list[Fault]]:
@@ -99,6 +106,11 @@
         faults = _change_faults(state, proposal)
         if errors(faults):
             return "", faults
+        rejected = _not_on_base(state, proposal) if not earlier_id else None
+        if rejected is not None:
+            return "", rejected
+        if proposal.base < 0:
+            _tell_changes(state, proposal)
     publish_id = earlier_id or new_id(state or State(), secrets.token_hex(8))
     publisher = Publisher(publish_id, proposal.text)
     return publish_id, await _publish(client, publisher, state, proposal.daemon)
@@ -139,6 +151,27 @@
     return check_change(old, proposal.fleet, proposal.file)
 
 
+def _not_on_base(state: State, proposal: Proposal) -> Rejected | None:
+    """Return the rejection of a file that was edited from another generation."""
+    if proposal.base < 0 or proposal.base == state.generation:
+        return None
+    return Rejected(
+        f"generation {state.generation} is in force, and {proposal.file} was edited from"
+        f" generation {proposal.base}"
+    )
+
+
+def _tell_changes(state: State, proposal: Proposal) -> None:
+    """Say on standard error what a file without a named base changes."""
+    if not state.content:
+        return
+    old, _ = parse_fleet(state.content, "configuration in force")
+    lines = changes(old, proposal.fleet)
+    print(f"changes against generation {state.generation}:", file=sys.stderr)
+    for line in lines or ["none"]:
+        print(f"  {line}", file=sys.stderr)
+
+
 def _tell(step: Step, publish_id: str, json: bool) -> int:
     match step:
         case Accepted(generation):
--- a/foldhoist/commands/config.py
+++ b/foldhoist/commands/config.py
@@ -21,6 +21,8 @@
     if not body["generation"]:
         print("no configuration is in force: run `foldhoist apply`")
         return EXIT_NOT_FOUND
-    print(f"# generation {body['generation']}, digest {body['digest'][:12]}")
+    generation = body["generation"]
+    print(f"# generation {generation}, digest {body['digest'][:12]}")
+    print(f"# apply an edited copy with --base {generation}")
     print(body["content"])
     return EXIT_OK
--- a/tests/integration/test_commands.py
+++ b/tests/integration/test_commands.py
@@ -53,6 +53,26 @@
     assert "apply `state = retired`, then remove the section" in done.stderr
 
 
+def test_a_file_of_an_older_generation_does_not_undo_a_colleagues_change() -> None:
+    with make_fleet() as fleet:
+        fleet.start()
+        first = fleet.configuration().replace("slots = 12", "slots = 11", 1)
+        second = fleet.configuration().replace("slots = 12", "slots = 10", 1)
+        told = fleet.command("config", operators(fleet)).stdout
+        assert "--base 1" in told
+        assert fleet.apply(first, "--base", "1").returncode == 0
+        done = fleet.apply(second, "--base", "1")
+        assert done.returncode == 2
+        assert "generation 2 is in force" in done.stdout
+        assert "was edited from generation 1" in done.stdout
+        fleet.wait_generation(2)
+        assert fleet.status("depo-1")["configuration"]["generation"] == 2
+        blind = fleet.apply(second)
+        assert blind.returncode == 0
+        assert "changes against generation 2:" in blind.stderr
+        assert "[target depo-1] slots: 11, now 10" in blind.stderr
+
+
 def test_no_daemon_at_an_address(fleet: LocalFleet) -> None:
     done = fleet.command("status", "127.0.0.1:1")
     assert done.returncode == 4
