--- a/tools/kinds.py
+++ b/tools/kinds.py
@@ -75,13 +75,21 @@
 
 
 def main(bench: str, only: str, sites: list[str]) -> int:
-    """Play every day whose name begins with `only` at every site; returns 1 if a rule broke."""
+    """Play days at every site; returns 1 if a rule broke.
+
+    `only` names days, separated by commas; "all" for every day.
+    """
     days = tomllib.loads((DAYS / "kinds.toml").read_text())
+    wanted = list(days) if only == "all" else only.split(",")
+    unknown = [name for name in wanted if name not in days]
+    if unknown:
+        print(f"{DAYS / 'kinds.toml'} has no day {', '.join(unknown)}; its days are {list(days)}")
+        return 2
     jobs = [
         (Path(site), name, str(trouble))
         for name, trouble in days.items()
         for site in sites
-        if name.startswith(only)
+        if name in wanted
     ]
     with ThreadPoolExecutor(AT_ONCE) as pool:
         outcomes = list(pool.map(lambda job: play(bench, *job), jobs))
