--- a/foldhoist/configlog/versions.py
+++ b/foldhoist/configlog/versions.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
 from foldhoist.routing.rendezvous import ranked
@@ -32,6 +33,50 @@
     content: bytes
 
 
+class Reply(Enum):
+    """What to answer a peer that tells which version it holds."""
+
+    NOTHING = "nothing"
+    CONTENT = "content"
+    """It lacks what is held here."""
+    NUMBER = "number"
+    """It asked, and holds the same."""
+    REQUEST = "request"
+    """It holds what is lacking here."""
+
+
+class Held:
+    """The version in force in one life of a daemon; it never goes back."""
+
+    def __init__(self) -> None:
+        self.version = Version(0, b"")
+        self._refused: set[int] = set()
+
+    def wants(self, number: int) -> bool:
+        """Return whether a version is newer than what is in force, and not known as unusable.
+
+        A daemon that starts while the newest version is unusable takes an older one from a peer.
+        """
+        return number > self.version.number and number not in self._refused
+
+    def adopt(self, version: Version) -> None:
+        """Put a wanted version in force."""
+        self.version = version
+        self._refused = {number for number in self._refused if number > version.number}
+
+    def refuse(self, version: Version) -> None:
+        """Note that a wanted version cannot be used: what is in force stays."""
+        self._refused.add(version.number)
+
+    def reply(self, number: int, asked: bool) -> Reply:
+        """Return what to answer a peer that holds this version; `asked` if it wants an answer."""
+        if number < self.version.number:
+            return Reply.CONTENT
+        if self.wants(number):
+            return Reply.REQUEST
+        return Reply.NUMBER if asked else Reply.NOTHING
+
+
 class Readers:
     """Who reads the store, as one daemon sees it; `now` is in seconds, monotonic."""
 
--- a/foldhoist/daemon/versions_task.py
+++ b/foldhoist/daemon/versions_task.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from foldhoist.configlog.versions import NEVER_MS, TELL_S, Readers, Version
+from foldhoist.configlog.versions import NEVER_MS, TELL_S, Held, Readers, Reply, Version
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -54,7 +54,7 @@
         rng: Random,
     ) -> None:
         self.count = Counters()
-        self.version = Version(0, b"")
+        self.held = Held()
         self.fleet: Fleet | None = None
         self.store_ok = False
         self._adapter = adapter
@@ -63,7 +63,6 @@
         self._wait_ms = wait_ms
         self._on_adopt = on_adopt
         self._rng = rng
-        self._refused = 0
         self._answered_at = float("-inf")
         self._loop = asyncio.get_running_loop()
         self._tasks: list[asyncio.Task[None]] = []
@@ -79,6 +78,11 @@
         for task in self._tasks:
             task.cancel()
 
+    @property
+    def version(self) -> Version:
+        """Return the version in force; number 0 is none."""
+        return self.held.version
+
     def on_versioned(self, message: Versioned) -> None:
         """Take in a configuration that a peer passed on."""
         self._take(Version(message["version"], message["content"]))
@@ -86,12 +90,13 @@
     def on_fresh(self, name: str, message: Fresh) -> None:
         """Take in what a peer holds, and how recently the store answered it."""
         self._readers.told(self._loop.time(), name, message["age_ms"] / 1000)
-        if message["version"] < self.version.number:
-            self._peers.send(name, "Versioned", self.as_message())
-            return
-        if message["wanted"] or message["version"] > self.version.number:
-            wanted = message["version"] > self.version.number
-            self._peers.send(name, "Fresh", self._fresh(wanted))
+        match self.held.reply(message["version"], message["wanted"]):
+            case Reply.CONTENT:
+                self._peers.send(name, "Versioned", self.as_message())
+            case Reply.REQUEST:
+                self._peers.send(name, "Fresh", self._fresh(wanted=True))
+            case Reply.NUMBER:
+                self._peers.send(name, "Fresh", self._fresh(wanted=False))
 
     def as_message(self) -> Versioned:
         """Return the version in force for a peer."""
@@ -142,16 +147,16 @@
             self._peers.tell("Fresh", self._fresh(wanted=False), near=True)
 
     def _take(self, version: Version) -> bool:
-        if version.number <= max(self.version.number, self._refused):
+        if not self.held.wants(version.number):
             return False
         translated = self._adapter.translate(version)
         if translated.is_error():
-            self._refused = version.number
+            self.held.refuse(version)
             self.count.refused += 1
             logger.error("version {} cannot be used: {}", version.number, translated.error)
             return False
         before = self.version.number
-        self.version = version
+        self.held.adopt(version)
         self.fleet = translated.ok
         self.count.adopted += 1
         logger.info("version {} in force, was {}", version.number, before)
--- a/tests/unit/configlog/test_versions.py
+++ b/tests/unit/configlog/test_versions.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from foldhoist.configlog.versions import READERS, SILENT_S, STEP_S, Readers
+from foldhoist.configlog.versions import (
+    READERS,
+    SILENT_S,
+    STEP_S,
+    Held,
+    Readers,
+    Reply,
+    Version,
+)
 
 NAMES = [f"d{number}" for number in range(6)]
 
@@ -63,3 +71,25 @@
 
 def test_a_daemon_that_knows_nobody_reads() -> None:
     assert Readers("d0", 6.0).reads(0.0)
+
+
+def test_a_daemon_that_starts_on_an_unusable_version_takes_an_older_one_from_a_peer() -> None:
+    held = Held()
+    assert held.wants(7)
+    held.refuse(Version(7, b"broken"))
+    assert not held.wants(7)
+    assert held.reply(7, asked=False) is Reply.NOTHING
+    assert held.reply(6, asked=False) is Reply.REQUEST
+    held.adopt(Version(6, b"good"))
+    assert not held.wants(6)
+    assert not held.wants(7)
+    assert held.wants(8)
+
+
+def test_what_a_peer_is_answered() -> None:
+    held = Held()
+    held.adopt(Version(5, b"five"))
+    assert held.reply(4, asked=False) is Reply.CONTENT
+    assert held.reply(5, asked=False) is Reply.NOTHING
+    assert held.reply(5, asked=True) is Reply.NUMBER
+    assert held.reply(9, asked=True) is Reply.REQUEST
