--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -30,6 +30,8 @@
 """Time between two tries to reach an upstream that is away, seconds."""
 PART_S = 1.0
 """Longest wait for ingresses to read that no call is taken any more, seconds."""
+PART_LEAST_S = 0.1
+"""Wait for that even if the time of the whole stop is up, seconds."""
 PART_LOOK_S = 0.01
 """Time between two looks at whether they have, seconds."""
 AWAY = "upstream-unreachable"
@@ -123,16 +125,18 @@
         """Return whether ingresses are being told that no call is taken any more."""
         return bool(self._unaware)
 
-    async def part(self) -> None:
+    async def part(self, limit: float) -> None:
         """Tell every ingress that no call is taken any more; returns when all have read it.
 
-        What they had sent before is refused meanwhile. A silent one is not waited for long.
+        What they had sent before is refused meanwhile. A silent one is not waited for long, and
+        not beyond the `limit` of the whole stop, in monotonic seconds, but for a last look.
         """
         self._unaware = {link for link in self._greeted if link != LOCAL_LINK}
         for link in self._unaware:
             self._send(link, "Goaway", {"reason": "drain"})
-        limit = self._loop.time() + PART_S
-        while self._unaware and self._loop.time() < limit:
+        now = self._loop.time()
+        until = min(now + PART_S, max(limit, now + PART_LEAST_S))
+        while self._unaware and self._loop.time() < until:
             await asyncio.sleep(PART_LOOK_S)
         self._unaware.clear()
 
