Ask a store that has failed briefly, and let readers not wait in step

The store was silent from 2 s to 11 s; the operator's version 5 was acknowledged at 11.840 s and came into force at 14.384 s, 2.54 s later, of 2 allowed. All six readers sat in calls that had begun while the store was silent and hung for their whole 7 s (5 s wait for news and 2 s for the answer). They had been in step since version 3 had answered all of them at once. Ruled out: the relay (4 ms from the first reader to the last daemon), the stepping in of others (two that stepped in hung the same way). Change: after a failure no wait for news, 0.9 s for the answer, then 1.35 and 2 s in case the store is only slow; the time that a call has hung counts as pause; the wait for news is drawn between 0.4 and 1 of 5 s.

--- a/foldhoist/daemon/ports.py
+++ b/foldhoist/daemon/ports.py
@@ -32,11 +32,17 @@
 class Store(Protocol):
     """The platform's store; every call costs, and may fail, hang or be done unanswered."""
 
-    async def newest(self) -> Result[Version | None, StoreFault]:
-        """Return the newest configuration, or None if there is none yet."""
+    async def newest(self, answer_s: float) -> Result[Version | None, StoreFault]:
+        """Return the newest configuration, or None if there is none yet.
 
-    async def news(self, wait_ms: int) -> Result[Version | None, StoreFault]:
-        """Wait for a configuration newer than the last one returned; None if none came."""
+        `answer_s` is the longest wait for an answer, seconds.
+        """
+
+    async def news(self, wait_ms: int, answer_s: float) -> Result[Version | None, StoreFault]:
+        """Wait for a configuration newer than the last one returned; None if none came.
+
+        `answer_s` is the longest wait for an answer beyond `wait_ms`, seconds.
+        """
 
     async def register(self, registration: Registration) -> Result[None, StoreFault]:
         """Write where this daemon listens; the newest record of a name counts."""
--- a/foldhoist/daemon/versions_task.py
+++ b/foldhoist/daemon/versions_task.py
@@ -20,9 +20,17 @@
     from foldhoist.schema.messages import Fresh, Versioned
 
 RETRY_FIRST_S = 0.1
-"""First pause after the store has failed, seconds; it doubles each time."""
+"""First time from one call to a store that has failed to the next, seconds; it doubles."""
 RETRY_LONGEST_S = 1.0
-"""Longest pause after the store has failed, seconds."""
+"""Longest such time, seconds; a call that hangs longer is followed by another after the first."""
+ANSWER_FIRST_S = 0.9
+"""Longest wait for an answer of the store beside the wait for news, seconds."""
+ANSWER_LONGEST_S = 2.0
+"""The same after it has failed some times: perhaps it is only slow."""
+ANSWER_GROWS = 1.5
+"""What that wait is multiplied by each time."""
+LEAST_WAIT_SHARE = 0.4
+"""Shortest wait for news, as a share of the longest; it is drawn by lot."""
 LOOK_S = 0.2
 """Time between two looks at whether this daemon is to read, seconds."""
 ASK_S = 0.4
@@ -64,6 +72,7 @@
         self._on_adopt = on_adopt
         self._rng = rng
         self._answered_at = float("-inf")
+        self._answer_s = ANSWER_FIRST_S
         self._loop = asyncio.get_running_loop()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -110,21 +119,25 @@
             if self.fleet is not None and not self._readers.reads(self._loop.time()):
                 await asyncio.sleep(LOOK_S)
                 continue
+            began = self._loop.time()
             if await self._read_once():
                 pause = RETRY_FIRST_S
                 continue
-            await asyncio.sleep(pause * (0.5 + self._rng.random()))
+            spent = self._loop.time() - began
+            left = max(RETRY_FIRST_S, pause - spent)
+            await asyncio.sleep(left * (0.5 + self._rng.random()))
             pause = min(RETRY_LONGEST_S, pause * 2)
 
     async def _read_once(self) -> bool:
         self.count.store_reads += 1
         if self._answered_at == float("-inf"):
-            answer = await self._store.newest()
+            answer = await self._store.newest(self._answer_s)
         else:
-            answer = await self._store.news(self._wait_ms)
+            answer = await self._store.news(self._news_wait_ms(), self._answer_s)
         if answer.is_error():
             self._failed(answer.error)
             return False
+        self._answer_s = ANSWER_FIRST_S
         self._answered_at = self._loop.time()
         self._store_is(True)
         version = answer.ok
@@ -136,8 +149,21 @@
 
     def _failed(self, fault: StoreFault) -> None:
         self.count.store_errors += 1
+        if fault.sent and not self.store_ok:
+            self._answer_s = min(ANSWER_LONGEST_S, self._answer_s * ANSWER_GROWS)
         self._store_is(False, fault.what)
 
+    def _news_wait_ms(self) -> int:
+        """Return how long to wait for news; not at all at a store that has just failed.
+
+        A call hangs until its time is up if the store falls silent meanwhile, also when the store
+        has long been back. So readers do not wait in step, and ask a failing store briefly.
+        """
+        if not self.store_ok:
+            return 0
+        share = LEAST_WAIT_SHARE + (1.0 - LEAST_WAIT_SHARE) * self._rng.random()
+        return int(self._wait_ms * share)
+
     def _store_is(self, ok: bool, what: str = "") -> None:
         if ok == self.store_ok:
             return
--- /dev/null
+++ b/tests/unit/daemon/test_versions_task.py
@@ -0,0 +1,117 @@
+"""How the configuration is read from a store that fails, and how that is asked again."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from expression import Error, Ok
+
+from foldhoist.configlog.versions import Readers, Version
+from foldhoist.daemon.ports import StoreFault
+from foldhoist.daemon.versions_task import ANSWER_FIRST_S, ANSWER_LONGEST_S, VersionsTask
+
+if TYPE_CHECKING:
+    from expression import Result
+
+WAIT_MS = 5000
+SILENT = StoreFault("did not answer", True)
+ASKED = 40
+"""Calls after which a scripted store says nothing more."""
+
+
+class Call(NamedTuple):
+    """A call to the store, with what it may take."""
+
+    kind: str
+    wait_ms: int
+    answer_s: float
+
+
+class ScriptedStore:
+    """Answers by a list; after its end it answers every call at once, up to a number of calls."""
+
+    def __init__(self, answers: list[Result[Version | None, StoreFault]]) -> None:
+        self.answers = answers
+        self.calls: list[Call] = []
+        self.ended = asyncio.Event()
+
+    async def newest(self, answer_s: float) -> Result[Version | None, StoreFault]:
+        """Return the next answer."""
+        return await self._answer(Call("newest", 0, answer_s))
+
+    async def news(self, wait_ms: int, answer_s: float) -> Result[Version | None, StoreFault]:
+        """Return the next answer."""
+        return await self._answer(Call("news", wait_ms, answer_s))
+
+    async def _answer(self, call: Call) -> Result[Version | None, StoreFault]:
+        if len(self.calls) >= ASKED:
+            self.ended.set()
+            await asyncio.Event().wait()
+        self.calls.append(call)
+        await asyncio.sleep(0)
+        return self.answers.pop(0) if self.answers else Ok(None)
+
+
+class FakeAdapter:
+    """Takes every version."""
+
+    def translate(self, version: Version) -> Result[Any, str]:
+        """Return something that stands for a configuration."""
+        return Ok({"number": version.number})
+
+
+class NoPeers:
+    """Nobody to tell."""
+
+    def tell(self, kind: str, body: Any, near: bool | None = None) -> None:
+        """Tell nobody."""
+
+    def ask_someone(self, kind: str, body: Any) -> None:
+        """Ask nobody."""
+
+
+def calls_with(answers: list[Result[Version | None, StoreFault]]) -> list[Call]:
+    """Return the calls that a task makes to a store with these answers."""
+
+    async def run() -> list[Call]:
+        store: Any = ScriptedStore(answers)
+        adapter: Any = FakeAdapter()
+        peers: Any = NoPeers()
+        task = VersionsTask(
+            adapter, store, Readers("a", 6.0), WAIT_MS, lambda *_: None, random.Random(1)
+        )
+        task.start(peers)
+        await store.ended.wait()
+        task.close()
+        return list(store.calls)
+
+    return asyncio.run(run())
+
+
+def test_readers_do_not_wait_in_step() -> None:
+    """A call that hangs when the store falls silent ends at another time at each reader."""
+    waits = [call.wait_ms for call in calls_with([Ok(Version(1, b""))]) if call.kind == "news"]
+    assert max(waits) <= WAIT_MS
+    assert min(waits) >= 0.4 * WAIT_MS
+    assert len(set(waits)) > ASKED // 2
+
+
+def test_a_store_that_has_failed_is_asked_without_waiting_for_news() -> None:
+    """What hangs in a silent store must not hang on when the store is back."""
+    calls = calls_with([Ok(Version(1, b"")), Error(SILENT), Error(SILENT), Error(SILENT)])
+    assert [call.kind for call in calls[:2]] == ["newest", "news"]
+    after = calls[2:5]
+    assert [call.wait_ms for call in after] == [0, 0, 0]
+    assert after[0].answer_s == ANSWER_FIRST_S
+    assert after[0].answer_s < after[1].answer_s < after[2].answer_s <= ANSWER_LONGEST_S
+    assert calls[5].wait_ms >= 0.4 * WAIT_MS
+    assert calls[5].answer_s == ANSWER_FIRST_S
+
+
+def test_a_start_beside_a_silent_store_asks_again_and_again() -> None:
+    calls = calls_with([Error(SILENT)] * 3 + [Ok(Version(1, b""))])
+    assert [call.kind for call in calls[:4]] == ["newest"] * 4
+    assert calls[0].answer_s == ANSWER_FIRST_S
+    assert calls[3].answer_s == ANSWER_LONGEST_S
