--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -329,7 +329,7 @@
             return self._finish(now, call, Answered(call.failure))
         if call.maybe:
             return self._finish(now, call, MayHaveRun(call.maybe))
-        return self._finish(now, call, rules.refused_by_all(now, call, reason, retry_after_s))
+        return self._finish(now, call, NotRun(reason, retry_after_s))
 
     def _expire(self, now: float, call: Call) -> list[Action]:
         if call.failure is not None:
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -26,12 +26,6 @@
 """A call with less time left than this is not dispatched, seconds."""
 HEDGE_SHARE = 0.5
 """A repeatable call is hedged after this share of its route's objective."""
-COME_BACK_SHARE = 0.3
-"""Longest time after which a refused call is to come back, as a share of the time it has left."""
-COME_BACK_LEAST = 0.5
-"""Shortest one, as a share of the longest."""
-GOLDEN_RATIO = 0.6180339887498949
-"""Multiples of it, without their whole parts, lie evenly between 0 and 1."""
 REMOTE_SHARE = 0.4
 """What another data centre costs beside the time of a call, as a share of its objective."""
 REMOTE_SHARE_KB = 0.08
@@ -76,18 +70,6 @@
     return call.arrivals == 0 or state.budget.spend(now)
 
 
-def refused_by_all(now: float, call: Call, reason: str, retry_after_s: float) -> NotRun:
-    """Return the final answer to a call that no owner takes now, with a time to come back.
-
-    What fills upstreams (noise, a burst) lasts longer than the wait for one slot: who comes back at
-    once is refused again. Times are spread evenly over the calls, so that they do not return
-    together.
-    """
-    left_s = max(0.0, call.deadline - now)
-    spread = COME_BACK_LEAST + (1.0 - COME_BACK_LEAST) * (call.call_id * GOLDEN_RATIO % 1.0)
-    return NotRun(reason, max(retry_after_s, left_s * COME_BACK_SHARE * spread))
-
-
 def remote_cost_s(call: Call, state: ServiceState) -> float:
     """Return what another data centre costs this call beside its time, seconds."""
     if not call.objective_s:
