--- /dev/null
+++ b/tools/variants.py
@@ -0,0 +1,57 @@
+"""Writes variants of a site file of the users' bench: deployments that nobody has tuned for.
+
+The bench and its site files are no part of the repository; they are given as arguments.
+"""
+
+import re
+import shutil
+import sys
+from pathlib import Path
+
+SMALL_SHARE = "0.172"
+"""A fifth of the processor that the machines of the sites have."""
+MACHINE = re.compile(r"^  \{ class = .*$", re.MULTILINE)
+"""A line of the list of machines."""
+
+
+def small(text: str) -> str:
+    """Return the site with a fifth of the processor on each machine."""
+    return re.sub(r"cpu_share = [0-9.]+", f"cpu_share = {SMALL_SHARE}", text)
+
+
+def lone(text: str) -> str:
+    """Return the site with one machine for its second service, and none for its last."""
+    apps = list(dict.fromkeys(re.findall(r'app = "([^"]+)"', text)))
+    seen: set[str] = set()
+
+    def keep(match: re.Match[str]) -> str:
+        line = match[0]
+        app = re.search(r'app = "([^"]+)"', line)
+        if app is None:
+            return line
+        if app[1] == apps[-1] or (app[1] == apps[1] and app[1] in seen):
+            return ""
+        seen.add(app[1])
+        return line
+
+    return MACHINE.sub(keep, text)
+
+
+VARIANTS = {"small": small, "lone": lone}
+
+
+def main(site: str, folder: str) -> int:
+    """Write every variant of a site file into a folder; prints their paths."""
+    source, target = Path(site), Path(folder)
+    target.mkdir(parents=True, exist_ok=True)
+    shutil.copyfile(source.with_name("wire.json"), target / "wire.json")
+    for name, change in VARIANTS.items():
+        path = target / f"{source.stem}-{name}.toml"
+        text = change(source.read_text())
+        path.write_text(text.replace(f'name = "{source.stem}"', f'name = "{path.stem}"', 1))
+        print(path)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1], sys.argv[2]))
