Keep a peer that has told of itself when a lost one's record names its address

Cause: found while writing the model of membership: a daemon that reads the list of daemons a second time took the record of a lost daemon, whose host another one has now, and dropped that one, although it had told of itself. Its upstream then got no calls from here until it told of itself again.

--- a/foldhoist/membership/registry.py
+++ b/foldhoist/membership/registry.py
@@ -102,6 +102,8 @@
                 continue
             if peer is not None and peer.frames == record.frames:
                 continue
+            if self._has_told(record.frames):
+                continue
             actions += self._place(now, record)
         return actions
 
@@ -174,6 +176,11 @@
             found[service] = [close.get(name) or distant[name] for name in names]
         return found
 
+    def _has_told(self, frames: str) -> bool:
+        """Return whether a peer has told that this address is its own: a record of it is older."""
+        peers = self.peers.values()
+        return any(peer.frames == frames and peer.upstream is not None for peer in peers)
+
     def _place(self, now: float, record: Registration) -> list[Action]:
         actions: list[Action] = []
         for other in list(self.peers.values()):
--- a/tests/unit/membership/test_registry.py
+++ b/tests/unit/membership/test_registry.py
@@ -109,3 +109,21 @@
     tracked = registry.tracked(None)["shop"]
     assert len(tracked) == TRACKED
     assert 0 < sum(each.data_centre == "two" for each in tracked) < TRACKED / 2
+
+
+def test_a_record_of_a_lost_daemon_does_not_take_the_address_of_one_that_has_told_of_itself() -> (
+    None
+):
+    registry = Registry("me", "one")
+    registry.told(0.0, member("c", "b:1"))
+    assert registry.stored(1.0, [Registration("b", "l1", "b:1", "one")]) == []
+    assert list(registry.peers) == ["c"]
+
+
+def test_of_two_records_with_one_address_the_one_that_answers_stays() -> None:
+    registry = Registry("me", "one")
+    records = [Registration("c", "l1", "b:1", "one"), Registration("lost", "l1", "b:1", "one")]
+    registry.stored(0.0, records)
+    registry.told(0.1, member("c", "b:1"))
+    assert registry.stored(0.2, records) == []
+    assert list(registry.peers) == ["c"]
