Let no test of the adapter end by time, however slow the machine is

The lines of that run show the loop standing still, with daemons and targets in one process: a deadline of 2 s fired after 4.103 s (the call to its target had no connection yet), one of 1 s after 2.365 s.

--- a/tests/unit/daemon/test_upstream_task.py
+++ b/tests/unit/daemon/test_upstream_task.py
@@ -5,11 +5,24 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+import pytest
+
+from foldhoist.daemon import upstream_task
 from foldhoist.daemon.upstream_task import UpstreamTask
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+NEVER_S = 600.0
+"""In place of the times after which the task acts without having heard, seconds."""
+
+
+@pytest.fixture(autouse=True)
+def no_time_runs_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let nothing end by time, however slow the machine is."""
+    monkeypatch.setattr(upstream_task, "BIND_S", NEVER_S)
+    monkeypatch.setattr(upstream_task, "SETTLE_S", NEVER_S)
+
 
 class FakeOwner:
     """Keeps what the owner is told."""
