Do not take a standstill of this process for silence of the store

A call to the store ended by a timer that fired as soon as a process that had stood still ran again, before the answer, which had long come, was read. Ruled out: a host that is not asked (by reading: readers step in 1.3 s after the last word), a connection that is used again after silence (the HTTP client keeps none). Tests: a standstill of 0.5 s in a call that may take 0.2 s fails on the code before with an error.

--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from typing import TYPE_CHECKING
 
 from foldhoist.configlog.versions import Version
@@ -90,6 +91,15 @@
     assert (await client.registrations()).ok == [mine]
 
 
+@stored
+async def test_an_answer_that_came_while_this_process_stood_still_counts(
+    log: KeyedLog, client: LogStore
+) -> None:
+    await log.put("keyed.op", "config", content(7))
+    asyncio.get_running_loop().call_later(0.001, time.sleep, 0.5)
+    assert (await client.newest(0.2)).ok == Version(7, content(7))
+
+
 @stored
 async def test_records_that_are_none_of_ours_are_passed_over(
     log: KeyedLog, client: LogStore
