Bound the bytes of bodies that are held at once, and of answers left unread

Cause: callers and owners bounded each body and the number of calls, not their bytes: 2000 callers with a body of 1 MiB each would have passed any limit of memory; so would callers that read nothing. Three quarters are for bodies over 64 KiB, so that a few uploads do not keep small ones out. Callers that leave most unread are cut off when all together leave more than the bound. A reload covers it. The owner's table of calls has a module of its own (tickets.py). Ruled out: stopping to read from callers above the bound: a caller that waits would hold its part of the bound for as long as others hold theirs.

--- a/bench/stages.py
+++ b/bench/stages.py
@@ -49,6 +49,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.written: list[bytes] = []
+        self.aborted = False
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         self.written.append(bytes(data))
@@ -56,11 +57,14 @@
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         return
 
+    def get_write_buffer_size(self) -> int:
+        return sum(len(data) for data in self.written)
+
     def is_closing(self) -> bool:
         return False
 
     def abort(self) -> None:
-        return
+        self.aborted = True
 
     def close(self) -> None:
         return
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from foldhoist.admission.held import HeldBytes
 from foldhoist.daemon.dialect import OwnDialect
 from foldhoist.daemon.http import HeadReader, status_line, write_head
 from foldhoist.daemon.request import BadRequest
@@ -30,6 +31,8 @@
 """Time between two looks at connections that take too long, seconds."""
 MOST_PIPELINED = 8
 """Requests that a caller may send before its first answer; reading pauses above it."""
+SLOW_BYTES = 16 * 1024
+"""A caller that leaves more than this unread is looked after, bytes."""
 
 
 @dataclass(slots=True)
@@ -37,10 +40,12 @@
     """What the caller side has counted."""
 
     bad: int = 0
+    bodies_full: int = 0
     connections: int = 0
     refused_connections: int = 0
     slow: int = 0
     too_large: int = 0
+    unread: int = 0
 
 
 class Shared:
@@ -53,14 +58,21 @@
         on_gone: Callable[[int], None],
         dialect: Dialect | None = None,
     ) -> None:
-        self.limits = limits
         self.dialect = dialect or OwnDialect()
         self.on_request = on_request
         self.on_gone = on_gone
         self.count = Counters()
+        self.bodies = HeldBytes(limits["held_bytes"])
         self.open: set[CallerConnection] = set()
+        self.slow: set[CallerConnection] = set()
+        self.adopt(limits)
         self.closing = False
 
+    def adopt(self, limits: Limits) -> None:
+        """Take over limits; what is held already stays."""
+        self.limits = limits
+        self.bodies.most = limits["held_bytes"]
+
     async def close_late(self) -> None:
         """Close connections that take too long; one look for all is cheaper than timers."""
         while True:
@@ -68,6 +80,18 @@
             now = time.monotonic()
             for conn in [conn for conn in self.open if conn.due <= now]:
                 conn.late()
+            self.cut_off_unread()
+
+    def cut_off_unread(self) -> None:
+        """Cut off the callers that leave most unread, if all together leave too much."""
+        unread = {conn: conn.unread for conn in self.slow}
+        total = sum(unread.values())
+        for conn in sorted(unread, key=unread.__getitem__, reverse=True):
+            if total <= self.limits["held_bytes"]:
+                return
+            total -= unread[conn]
+            self.count.unread += 1
+            conn.cut_off()
 
 
 class CallerConnection(asyncio.Protocol):
@@ -80,11 +104,13 @@
         self.due = float("inf")
         self._waiting: deque[CallerRequest | BadRequest] = deque()
         self._keep_alive: deque[bool] = deque()
+        self._body_sizes: deque[int] = deque()
         self._call_id: int | None = None
         self._busy = False
         self._method = ""
         self._ended = False
         self._in_request = False
+        self._body_bytes = 0
         self._reset()
 
     # asyncio
@@ -93,6 +119,7 @@
         """Admit the connection, or refuse it if there are too many."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        transport.set_write_buffer_limits(high=SLOW_BYTES)
         shared = self._shared
         shared.count.connections += 1
         shared.open.add(self)
@@ -105,11 +132,23 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Withdraw the call that nobody waits for any more."""
         self._shared.open.discard(self)
+        self._shared.slow.discard(self)
         self._transport = None
+        self._shared.bodies.give_back(self._body_bytes + sum(self._body_sizes))
+        self._body_bytes = 0
+        self._body_sizes.clear()
         if self._call_id is not None:
             self._shared.on_gone(self._call_id)
             self._call_id = None
 
+    def pause_writing(self) -> None:
+        """Note that the caller leaves answers unread."""
+        self._shared.slow.add(self)
+
+    def resume_writing(self) -> None:
+        """Note that the caller has read what was left."""
+        self._shared.slow.discard(self)
+
     def data_received(self, data: bytes) -> None:
         """Parse; a request that breaks the rules is answered with a refusal and the end."""
         if self._ended:
@@ -163,9 +202,13 @@
 
     def on_body(self, body: bytes) -> None:
         """Take in a piece of the body."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._shared.limits["body_bytes"]:
+        size = self._body_bytes + len(body)
+        if size > self._shared.limits["body_bytes"]:
             raise _TooLargeError(413, "body-too-large")
+        if not self._shared.bodies.has_room(len(body), size):
+            raise _TooLargeError(503, "bodies-full")
+        self._shared.bodies.take(len(body))
+        self._body_bytes = size
         self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -176,6 +219,7 @@
         body = b"".join(self._body)
         upgrade = self._parser.should_upgrade()
         self._keep_alive.append(self._parser.should_keep_alive() and not upgrade)
+        self._body_sizes.append(self._body_bytes)
         if upgrade:
             self._waiting.append(BadRequest(400, "upgrade-not-supported"))
         else:
@@ -197,6 +241,8 @@
         self._call_id = None
         self._busy = False
         keep = self._keep_alive.popleft() and not self._shared.closing
+        if self._body_sizes:
+            self._shared.bodies.give_back(self._body_sizes.popleft())
         self._write(_answer_bytes(self._shared.dialect, verdict, trace, self._method, keep))
         if not keep:
             self._end()
@@ -211,10 +257,20 @@
         """Return whether no request is under way."""
         return not self._busy and not self._in_request
 
+    @property
+    def unread(self) -> int:
+        """Return the bytes of answers that the caller has not taken yet."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
     def close(self) -> None:
         """Close the connection when all that was written is sent."""
         self._end()
 
+    def cut_off(self) -> None:
+        """Close the connection at once; what was written and not sent is lost."""
+        if self._transport is not None:
+            self._transport.abort()
+
     # Steps
 
     def _next(self) -> None:
@@ -246,7 +302,9 @@
         self._fail(bad)
 
     def _fail(self, bad: BadRequest) -> None:
-        if bad.status in (413, 431):
+        if bad.reason == "bodies-full":
+            self._shared.count.bodies_full += 1
+        elif bad.status in (413, 431):
             self._shared.count.too_large += 1
         else:
             self._shared.count.bad += 1
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from foldhoist.admission.held import HeldBytes
 from foldhoist.admission.slots import Shape
 from foldhoist.daemon.callers import CallerConnection, Shared
 from foldhoist.daemon.configuration import ConfigurationTask
@@ -83,7 +84,8 @@
         limit = cfg["limits"]["body_bytes"] + HEADROOM
         platform = cfg["platform"]
         self.client = PlatformClient(platform["log"], platform["stream"], platform["hosts"])
-        self.owner = Owner(self.name, "", SHAPE_UNKNOWN, 600.0)
+        self._bodies = HeldBytes(cfg["limits"]["held_bytes"])
+        self.owner = Owner(self.name, "", SHAPE_UNKNOWN, 600.0, bodies=self._bodies)
         self.owner_task = OwnerTask(self.owner, cfg, self._hello, self._local_frame, self._hop)
         ingress = Ingress(cfg["daemon"]["data_centre"], cfg["limits"]["calls"], self.rng)
         self.ingress_task = IngressTask(ingress, self.ring, self.latencies, self.spans)
@@ -141,7 +143,8 @@
         changed = sorted(name for name in cfg if cfg[name] != self.cfg[name])  # type: ignore[literal-required]
         logger.info("settings read again, changed: {}", ", ".join(changed) or "nothing")
         self.cfg = {**self.cfg, "limits": cfg["limits"]}
-        self.shared.limits = cfg["limits"]
+        self.shared.adopt(cfg["limits"])
+        self._bodies.most = cfg["limits"]["held_bytes"]
 
     async def stop(self) -> None:
         """Close every socket and end every task."""
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from foldhoist.admission.due import DueQueue
+from foldhoist.admission.held import HeldBytes
 from foldhoist.admission.slots import Shape
 from foldhoist.configlog.versions import Readers
 from foldhoist.daemon.callers import CallerConnection, Shared
@@ -124,8 +125,9 @@
                 logger.warning("[{}] has changed: restart the daemon for it", name)
         self.cfg = {**self.cfg, "limits": cfg["limits"], "upstream": cfg["upstream"]}
         self.adapter.reload(self.cfg)
+        self._bodies.most = cfg["limits"]["held_bytes"]
         if self.versions.fleet is not None:
-            self.shared.limits = _limits(cfg["limits"], self.versions.fleet)
+            self.shared.adopt(_limits(cfg["limits"], self.versions.fleet))
 
     async def stop(self) -> None:
         """Close every socket and end every task."""
@@ -177,7 +179,8 @@
         cfg = self.cfg
         service = cfg["upstream"]["service"]
         queue = DueQueue(SHAPE_UNKNOWN)
-        self.owner = Owner(self.name, service, SHAPE_UNKNOWN, KEY_WINDOW_S, queue)
+        self._bodies = HeldBytes(cfg["limits"]["held_bytes"])
+        self.owner = Owner(self.name, service, SHAPE_UNKNOWN, KEY_WINDOW_S, queue, self._bodies)
         self.owner_task = OwnerTask(
             self.owner,
             cfg,
@@ -247,7 +250,7 @@
         }
 
     def _on_adopt(self, version: Version, fleet: Fleet) -> None:
-        self.shared.limits = _limits(self.cfg["limits"], fleet)
+        self.shared.adopt(_limits(self.cfg["limits"], fleet))
         tracked = self.registry.tracked(self.upstream.known.current)
         daemons = len(self.registry.peers) + 1
         self.ingress_task.adopt(version.number, fleet, tracked, {}, daemons)
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -158,14 +158,18 @@
         "key",
         "request",
         "running",
+        "start_by",
         "started",
     )
 
-    def __init__(self, incarnation: str, request: Dispatch, now: float, deadline: float) -> None:
+    def __init__(self, incarnation: str, request: Dispatch, now: float) -> None:
         self.incarnation = incarnation
         self.request = request
         self.arrived = now
-        self.deadline = deadline
+        self.deadline = now + request["budget_ms"] / 1000
+        self.start_by = self.deadline
+        if "wait_ms" in request:
+            self.start_by = min(self.deadline, now + request["wait_ms"] / 1000)
         self.running = False
         self.started = 0.0
         self.ahead = 0
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -32,9 +32,11 @@
 from foldhoist.delivery.keys import Deny, Join, KeyTable, Replay, fingerprint
 from foldhoist.delivery.peers import Peers, drop_acked, fate_without_result
 from foldhoist.delivery.standing import Standing
+from foldhoist.delivery.tickets import Tickets
 from foldhoist.delivery.verdict import Response
 
 if TYPE_CHECKING:
+    from foldhoist.admission.held import HeldBytes
     from foldhoist.admission.slots import Decision
     from foldhoist.schema.messages import (
         Announced,
@@ -69,6 +71,7 @@
         shape: Shape,
         key_window_s: float,
         queue: SlotQueue | DueQueue | None = None,
+        bodies: HeldBytes | None = None,
     ) -> None:
         self.name = name
         self.service = service
@@ -77,10 +80,9 @@
         self.count = Counters()
         self.standing = Standing()
         self._peers = Peers()
-        self._tickets: dict[int, Ticket] = {}
+        self._tickets = Tickets(bodies)
         self.refusals: list[Refused] = []
         self._joined = Joined()
-        self._next_ticket = 1
 
     # What the tasks tell it
 
@@ -178,7 +180,7 @@
         """Take in what the upstream says of itself; "gone" is said when none is known."""
         actions: list[Action] = []
         if self.standing.announce(now, upstream):
-            actions += self._refuse_waiting(list(self._tickets), "upstream-replaced")
+            actions += self._refuse_waiting(self._tickets.ids(), "upstream-replaced")
         self.service = upstream["service"]
         slots = max(1, int(upstream["slots"] * STEADY_SHARE))
         queue = slots * QUEUE_PER_SLOT
@@ -246,7 +248,7 @@
 
     def running(self) -> list[tuple[int, float]]:
         """Return ticket and deadline of the calls that are at the upstream."""
-        return [(each, t.deadline) for each, t in self._tickets.items() if t.running]
+        return self._tickets.running()
 
     def ended(self, now: float, ticket_id: int, result: Result) -> Ended | None:
         """Return what to record of a call whose result is about to be taken in."""
@@ -268,6 +270,8 @@
             return "not-my-service"
         if self.standing.state == "down":
             return "upstream-down"
+        if not self._tickets.has_room(req):
+            return "bodies-full"
         return None
 
     def _claim(self, now: float, wall_ms: int, peer: Peer, req: Dispatch) -> list[Action] | None:
@@ -288,21 +292,16 @@
         return None
 
     def _admit(self, now: float, peer: Peer, req: Dispatch) -> list[Action]:
-        ticket_id = self._next_ticket
-        self._next_ticket += 1
-        deadline = now + req["budget_ms"] / 1000
-        start_by = deadline
-        if "wait_ms" in req:
-            start_by = min(deadline, now + req["wait_ms"] / 1000)
-        ticket = Ticket(peer.incarnation, req, now, deadline)
+        ticket = Ticket(peer.incarnation, req, now)
         ticket.ahead = self.queue.busy + self.queue.queued
-        self._tickets[ticket_id] = ticket
+        ticket_id = self._tickets.add(ticket)
         peer.live[req["seq"]] = ticket_id
         match self.queue:
             case SlotQueue() as queue:
-                decision = queue.submit(now, ticket_id, req["urgent"], start_by)
+                decision = queue.submit(now, ticket_id, req["urgent"], ticket.start_by)
             case DueQueue() as queue:
-                decision = queue.submit(now, ticket_id, queue.wish_of(now, req, start_by, deadline))
+                wish = queue.wish_of(now, req, ticket.start_by, ticket.deadline)
+                decision = queue.submit(now, ticket_id, wish)
         return self._apply(now, [decision])
 
     def _apply(self, now: float, decisions: list[Decision]) -> list[Action]:
--- /dev/null
+++ b/foldhoist/delivery/tickets.py
@@ -0,0 +1,59 @@
+"""The calls that wait or run at an owner; no I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from foldhoist.admission.held import MOST_BODY_BYTES, HeldBytes
+
+if TYPE_CHECKING:
+    from foldhoist.delivery.dispatch import Ticket
+    from foldhoist.schema.messages import Dispatch
+
+
+class Tickets:
+    """Calls by a number of this owner, and a bound on the bytes of their bodies."""
+
+    def __init__(self, bodies: HeldBytes | None) -> None:
+        self._bodies = bodies if bodies is not None else HeldBytes(MOST_BODY_BYTES)
+        self._by_id: dict[int, Ticket] = {}
+        self._next_id = 1
+
+    def __len__(self) -> int:
+        """Return the calls that wait or run."""
+        return len(self._by_id)
+
+    def __getitem__(self, ticket_id: int) -> Ticket:
+        """Return a call that waits or runs."""
+        return self._by_id[ticket_id]
+
+    def get(self, ticket_id: int) -> Ticket | None:
+        """Return a call, or None if it has ended."""
+        return self._by_id.get(ticket_id)
+
+    def ids(self) -> list[int]:
+        """Return the numbers of all calls."""
+        return list(self._by_id)
+
+    def has_room(self, req: Dispatch) -> bool:
+        """Return whether the body of one more call fits."""
+        size = len(req["body"])
+        return self._bodies.has_room(size, size)
+
+    def add(self, ticket: Ticket) -> int:
+        """Add a call, with its body; returns its number."""
+        ticket_id = self._next_id
+        self._next_id += 1
+        self._by_id[ticket_id] = ticket
+        self._bodies.take(len(ticket.request["body"]))
+        return ticket_id
+
+    def pop(self, ticket_id: int) -> Ticket:
+        """Remove a call that has ended, with its body."""
+        ticket = self._by_id.pop(ticket_id)
+        self._bodies.give_back(len(ticket.request["body"]))
+        return ticket
+
+    def running(self) -> list[tuple[int, float]]:
+        """Return number and deadline of the calls that are at the upstream."""
+        return [(each, t.deadline) for each, t in self._by_id.items() if t.running]
--- a/foldhoist/schema/settings.py
+++ b/foldhoist/schema/settings.py
@@ -157,6 +157,10 @@
     """
     Longest request or answer body, bytes.
     """
+    held_bytes: int
+    """
+    Bytes of request bodies held at once, for calls that came in here and again for calls to the upstream; as many bytes of answers may be unread by callers. Above it requests are refused. Bodies over 64 KiB get three quarters of it.
+    """
     request_ms: int
     """
     Longest time for a caller to send a whole request, milliseconds.
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from foldhoist.admission.held import SMALL_BYTES
 from tests.adapter.cluster import (
     DEADLINE_S,
     Cluster,
@@ -264,6 +265,32 @@
     assert (await cluster.ask("a", method="POST", body=b"x" * 1000)).status == 200
 
 
+@played
+async def test_bodies_that_are_still_arriving_are_bounded_also_after_a_reload(
+    cluster: Cluster,
+) -> None:
+    await two(cluster)
+    daemon = cluster.daemons["a"]
+    limits = {**daemon.cfg["limits"], "held_bytes": SMALL_BYTES}
+    daemon.reload({**daemon.cfg, "limits": limits})  # type: ignore[typeddict-item]
+    ip, _, port = daemon.addresses["callers"].rpartition(":")
+    part = request_bytes("POST", "/a/1", b"x" * 1000)[:-1]
+    writers: list[asyncio.StreamWriter] = []
+    for _ in range(SMALL_BYTES // 999):
+        _, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(part)
+        writers.append(writer)
+    await until(lambda: daemon.shared.bodies.held == 999 * len(writers))
+    refused = await cluster.ask("a", method="POST", body=b"x" * 999)
+    assert refused.status == 503
+    assert float(refused.headers["retry-after"]) == 1.0
+    assert (await cluster.ask("a")).status == 200
+    for writer in writers:
+        writer.close()
+    await until(lambda: daemon.shared.bodies.held == 0)
+    assert (await cluster.ask("a", method="POST", body=b"x" * 999)).status == 200
+
+
 @played
 async def test_a_malformed_heartbeat_is_refused_and_changes_nothing(cluster: Cluster) -> None:
     await two(cluster)
--- a/tests/unit/daemon/test_callers.py
+++ b/tests/unit/daemon/test_callers.py
@@ -158,3 +158,57 @@
     for piece in pieces:
         wire.conn.data_received(piece)
     assert len(wire.requests) <= 1 + len(pieces) * 60
+
+
+def post(size: int, sent: int | None = None) -> bytes:
+    """Return a request whose body has this size, of which `sent` bytes come at once."""
+    head = f"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: {size}\r\n\r\n"
+    return head.encode() + b"x" * (size if sent is None else sent)
+
+
+def test_bodies_held_at_once_are_bounded_and_a_refused_one_may_come_back() -> None:
+    wire = Wire(held_bytes=100_000)
+    first = CallerConnection(wire.shared)
+    first.connection_made(FakeTransport())
+    first.data_received(post(70_000, sent=60_000))
+    text = wire.send(post(60_000, sent=50_000))
+    assert text.startswith(b"HTTP/1.1 503 ")
+    assert b"Foldhoist-Reason: bodies-full\r\n" in text
+    assert b"Retry-After: 1\r\n" in text
+    assert wire.shared.count.bodies_full == 1
+    wire.conn.connection_lost(None)
+    assert wire.shared.bodies.held == 60_000
+    first.connection_lost(None)
+    assert wire.shared.bodies.held == 0
+
+
+def test_a_body_is_held_until_its_answer() -> None:
+    wire = Wire()
+    wire.send(post(5000) + post(300))
+    assert wire.shared.bodies.held == 5300
+    wire.conn.answer(OK, "t")
+    assert wire.shared.bodies.held == 300
+    wire.conn.answer(OK, "t")
+    assert wire.shared.bodies.held == 0
+
+
+def test_callers_that_leave_too_much_unread_are_cut_off_the_worst_first() -> None:
+    wire = Wire(held_bytes=100_000)
+    transports = {size: FakeTransport() for size in (30_000, 80_000, 40_000)}
+    for size, transport in transports.items():
+        conn = CallerConnection(wire.shared)
+        conn.connection_made(transport)
+        transport.write(b"x" * size)
+        conn.pause_writing()
+    wire.shared.cut_off_unread()
+    assert [size for size, transport in transports.items() if transport.aborted] == [80_000]
+    assert wire.shared.count.unread == 1
+
+
+def test_a_caller_that_reads_again_is_not_cut_off() -> None:
+    wire = Wire(held_bytes=100_000)
+    wire.transport.write(b"x" * 200_000)
+    wire.conn.pause_writing()
+    wire.conn.resume_writing()
+    wire.shared.cut_off_unread()
+    assert not wire.transport.aborted
--- a/tests/unit/delivery/test_owner.py
+++ b/tests/unit/delivery/test_owner.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any, cast
 
+from foldhoist.admission.held import HeldBytes
 from foldhoist.admission.slots import Shape
 from foldhoist.delivery import peers as peers_module
 from foldhoist.delivery.dispatch import Broken, CancelCall, CloseLink, SendTo, StartCall, Whole
@@ -179,3 +180,21 @@
         "cold_ms": 0,
     }
     return {**plain, **fields}
+
+
+def test_bodies_at_an_owner_are_bounded_and_the_refused_call_did_not_run() -> None:
+    bodies = HeldBytes(100_000)
+    owner = Owner("depo-1", "depo", Shape(1, 10, 0, 1), 600.0, bodies=bodies)
+    owner.hello(0.0, 1, hello("in-1", 1))
+    owner.dispatch(0.0, 0, 1, dispatch(1, body=b"x" * 60_000))
+    owner.dispatch(0.0, 0, 1, dispatch(2, body=b"x" * 30_000))
+    assert said(owner.dispatch(0.0, 0, 1, dispatch(3, body=b"x" * 30_000))) == [
+        (3, "Refusal", "no")
+    ]
+    assert owner.refusals[-1].reason == "bodies-full"
+    assert bodies.held == 90_000
+    owner.finished(0.1, 1, ANSWER)
+    owner.withdraw(0.1, 1, {"seq": 2})
+    owner.finished(0.2, 2, Broken(True, "cancelled"))
+    assert bodies.held == 0
+    assert owner.calls == 0
