Take over more settings on SIGHUP, and let the settings name the policy that chooses

Cause: a reload covered whole sections, limits and upstream, of which some options did nothing (calls) and others would have had to (body_bytes is fixed in each connection); the retry slack and the share of calls in the log waited for a restart without need. Both kinds of daemon had a loop of their own. Ruled out: taking over everything: addresses and the longest body are in open sockets. Tests: unit and at the ports; lint, types, unit and adapter tests pass.

--- /dev/null
+++ b/foldhoist/config/reread.py
@@ -0,0 +1,57 @@
+"""What a running daemon takes over of settings that were read again; no I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple, cast
+
+if TYPE_CHECKING:
+    from collections.abc import Container
+    from typing import Any
+
+    from foldhoist.schema.settings import Settings
+
+LIMITS = frozenset(
+    f"[limits] {option}"
+    for option in (
+        "callers",
+        "header_bytes",
+        "held_bytes",
+        "request_ms",
+        "idle_ms",
+        "calls",
+        "drain_ms",
+    )
+)
+"""Limits that can change while a daemon runs; connections keep their longest body."""
+
+
+class Reread(NamedTuple):
+    """The settings from now on, what has changed in them, and what waits for a restart."""
+
+    cfg: Settings
+    taken: list[str]
+    left: list[str]
+
+
+def reread(before: Settings, after: Settings, reloadable: Container[str]) -> Reread:
+    """Take over the options that can change while a daemon runs, written as `[section] option`."""
+    merged: dict[str, dict[str, Any]] = {}
+    taken: list[str] = []
+    left: list[str] = []
+    old, new = _sections(before), _sections(after)
+    for section, options in new.items():
+        merged[section] = dict(old[section])
+        for option, value in options.items():
+            if value == old[section][option]:
+                continue
+            name = f"[{section}] {option}"
+            if name not in reloadable:
+                left.append(name)
+                continue
+            taken.append(name)
+            merged[section][option] = value
+    return Reread(cast("Settings", merged), taken, left)
+
+
+def _sections(cfg: Settings) -> dict[str, dict[str, Any]]:
+    return cast("dict[str, dict[str, Any]]", cfg)
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -13,6 +13,7 @@
 
 from foldhoist.admission.held import HeldBytes
 from foldhoist.admission.slots import Shape
+from foldhoist.config.reread import LIMITS, reread
 from foldhoist.daemon.callers import CallerConnection, Shared
 from foldhoist.daemon.configuration import ConfigurationTask
 from foldhoist.daemon.control import Control
@@ -29,6 +30,7 @@
 from foldhoist.membership.view import homes, tracked
 from foldhoist.observe.counters import counters_of
 from foldhoist.observe.latencies import Latencies
+from foldhoist.observe.logs import log_reread
 from foldhoist.observe.metrics import Metrics
 from foldhoist.observe.records import Hop, Ring
 from foldhoist.observe.spans import Spans
@@ -140,11 +142,13 @@
 
     def reload(self, cfg: Settings) -> None:
         """Take over the limits of settings that have changed; others need a restart."""
-        changed = sorted(name for name in cfg if cfg[name] != self.cfg[name])  # type: ignore[literal-required]
-        logger.info("settings read again, changed: {}", ", ".join(changed) or "nothing")
-        self.cfg = {**self.cfg, "limits": cfg["limits"]}
-        self.shared.adopt(cfg["limits"])
-        self._bodies.most = cfg["limits"]["held_bytes"]
+        found = reread(self.cfg, cfg, LIMITS)
+        log_reread(found)
+        self.cfg = found.cfg
+        limits = found.cfg["limits"]
+        self.shared.adopt(limits)
+        self.ingress_task.ingress.most_calls = limits["calls"]
+        self._bodies.most = limits["held_bytes"]
 
     async def stop(self) -> None:
         """Close every socket and end every task."""
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -13,6 +13,7 @@
 from foldhoist.admission.due import DueQueue
 from foldhoist.admission.held import HeldBytes
 from foldhoist.admission.slots import Shape
+from foldhoist.config.reread import LIMITS, reread
 from foldhoist.configlog.versions import Readers
 from foldhoist.daemon.callers import CallerConnection, Shared
 from foldhoist.daemon.ingress_task import IngressTask
@@ -31,7 +32,7 @@
 from foldhoist.observe.counters import counters_of
 from foldhoist.observe.events import Events
 from foldhoist.observe.latencies import Latencies
-from foldhoist.observe.logs import write_event
+from foldhoist.observe.logs import log_reread, write_event
 from foldhoist.observe.records import Ring
 
 if TYPE_CHECKING:
@@ -45,8 +46,13 @@
 
 SHAPE_UNKNOWN = Shape(slots=1, queue=0, urgent_slots=0, urgent_run=8)
 """Shape of the owner before its upstream has announced itself."""
-RELOADED = ("limits", "upstream")
-"""Sections of the settings that a daemon takes over while it runs."""
+RELOADABLE = LIMITS | {
+    "[upstream] service",
+    "[platform] retry_slack",
+    "[platform] retry_window_s",
+    "[observe] log_share",
+}
+"""Settings that a daemon takes over while it runs."""
 KEY_WINDOW_S = 600.0
 """How long an idempotency key is remembered, seconds."""
 
@@ -117,17 +123,20 @@
         await self.stopping.run()
 
     def reload(self, cfg: Settings) -> None:
-        """Take over settings that have changed: limits and the service; others need a restart."""
-        changed = sorted(name for name in cfg if cfg[name] != self.cfg[name])  # type: ignore[literal-required]
-        logger.info("settings read again, changed: {}", ", ".join(changed) or "nothing")
-        for name in changed:
-            if name not in RELOADED:
-                logger.warning("[{}] has changed: restart the daemon for it", name)
-        self.cfg = {**self.cfg, "limits": cfg["limits"], "upstream": cfg["upstream"]}
-        self.adapter.reload(self.cfg)
-        self._bodies.most = cfg["limits"]["held_bytes"]
+        """Take over settings that have changed; some need a restart."""
+        found = reread(self.cfg, cfg, RELOADABLE)
+        log_reread(found)
+        self.cfg = found.cfg
+        limits, platform = found.cfg["limits"], found.cfg["platform"]
+        self.adapter.reload(found.cfg)
+        self.events.share = found.cfg["observe"]["log_share"]
+        self.ingress_task.ingress.most_calls = limits["calls"]
+        self._bodies.most = limits["held_bytes"]
+        self._slack.attempts = platform["retry_slack"]
+        self._slack.window_s = platform["retry_window_s"]
+        self._track()
         if self.versions.fleet is not None:
-            self.shared.adopt(_limits(cfg["limits"], self.versions.fleet))
+            self.shared.adopt(_limits(limits, self.versions.fleet))
 
     async def stop(self) -> None:
         """Close every socket and end every task."""
@@ -191,8 +200,8 @@
             self._on_inbound,
         )
         platform = cfg["platform"]
-        slack = RetrySlack(platform["retry_slack"], platform["retry_window_s"])
-        ingress = Ingress(self.data_centre, cfg["limits"]["calls"], self.rng, slack)
+        self._slack = RetrySlack(platform["retry_slack"], platform["retry_window_s"])
+        ingress = Ingress(self.data_centre, cfg["limits"]["calls"], self.rng, self._slack)
         ring = Ring(cfg["observe"]["records"])
         self.ingress_task = IngressTask(ingress, ring, self.latencies, self._spans())
         events = LinkEvents(
--- a/foldhoist/delivery/services.py
+++ b/foldhoist/delivery/services.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from foldhoist.admission.bucket import RetryBudget
 from foldhoist.routing.picker import Picker
@@ -25,7 +26,8 @@
 """A daemon that knows fewer others may not know all of them, and takes no larger part."""
 
 
-class RetrySlack(NamedTuple):
+@dataclass(slots=True)
+class RetrySlack:
     """Further attempts that all daemons together may make in a window beside a share of calls."""
 
     attempts: float
--- a/foldhoist/observe/events.py
+++ b/foldhoist/observe/events.py
@@ -35,14 +35,14 @@
         self, write: Callable[[str, dict[str, Any]], None], share: float, rng: Random
     ) -> None:
         self._write = write
-        self._share = share
+        self.share = share
         self._rng = rng
         self._buckets: dict[str, TokenBucket] = {}
         self._left_out: dict[str, int] = {}
 
     def call(self, now: float, record: Record) -> None:
         """Tell of a call that has ended: each attempt, then its final answer."""
-        if _is_ordinary(record) and self._rng.random() >= self._share:
+        if _is_ordinary(record) and self._rng.random() >= self.share:
             return
         for attempt in record.attempts:
             self._tell(now, "attempt", _attempt_fields(record, attempt))
@@ -51,7 +51,7 @@
     def hop(self, now: float, hop: Ended) -> None:
         """Tell of a call that the upstream has ended."""
         ordinary = hop.result.startswith(("answered 2", "answered 3", "answered 4"))
-        if ordinary and self._rng.random() >= self._share:
+        if ordinary and self._rng.random() >= self.share:
             return
         fields = {
             "request": hop.name,
--- a/foldhoist/schema/settings.py
+++ b/foldhoist/schema/settings.py
@@ -107,6 +107,12 @@
     """
     Whether the whole system starts for the first time, so that no earlier life of this daemon needs to be asked for, with an adapter.
     """
+    policy: Literal[
+        "random", "round-robin", "least-in-flight", "two-choices", "hot-cold", "mixed"
+    ]
+    """
+    How an upstream is chosen, with an adapter; all but mixed are baselines for measurements.
+    """
     retry_slack: int
     """
     Further attempts that all daemons together may make in a window beside their share of calls, with an adapter.
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 from typing import TYPE_CHECKING
 
 import pytest
 
 from foldhoist.admission.held import SMALL_BYTES
+from foldhoist.routing.policies import Mixed, TwoChoices
 from tests.adapter.cluster import (
     DEADLINE_S,
     Cluster,
@@ -265,6 +267,36 @@
     assert (await cluster.ask("a", method="POST", body=b"x" * 1000)).status == 200
 
 
+@played
+async def test_upstreams_are_chosen_by_the_policy_of_the_settings(cluster: Cluster) -> None:
+    await two(cluster)
+    pickers = cluster.daemons["a"].ingress_task.ingress.pickers
+    assert isinstance(pickers()["shop"].policy, Mixed)
+    cluster.daemons["a"].cfg["platform"]["policy"] = "two-choices"
+    await cluster.configure(4, [route()])
+    await cluster.settle(4)
+    assert isinstance(pickers()["shop"].policy, TwoChoices)
+
+
+@played
+async def test_settings_that_change_are_in_force_without_a_restart(cluster: Cluster) -> None:
+    await two(cluster)
+    daemon = cluster.daemons["a"]
+    cfg = copy.deepcopy(daemon.cfg)
+    cfg["limits"]["calls"] = 7
+    cfg["limits"]["drain_ms"] = 9
+    cfg["platform"]["retry_slack"] = 5000
+    cfg["observe"]["log_share"] = 0.5
+    budget = daemon.ingress_task.ingress._services.get("shop")
+    assert budget is not None
+    before = budget.budget.cap
+    daemon.reload(cfg)
+    assert daemon.ingress_task.ingress.most_calls == 7
+    assert daemon.cfg["limits"]["drain_ms"] == 9
+    assert daemon.events.share == 0.5
+    assert budget.budget.cap > 100 * before
+
+
 @played
 async def test_bodies_that_are_still_arriving_are_bounded_also_after_a_reload(
     cluster: Cluster,
