--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -11,8 +11,9 @@
 from multiprocessing import Pool
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from bench.deployments import ISTANBUL, TRINIDAD, Case, Deployment, Seen, Slowdown
 from bench.figures import percentile, spread, write_results
-from bench.world import ISTANBUL, TRINIDAD, Case, Deployment, Seen, Slowdown, World
+from bench.world import World
 from foldhoist.routing.picker import Choice, NoChoice, Picker
 
 if TYPE_CHECKING:
--- a/bench/world.py
+++ b/bench/world.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import random
-from bisect import bisect_right
 from functools import partial
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 import simpy
 
+from bench.deployments import Case, Deployment, Seen, Slowdown, configuration
+from bench.fake_upstream import FakeUpstream
 from foldhoist.admission.slots import Shape
 from foldhoist.config.fleet import parse_fleet
 from foldhoist.delivery.call import CallerRequest, Connect, Reply, SendTo
@@ -36,119 +37,6 @@
 """Between the two roles of one daemon."""
 
 
-class Slowdown(NamedTuple):
-    """An upstream works at 1/factor of its speed for a while."""
-
-    begin: float
-    end: float
-    factor: float
-
-
-class Deployment(NamedTuple):
-    """Sizes of one service of a deployment."""
-
-    name: str
-    targets: int
-    slots: int
-    service_s: float
-    centres: int = 3
-    urgent_share: float = 0.2
-
-
-ISTANBUL = Deployment("istanbul", 4, 12, 0.008)
-TRINIDAD = Deployment("trinidad", 4, 6, 0.008)
-
-
-class Case(NamedTuple):
-    """What happens in a run; `load` is a share of all slots, times are from its start."""
-
-    name: str
-    load: float = 0.8
-    length_s: float = 2.0
-    bursts: tuple[tuple[float, float, float], ...] = ()
-    slow: tuple[tuple[int, Slowdown], ...] = ()
-    noisy: bool = False
-    failing: tuple[tuple[int, float, float], ...] = ()
-    leaving: tuple[tuple[int, float], ...] = ()
-    joining: tuple[tuple[int, float], ...] = ()
-    misleading: int = -1
-    report_delay_s: float = 0.0
-    lost_centre_at: float = -1.0
-    one_ingress: bool = False
-
-
-class Seen(NamedTuple):
-    """The end of one call."""
-
-    at: float
-    seconds: float
-    urgent: bool
-    verdict: str
-    failed: bool
-    targets: tuple[str, ...]
-
-
-class FakeUpstream:
-    """Serves calls with drawn times, slower while a slowdown lasts."""
-
-    def __init__(self, service_s: float, rng: random.Random) -> None:
-        self.service_s = service_s
-        self.rng = rng
-        self.slowdowns: list[Slowdown] = []
-        self.failing: list[tuple[float, float]] = []
-        self.runs = 0
-
-    def fails(self, now: float) -> bool:
-        """Return whether it fails fast now."""
-        return any(begin <= now < end for begin, end in self.failing)
-
-    def factor(self, now: float) -> float:
-        """Return how many times slower than usual it works now."""
-        at = bisect_right([each.begin for each in self.slowdowns], now) - 1
-        if at < 0 or now >= self.slowdowns[at].end:
-            return 1.0
-        return self.slowdowns[at].factor
-
-    def duration(self, now: float) -> float:
-        """Return how long a call that starts now takes, over all slowdowns on its way."""
-        self.runs += 1
-        if self.fails(now):
-            return 0.0005
-        work = self.service_s * (0.5 + 0.5 * self.rng.expovariate(1.0))
-        begin = now
-        for slow in self.slowdowns:
-            if slow.end <= now:
-                continue
-            free = max(0.0, slow.begin - now)
-            if work <= free:
-                break
-            now, work = max(now, slow.begin), work - free
-            done = (slow.end - now) / slow.factor
-            if work <= done:
-                return now + work * slow.factor - begin
-            now, work = slow.end, work - done
-        return now + work - begin
-
-
-def configuration(deployment: Deployment, policy: str, hedge_ms: int) -> str:
-    """Return the configuration of one service."""
-    centres = ", ".join(f"c{i}" for i in range(deployment.centres))
-    parts = [f"[fleet]\nname = bench\ndata_centres = {centres}\n"]
-    parts.append(
-        f"[service s]\nprefix = /s/\ndeadline_ms = 500\npolicy = {policy}\n"
-        f"queue = {deployment.slots * 2}\nhedge_ms = {hedge_ms}\n"
-        "[route look]\nservice = s\nprefix = /s/\nmethods = GET\nrepeatable = yes\n"
-    )
-    for i in range(deployment.targets):
-        ports = [f"127.0.0.1:{1000 + 3 * i + j}" for j in range(3)]
-        parts.append(
-            f"[target t{i}]\nservice = s\ndata_centre = c{i % deployment.centres}\n"
-            f"frames = {ports[0]}\ncontrol = {ports[1]}\noperators = {ports[2]}\n"
-            f"slots = {deployment.slots}\n"
-        )
-    return "\n".join(parts)
-
-
 class World:
     """One run."""
 
