--- a/tests/adapter/cluster.py
+++ b/tests/adapter/cluster.py
@@ -14,7 +14,7 @@
 from tests.adapter.target import FakeTarget
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
 WAIT_S = 90.0
 """Longest wait for anything in a test, seconds: it ends what hangs, and says nothing of speed."""
@@ -175,6 +175,29 @@
     return {**plain, **more}
 
 
+def played(test: Callable[[Cluster], Awaitable[None]]) -> Callable[[], None]:
+    """Run a test with a cluster of its own."""
+
+    async def run() -> None:
+        async with Cluster() as cluster:
+            await test(cluster)
+
+    def wrapped() -> None:
+        asyncio.run(run())
+
+    wrapped.__name__ = test.__name__
+    wrapped.__doc__ = test.__doc__
+    return wrapped
+
+
+async def two(cluster: Cluster) -> None:
+    """Start two daemons of service shop in two data centres."""
+    await cluster.add("a")
+    await cluster.add("b", data_centre="two")
+    await cluster.configure(3, [route()])
+    await cluster.settle(3)
+
+
 async def until(is_true: Callable[[], bool]) -> None:
     """Wait until something holds."""
     async with asyncio.timeout(WAIT_S):
