Keep the parts of a split route under every load, and hold no call long that nobody can take

Cause 1: a part whose upstreams were all unknown left its calls to the others. Now a call waits a quarter of its objective, or of its time without one, and 0.3 s at most. Ruled out: refusing at once where no upstream is known: a daemon that has just started knows none for some milliseconds.

--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -40,8 +40,6 @@
 
 FATE_S = 1.0
 """Longest wait for an owner to say what became of a call, seconds."""
-PARK_S = 0.3
-"""Longest wait of a call for a first connection to an owner, seconds."""
 
 
 class Ingress:
@@ -238,7 +236,7 @@
         if state is None:
             return self._give_up(now, call, "service-removed", 0.0)
         self._book.park(call)
-        self._book.remind(now + PARK_S, call, Timer.UNPARK)
+        self._book.remind(now + rules.park_s(now, call), call, Timer.UNPARK)
         if call.req.key:
             name = home(state.homes, call.req.key)
             return [Connect((name,) if name else ())]
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -31,6 +31,11 @@
 REMOTE_SHARE_KB = 0.08
 """What each kilobyte of the call's bodies adds to that share."""
 
+PARK_S = 0.3
+"""Longest wait of a call for a first connection to an owner, seconds."""
+PARK_SHARE = 0.25
+"""Longest such wait as a share of the route's objective, or of the call's time without one."""
+
 
 def refusal_of(req: CallerRequest, routed: Routed | None, hops: int) -> NotRun | None:
     """Return why a request gets no attempt, or None if it may; `hops` is the deepest nesting."""
@@ -50,6 +55,12 @@
     return state.cfg["hedge_ms"] / 1000 or call.objective_s * HEDGE_SHARE
 
 
+def park_s(now: float, call: Call) -> float:
+    """Return how long a call may wait for a first connection, seconds: nothing is offered to it."""
+    aim_s = call.objective_s or call.deadline - now
+    return min(PARK_S, aim_s * PARK_SHARE)
+
+
 def may_retry(now: float, call: Call, state: ServiceState | None) -> bool:
     """Return whether a call may be sent once more, and take that from the budget.
 
--- a/foldhoist/delivery/services.py
+++ b/foldhoist/delivery/services.py
@@ -90,7 +90,7 @@
         if split is None or split.parts != routed.parts:
             split = Split(routed.parts, self._rng)
             self._splits[routed.route] = split
-        return split.draw({name for name, state in self._by_name.items() if state.picker.tracks})
+        return split.draw()
 
     def get(self, name: str) -> ServiceState | None:
         """Return a service, or None if it is not in the configuration any more."""
--- a/foldhoist/routing/split.py
+++ b/foldhoist/routing/split.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Container
     from random import Random
 
     from foldhoist.routing.routes import Part
@@ -24,15 +23,15 @@
         self.parts = parts
         self._at = rng.random()
 
-    def draw(self, able: Container[str]) -> str:
-        """Return the service of the next call: one of those that are able, if any is."""
+    def draw(self) -> str:
+        """Return the service of the next call, whether it has room or not.
+
+        What does not fit into a part is refused: the users' shares hold under load, too.
+        """
         self._at = (self._at + STEP) % 1.0
-        parts = [part for part in self.parts if part.weight > 0 and part.service in able]
-        if not parts:
-            parts = [part for part in self.parts if part.weight > 0] or list(self.parts)
-        left = self._at * sum(part.weight for part in parts)
-        for part in parts:
+        left = self._at * sum(part.weight for part in self.parts)
+        for part in self.parts:
             left -= part.weight
             if left < 0:
                 return part.service
-        return parts[-1].service
+        return self.parts[-1].service
