--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -31,8 +31,8 @@
 """Time between two looks at connections that take too long, seconds."""
 MOST_PIPELINED = 8
 """Requests that a caller may send before its first answer; reading pauses above it."""
-SLOW_BYTES = 16 * 1024
-"""A caller that leaves more than this unread is looked after, bytes."""
+BEHIND_BYTES = 16 * 1024
+"""A caller that leaves more than this unread counts as behind, bytes."""
 
 
 @dataclass(slots=True)
@@ -64,7 +64,7 @@
         self.count = Counters()
         self.bodies = HeldBytes(limits["held_bytes"])
         self.open: set[CallerConnection] = set()
-        self.slow: set[CallerConnection] = set()
+        self.behind: set[CallerConnection] = set()
         self.adopt(limits)
         self.closing = False
 
@@ -84,7 +84,7 @@
 
     def cut_off_unread(self) -> None:
         """Cut off the callers that leave most unread, if all together leave too much."""
-        unread = {conn: conn.unread for conn in self.slow}
+        unread = {conn: conn.unread for conn in self.behind}
         total = sum(unread.values())
         for conn in sorted(unread, key=unread.__getitem__, reverse=True):
             if total <= self.limits["held_bytes"]:
@@ -119,7 +119,7 @@
         """Admit the connection, or refuse it if there are too many."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.set_write_buffer_limits(high=SLOW_BYTES)
+        transport.set_write_buffer_limits(high=BEHIND_BYTES)
         shared = self._shared
         shared.count.connections += 1
         shared.open.add(self)
@@ -132,7 +132,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Withdraw the call that nobody waits for any more."""
         self._shared.open.discard(self)
-        self._shared.slow.discard(self)
+        self._shared.behind.discard(self)
         self._transport = None
         self._shared.bodies.give_back(self._body_bytes + sum(self._body_sizes))
         self._body_bytes = 0
@@ -143,11 +143,11 @@
 
     def pause_writing(self) -> None:
         """Note that the caller leaves answers unread."""
-        self._shared.slow.add(self)
+        self._shared.behind.add(self)
 
     def resume_writing(self) -> None:
         """Note that the caller has read what was left."""
-        self._shared.slow.discard(self)
+        self._shared.behind.discard(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse; a request that breaks the rules is answered with a refusal and the end."""
