--- a/foldhoist/commands/fetch.py
+++ b/foldhoist/commands/fetch.py
@@ -9,8 +9,10 @@
 
 from foldhoist.exceptions import UnreachableError
 
-ANSWER_S = 5.0
-"""Longest wait for a daemon's answer, seconds."""
+CONNECT_S = 5.0
+"""Longest wait for a connection: a host that is away takes none, seconds."""
+ANSWER_S = 60.0
+"""Longest wait for the answer of a daemon that took one: its host may be busy, seconds."""
 
 
 async def fetch_json(address: str, path: str, method: str = "GET") -> Any:
@@ -18,7 +20,7 @@
     body = b"" if method == "POST" else None
     url = f"http://{address}{path}"
     req = HTTPRequest(
-        url, method=method, body=body, connect_timeout=ANSWER_S, request_timeout=ANSWER_S
+        url, method=method, body=body, connect_timeout=CONNECT_S, request_timeout=ANSWER_S
     )
     try:
         answer = await AsyncHTTPClient().fetch(req)
