--- a/tests/model/checking.py
+++ b/tests/model/checking.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING, Any
 
-from minicheck import check_safety
+from minicheck import Protocol, check_safety
 
 if TYPE_CHECKING:
-    from minicheck import Protocol
+    from collections.abc import Callable
 
 MOST_STATES = 3_000_000
 """States from which on a search counts as not finished, which is no pass."""
@@ -15,6 +15,23 @@
 """States to which the search for a violation by a mutant is cut."""
 
 
+def protocol(
+    name: str,
+    start: Any,
+    transitions: Callable[[tuple[Any, ...]], list[tuple[str, tuple[Any, ...]]]],
+    invariants: dict[str, Callable[[dict[str, Any]], bool]],
+) -> Protocol:
+    """Return a specification whose world is a named tuple, `start` at first."""
+    return Protocol(
+        name=name,
+        candidate=False,
+        fields=start._fields,
+        initial=tuple(start),
+        transitions=transitions,
+        invariants=invariants,
+    )
+
+
 def explore(model: Protocol, most_states: int = MOST_STATES) -> dict[str, Any]:
     """Return the result of a search, breadth first."""
     result: dict[str, Any] = check_safety(model, max_states=most_states)
--- a/tests/model/dispatch_spec.py
+++ b/tests/model/dispatch_spec.py
@@ -6,9 +6,13 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from tests.model.checking import protocol
+
+if TYPE_CHECKING:
+    from minicheck import Protocol
 
-from minicheck import Protocol
 
 MOST_EPOCHS = 3
 """Connections that the ingress opens in a run."""
@@ -221,13 +225,11 @@
 
 def specification(name: str, rules: Rules) -> Protocol:
     """Return the specification under some rules."""
-    return Protocol(
-        name=name,
-        candidate=False,
-        fields=World._fields,
-        initial=tuple(World()),
-        transitions=Spec(rules).transitions,
-        invariants={
+    return protocol(
+        name,
+        World(),
+        Spec(rules).transitions,
+        {
             "told not run is not run": lambda w: w["ingress"] != "told-no" or w["runs"] == 0,
             "runs at most once": lambda w: w["runs"] <= 1,
             "answered has run": lambda w: w["ingress"] != "told-answer" or w["runs"] == 1,
--- a/tests/model/leaving_spec.py
+++ b/tests/model/leaving_spec.py
@@ -11,13 +11,15 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
-
-from minicheck import Protocol
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from foldhoist.membership.registry import Peer, Registration, Registry
 from foldhoist.membership.settling import Settling
 from foldhoist.membership.upstream import Heard, OwnUpstream
+from tests.model.checking import protocol
+
+if TYPE_CHECKING:
+    from minicheck import Protocol
 
 LIFE = "i-1"
 """The life of the upstream that leaves."""
@@ -261,13 +263,11 @@
 
 def specification(name: str, rules: Rules) -> Protocol:
     """Return the specification under some rules."""
-    return Protocol(
-        name=name,
-        candidate=False,
-        fields=World._fields,
-        initial=tuple(World()),
-        transitions=Spec(rules).transitions,
-        invariants={
+    return protocol(
+        name,
+        World(),
+        Spec(rules).transitions,
+        {
             "an acknowledged leaving gets no more calls": lambda w: not w["served_after"],
         },
     )
--- a/tests/model/log_spec.py
+++ b/tests/model/log_spec.py
@@ -9,14 +9,15 @@
 from functools import cache
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from minicheck import Protocol
-
 from foldhoist.configlog import fold as real
 from foldhoist.configlog.fold import KeepRecord, PublishRecord, State, digest_of, to_snapshot
+from tests.model.checking import protocol
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from minicheck import Protocol
+
 MOST_RECORDS = 4
 """Records that are appended in a run."""
 READERS = 2
@@ -249,13 +250,11 @@
         publishers=((None, 0),) * len(appends),
         kept=(None,) * READERS,
     )
-    return Protocol(
-        name=name,
-        candidate=False,
-        fields=World._fields,
-        initial=tuple(start),
-        transitions=Spec(rules, appends).transitions,
-        invariants={
+    return protocol(
+        name,
+        start,
+        Spec(rules, appends).transitions,
+        {
             "in force was accepted": in_force_was_accepted,
             "never back": never_back,
             "outcomes are true": outcomes_are_true,
--- a/tests/model/membership_spec.py
+++ b/tests/model/membership_spec.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
-
-from minicheck import Protocol
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from foldhoist.membership.registry import Peer, Registration, Registry
+from tests.model.checking import protocol
+
+if TYPE_CHECKING:
+    from minicheck import Protocol
 
 ADDRESS = {"a": "h1:1", "b": "h2:1", "c": "h2:1"}
 """Where the daemons listen: c comes to the host of b."""
@@ -185,13 +187,11 @@
 
 def specification(name: str, rules: Rules) -> Protocol:
     """Return the specification under some rules."""
-    return Protocol(
-        name=name,
-        candidate=False,
-        fields=World._fields,
-        initial=tuple(World()),
-        transitions=Spec(rules).transitions,
-        invariants={
+    return protocol(
+        name,
+        World(),
+        Spec(rules).transitions,
+        {
             "of two that join one sees the other": at_least_one_sees_the_other,
             "one name for an address": one_name_for_an_address,
             "who told of itself stays": the_one_that_told_stays,
--- a/tests/model/spread_spec.py
+++ b/tests/model/spread_spec.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
-
-from minicheck import Protocol
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from foldhoist.configlog.versions import Held, Reply, Version
+from tests.model.checking import protocol
+
+if TYPE_CHECKING:
+    from minicheck import Protocol
 
 READER, OTHER = 0, 1
 """The two daemons."""
@@ -149,13 +151,11 @@
 def specification(name: str, rules: Rules) -> Protocol:
     """Return the specification under some rules."""
     spec = Spec(rules)
-    return Protocol(
-        name=name,
-        candidate=False,
-        fields=World._fields,
-        initial=tuple(World()),
-        transitions=spec.transitions,
-        invariants={
+    return protocol(
+        name,
+        World(),
+        spec.transitions,
+        {
             "never back within a life": lambda w: not w["went_back"],
             "an unusable version is not used": lambda w: not w["used_unusable"],
             "an exchange brings the newest": spec.mends,
