--- a/tools/variants.py
+++ b/tools/variants.py
@@ -37,7 +37,26 @@
     return MACHINE.sub(keep, text)
 
 
-VARIANTS = {"small": small, "lone": lone}
+def scattered(text: str) -> str:
+    """Return the site with a data centre of its own for each machine but those of one service."""
+    apps = list(dict.fromkeys(re.findall(r'app = "([^"]+)"', text)))
+    added: list[str] = []
+
+    def move(match: re.Match[str]) -> str:
+        line = match[0]
+        if f'app = "{apps[0]}"' in line or "app = " not in line:
+            return line
+        added.append(f"apart-{len(added) + 1}")
+        return re.sub(r'zone = "[^"]+"', f'zone = "{added[-1]}"', line)
+
+    text = MACHINE.sub(move, text)
+    region = re.search(r'region = "[^"]+"', text)
+    entry = f", {region[0]}" if region is not None else ""
+    names = "".join(f'  {{ name = "{name}"{entry} }},\n' for name in added)
+    return re.sub(r"(?m)^zones = \[\n", f"zones = [\n{names}", text, count=1)
+
+
+VARIANTS = {"small": small, "lone": lone, "scattered": scattered}
 
 
 def main(site: str, folder: str) -> int:
