Refuse no call without a body for want of room for bodies

Cause, found by reading: when held_bytes is lowered below what is held, by a reload, an owner refused every call, also those without a body, until enough had ended. Change: nothing to hold always fits. Tests: the new one fails on the code before (no room for 0 bytes).

--- a/foldhoist/admission/held.py
+++ b/foldhoist/admission/held.py
@@ -18,7 +18,12 @@
         self.held = 0
 
     def has_room(self, size: int, body_size: int) -> bool:
-        """Return whether more bytes fit, for a body that has this size with them."""
+        """Return whether more bytes fit, for a body that has this size with them; none always do.
+
+        More than the bound may be held after the bound was lowered.
+        """
+        if not size:
+            return True
         room = self.most if body_size <= SMALL_BYTES else int(self.most * LARGE_SHARE)
         return self.held + size <= room
 
--- a/tests/unit/admission/test_held.py
+++ b/tests/unit/admission/test_held.py
@@ -27,6 +27,14 @@
     assert held.has_room(1, 1)
 
 
+def test_what_has_no_body_needs_no_room_when_the_bound_was_lowered() -> None:
+    held = HeldBytes(MOST)
+    held.take(MOST)
+    held.most = SMALL_BYTES
+    assert held.has_room(0, 0)
+    assert not held.has_room(1, 1)
+
+
 @given(sizes=st.lists(st.integers(1, 3 * SMALL_BYTES), max_size=60))
 def test_never_more_than_the_bound_is_held(sizes: list[int]) -> None:
     held = HeldBytes(MOST)
