--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -55,10 +55,10 @@
         return len(self._waiting)
 
     def wish_of(self, now: float, req: Dispatch, start_by: float, deadline: float) -> Wish:
-        """Return what a call asks for; without an objective it is due at its deadline.
+        """Return what a new call asks for; without an objective it is due at its deadline.
 
-        A nested call is a part of another one, which is lost if it is refused: it waits longer, and
-        is of use until its deadline.
+        The call is counted for what its route is taken for. A nested call is a part of another
+        one, which is lost if it is refused: it waits longer, and is of use until its deadline.
         """
         due = now + req.get("due_ms", req["budget_ms"]) / 1000
         due += max(0, req.get("rank", 0)) * RANK_S
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -26,6 +26,7 @@
 from foldhoist.daemon.prober import Prober
 from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
 from foldhoist.delivery.ingress import Ingress
+from foldhoist.delivery.keys import KEY_WINDOW_S
 from foldhoist.delivery.owner import Owner
 from foldhoist.logservice.client import PlatformClient
 from foldhoist.membership.view import homes, tracked
@@ -88,7 +89,7 @@
         platform = cfg["platform"]
         self.client = PlatformClient(platform["log"], platform["stream"], platform["hosts"])
         self._bodies = HeldBytes(cfg["limits"]["held_bytes"])
-        self.owner = Owner(self.name, "", SHAPE_UNKNOWN, 600.0, bodies=self._bodies)
+        self.owner = Owner(self.name, "", SHAPE_UNKNOWN, KEY_WINDOW_S, bodies=self._bodies)
         self.owner_task = OwnerTask(self.owner, cfg, self._hello, self._local_frame, self._hop)
         ingress = Ingress(cfg["daemon"]["data_centre"], cfg["limits"]["calls"], self.rng)
         self.ingress_task = IngressTask(ingress, self.ring, self.latencies, self.spans)
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -27,6 +27,7 @@
 from foldhoist.daemon.versions_task import VersionsTask
 from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
 from foldhoist.delivery.ingress import Ingress
+from foldhoist.delivery.keys import KEY_WINDOW_S
 from foldhoist.delivery.owner import Owner
 from foldhoist.delivery.services import RetrySlack
 from foldhoist.membership.registry import Registry
@@ -54,8 +55,6 @@
     "[observe] log_share",
 }
 """Settings that a daemon takes over while it runs."""
-KEY_WINDOW_S = 600.0
-"""How long an idempotency key is remembered, seconds."""
 
 
 class MeshDaemon:
--- a/foldhoist/delivery/keys.py
+++ b/foldhoist/delivery/keys.py
@@ -18,6 +18,8 @@
 
     from foldhoist.schema.messages import Handed, KeyState
 
+KEY_WINDOW_S = 600.0
+"""How long a key is remembered unless a configuration says otherwise, seconds."""
 CLOCK_SKEW_MS = 2000
 """Wall clocks of two hosts are trusted to differ by less than this, milliseconds."""
 MOST_KEYS = 50_000
