--- /dev/null
+++ b/tools/prices.py
@@ -0,0 +1,75 @@
+"""Prints what the days of journal entries earned and paid, as a table: a row a day.
+
+`python -m tools.prices ID ...`; several entries of the same days give medians and spreads.
+"""
+
+import json
+import sys
+from collections import defaultdict
+from pathlib import Path
+from statistics import median
+from typing import Any, NamedTuple
+
+JOURNAL = Path(__file__).resolve().parent.parent / "journal"
+LEAST = 0.0005
+"""Prices below this on every day have no column."""
+
+
+class Day(NamedTuple):
+    """What one day came to; prices are parts of its worth."""
+
+    name: str
+    score: float
+    worth: float
+    served: float
+    prices: dict[str, float]
+
+
+def days_of(entry: dict[str, Any]) -> list[Day]:
+    """Return the days of a journal entry as the bench wrote it."""
+    found: list[Day] = []
+    for day in entry["days"]:
+        prices = {name: abs(part) for name, _, part in day["prices"]}
+        found.append(Day(day["name"], day["score"], day["G"], day["served"], prices))
+    return found
+
+
+def table(days: list[Day]) -> str:
+    """Return a Markdown table with a row for each name of a day."""
+    by_name: dict[str, list[Day]] = defaultdict(list)
+    for day in days:
+        by_name[day.name].append(day)
+    kinds = list(dict.fromkeys(kind for day in days for kind in day.prices))
+    paid = [kind for kind in kinds if any(day.prices.get(kind, 0.0) >= LEAST for day in days)]
+    head = ["day", "plays", "score", "worth", "served in aim", *paid]
+    rows = ["| " + " | ".join(head) + " |", "|" + "---|" * len(head)]
+    for name, plays in by_name.items():
+        cells = [name, str(len(plays))]
+        cells += [_spread([getattr(day, field) for day in plays]) for field in Day._fields[1:4]]
+        cells += [_spread([day.prices.get(kind, 0.0) for day in plays]) for kind in paid]
+        rows.append("| " + " | ".join(cells) + " |")
+    return "\n".join(rows)
+
+
+def _spread(values: list[float]) -> str:
+    middle = f"{median(values):.3f}"
+    if len(values) == 1 or max(values) - min(values) < LEAST:
+        return middle
+    return f"{middle} ({min(values):.3f} to {max(values):.3f})"
+
+
+def main(ids: list[str]) -> int:
+    """Print the table of these entries; returns 2 if there is none of that id."""
+    days: list[Day] = []
+    for wanted in ids:
+        paths = sorted(JOURNAL.glob(f"*-{wanted}.json"))
+        if not paths:
+            print(f"{JOURNAL.name} has no entry {wanted}; `fleetbench journal list` shows them")
+            return 2
+        days += days_of(json.loads(paths[0].read_text()))
+    print(table(days))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
