--- /dev/null
+++ b/tools/compare.py
@@ -0,0 +1,53 @@
+"""Prints the worth of the same days in journal entries of different runs, side by side.
+
+`python -m tools.compare NAME=ID[,ID...] ...`; several entries of one name give the median.
+"""
+
+import json
+import sys
+from statistics import median
+
+from tools.prices import JOURNAL, days_of
+
+Worths = dict[str, list[float]]
+"""The worth of each play of each day, by the day's name."""
+
+
+def worths_of(ids: str) -> Worths:
+    """Return what the days of these entries were worth; raises LookupError for one not there."""
+    found: Worths = {}
+    for wanted in ids.split(","):
+        paths = sorted(JOURNAL.glob(f"*-{wanted}.json"))
+        if not paths:
+            raise LookupError(f"{JOURNAL.name} has no entry {wanted}")
+        for day in days_of(json.loads(paths[0].read_text())):
+            found.setdefault(day.name, []).append(day.worth)
+    return found
+
+
+def table(runs: dict[str, Worths]) -> str:
+    """Return a Markdown table of the days that all runs have, a column for each run."""
+    first, *others = runs.values()
+    shared = [name for name in first if all(name in other for other in others)]
+    rows = [f"| day | {' | '.join(runs)} |", "|" + "---|" * (len(runs) + 1)]
+    for name in shared:
+        cells = [f"{median(run[name]):.3f}" for run in runs.values()]
+        rows.append(f"| {name} | {' | '.join(cells)} |")
+    means = [sum(median(run[name]) for name in shared) / len(shared) for run in runs.values()]
+    rows.append(f"| mean | {' | '.join(f'{mean:.3f}' for mean in means)} |")
+    return "\n".join(rows)
+
+
+def main(named: list[str]) -> int:
+    """Print the table; returns 2 if an entry is not there."""
+    try:
+        runs = {name: worths_of(ids) for name, _, ids in (each.partition("=") for each in named)}
+    except LookupError as exc:
+        print(f"{exc.args[0]}; `fleetbench journal list` shows them")
+        return 2
+    print(table(runs))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
