--- a/foldhoist/config/changes.py
+++ b/foldhoist/config/changes.py
@@ -30,10 +30,14 @@
     return found
 
 
+def differing(before: Mapping[str, Any], after: Mapping[str, Any]) -> list[str]:
+    """Return the options of a section whose values differ, those that only one has included."""
+    options = [*before, *(option for option in after if option not in before)]
+    return [option for option in options if before.get(option) != after.get(option)]
+
+
 def _options(section: str, before: Mapping[str, Any], after: Mapping[str, Any]) -> list[str]:
-    found: list[str] = []
-    for option in [*before, *(option for option in after if option not in before)]:
-        was, now = before.get(option), after.get(option)
-        if was != now:
-            found.append(f"[{section}] {option}: {was}, now {now}")
-    return found
+    return [
+        f"[{section}] {option}: {before.get(option)}, now {after.get(option)}"
+        for option in differing(before, after)
+    ]
--- a/foldhoist/config/reread.py
+++ b/foldhoist/config/reread.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple, cast
 
+from foldhoist.config.changes import differing
+
 if TYPE_CHECKING:
     from collections.abc import Container
     from typing import Any
@@ -41,15 +43,13 @@
     old, new = _sections(before), _sections(after)
     for section, options in new.items():
         merged[section] = dict(old[section])
-        for option, value in options.items():
-            if value == old[section][option]:
-                continue
+        for option in differing(old[section], options):
             name = f"[{section}] {option}"
             if name not in reloadable:
                 left.append(name)
                 continue
             taken.append(name)
-            merged[section][option] = value
+            merged[section][option] = options[option]
     return Reread(cast("Settings", merged), taken, left)
 
 
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -17,6 +17,7 @@
 from foldhoist.daemon.callers import CallerConnection, Shared
 from foldhoist.daemon.configuration import ConfigurationTask
 from foldhoist.daemon.control import Control
+from foldhoist.daemon.figures import traffic_counters, traffic_gauges
 from foldhoist.daemon.handover import HandoverTask
 from foldhoist.daemon.ingress_task import IngressTask
 from foldhoist.daemon.links import LinkEvents, Links
@@ -171,9 +172,7 @@
     def counters(self) -> dict[str, dict[str, int]]:
         """Return all counters, by part."""
         return {
-            "ingress": counters_of(self.ingress_task.ingress.count),
-            "owner": counters_of(self.owner.count),
-            "callers": counters_of(self.shared.count),
+            **traffic_counters(self.ingress_task, self.owner_task, self.shared),
             "control": counters_of(self.control.count),
             "configuration": counters_of(self.configuration.count),
             "prober": counters_of(self.prober.count),
@@ -182,14 +181,8 @@
     def gauges(self) -> dict[str, float]:
         """Return what rises and falls."""
         return {
-            "ingress_calls": self.ingress_task.ingress.calls,
-            "owner_busy": self.owner.queue.busy,
-            "owner_queued": self.owner.queue.queued,
+            **traffic_gauges(self.ingress_task, self.owner_task, self.shared, self.links),
             "generation": self.configuration.state.generation,
-            "links": len(self.links.open()),
-            "caller_connections": len(self.shared.open),
-            "upstream_connections": self.owner_task.pool.open,
-            "leaving": float(self.owner.leaving),
         }
 
     # Steps
--- /dev/null
+++ b/foldhoist/daemon/figures.py
@@ -0,0 +1,40 @@
+"""What both kinds of daemon count and show of the calls that pass through them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from foldhoist.observe.counters import counters_of
+
+if TYPE_CHECKING:
+    from foldhoist.daemon.callers import Shared
+    from foldhoist.daemon.ingress_task import IngressTask
+    from foldhoist.daemon.links import Links
+    from foldhoist.daemon.owner_task import OwnerTask
+
+
+def traffic_counters(
+    ingress_task: IngressTask, owner_task: OwnerTask, shared: Shared
+) -> dict[str, dict[str, int]]:
+    """Return the counters of calls, by part."""
+    return {
+        "ingress": counters_of(ingress_task.ingress.count),
+        "owner": counters_of(owner_task.owner.count),
+        "callers": counters_of(shared.count),
+    }
+
+
+def traffic_gauges(
+    ingress_task: IngressTask, owner_task: OwnerTask, shared: Shared, links: Links
+) -> dict[str, float]:
+    """Return what rises and falls with calls."""
+    owner = owner_task.owner
+    return {
+        "ingress_calls": ingress_task.ingress.calls,
+        "owner_busy": owner.queue.busy,
+        "owner_queued": owner.queue.queued,
+        "links": len(links.open()),
+        "caller_connections": len(shared.open),
+        "upstream_connections": owner_task.pool.open,
+        "leaving": float(owner.leaving),
+    }
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -16,6 +16,7 @@
 from foldhoist.config.reread import LIMITS, reread
 from foldhoist.configlog.versions import Readers
 from foldhoist.daemon.callers import CallerConnection, Shared
+from foldhoist.daemon.figures import traffic_counters, traffic_gauges
 from foldhoist.daemon.ingress_task import IngressTask
 from foldhoist.daemon.links import LinkEvents, Links
 from foldhoist.daemon.owner_task import OwnerTask
@@ -162,24 +163,16 @@
     def counters(self) -> dict[str, dict[str, int]]:
         """Return all counters, by part."""
         return {
-            "ingress": counters_of(self.ingress_task.ingress.count),
-            "owner": counters_of(self.owner.count),
-            "callers": counters_of(self.shared.count),
+            **traffic_counters(self.ingress_task, self.owner_task, self.shared),
             "configuration": counters_of(self.versions.count),
         }
 
     def gauges(self) -> dict[str, float]:
         """Return what rises and falls."""
         return {
-            "ingress_calls": self.ingress_task.ingress.calls,
-            "owner_busy": self.owner.queue.busy,
-            "owner_queued": self.owner.queue.queued,
+            **traffic_gauges(self.ingress_task, self.owner_task, self.shared, self.links),
             "version": self.versions.version.number,
-            "links": len(self.links.open()),
             "peers": len(self.registry.peers),
-            "caller_connections": len(self.shared.open),
-            "upstream_connections": self.owner_task.pool.open,
-            "leaving": float(self.owner.leaving),
         }
 
     # Steps
--- a/tools/compare.py
+++ b/tools/compare.py
@@ -3,11 +3,10 @@
 `python -m tools.compare NAME=ID[,ID...] ...`; several entries of one name give the median.
 """
 
-import json
 import sys
 from statistics import median
 
-from tools.prices import JOURNAL, days_of
+from tools.prices import days_of, entry
 
 Worths = dict[str, list[float]]
 """The worth of each play of each day, by the day's name."""
@@ -17,10 +16,7 @@
     """Return what the days of these entries were worth; raises LookupError for one not there."""
     found: Worths = {}
     for wanted in ids.split(","):
-        paths = sorted(JOURNAL.glob(f"*-{wanted}.json"))
-        if not paths:
-            raise LookupError(f"{JOURNAL.name} has no entry {wanted}")
-        for day in days_of(json.loads(paths[0].read_text())):
+        for day in days_of(entry(wanted)):
             found.setdefault(day.name, []).append(day.worth)
     return found
 
@@ -43,7 +39,7 @@
     try:
         runs = {name: worths_of(ids) for name, _, ids in (each.partition("=") for each in named)}
     except LookupError as exc:
-        print(f"{exc.args[0]}; `fleetbench journal list` shows them")
+        print(exc.args[0])
         return 2
     print(table(runs))
     return 0
--- a/tools/prices.py
+++ b/tools/prices.py
@@ -15,6 +15,17 @@
 """Prices below this on every day have no column."""
 
 
+def entry(wanted: str) -> dict[str, Any]:
+    """Return the journal entry of this id; raises LookupError if there is none."""
+    paths = sorted(JOURNAL.glob(f"*-{wanted}.json"))
+    if not paths:
+        raise LookupError(
+            f"{JOURNAL.name} has no entry {wanted}; `fleetbench journal list` has all"
+        )
+    found: dict[str, Any] = json.loads(paths[0].read_text())
+    return found
+
+
 class Day(NamedTuple):
     """What one day came to; prices are parts of its worth."""
 
@@ -60,13 +71,11 @@
 
 def main(ids: list[str]) -> int:
     """Print the table of these entries; returns 2 if there is none of that id."""
-    days: list[Day] = []
-    for wanted in ids:
-        paths = sorted(JOURNAL.glob(f"*-{wanted}.json"))
-        if not paths:
-            print(f"{JOURNAL.name} has no entry {wanted}; `fleetbench journal list` shows them")
-            return 2
-        days += days_of(json.loads(paths[0].read_text()))
+    try:
+        days = [day for wanted in ids for day in days_of(entry(wanted))]
+    except LookupError as exc:
+        print(exc.args[0])
+        return 2
     print(table(days))
     return 0
 
