Count a call that an upstream turned away as an arrival there

Cause: `Ingress.refusal` took back the arrival of every refusal that says not run, also where the upstream itself had got the call and turned it away. Such retries cost nothing of the retry budget and went on for up to four upstreams.

Change: a refusal says whether the call reached the upstream (`reached`, a field of the message that the owner sets from what became of the call, so that no reason is compared). Only what an owner refused by itself is free.

--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -138,7 +138,7 @@
         call.note(now, live, f"{message['ran']}:{message['reason']}", 0, 0)
         if message["ran"] == "maybe":
             call.maybe = message["reason"]
-        else:
+        elif not message.get("reached", False):
             call.arrivals -= 1
         return self._go_on(now, call, message["reason"], message["retry_after_ms"] / 1000)
 
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -167,7 +167,9 @@
             case Shed():
                 self.standing.state = "shedding"
                 started = self._apply(now, self.queue.release(now, None))
-                ended = self._end_refused(ticket_id, "no", result.reason, result.retry_after_s)
+                ended = self._end_refused(
+                    ticket_id, "no", result.reason, result.retry_after_s, reached=True
+                )
                 return [*ended, *started]
             case Broken():
                 self.count.lost += 1
@@ -341,7 +343,7 @@
         return actions
 
     def _end_refused(
-        self, ticket_id: int, ran: str, reason: str, retry_after_s: float
+        self, ticket_id: int, ran: str, reason: str, retry_after_s: float, reached: bool = False
     ) -> list[Action]:
         ticket = self._tickets.pop(ticket_id)
         self.count.refused += 1
@@ -349,7 +351,7 @@
             self._note_refusal(ticket.request, reason, retry_after_s)
         actions: list[Action] = []
         for peer, seq in self._waiters(ticket):
-            frame = replies.refusal_frame(seq, ran, reason, retry_after_s, self.load())
+            frame = replies.refusal_frame(seq, ran, reason, retry_after_s, self.load(), reached)
             actions.append(self._end(peer, seq, frame))
         if ticket.key:
             self.keys.ended(ticket.key, None, ran=ran != "no")
--- a/foldhoist/delivery/replies.py
+++ b/foldhoist/delivery/replies.py
@@ -31,8 +31,13 @@
     return Frame("Answer", body)
 
 
-def refusal_frame(seq: int, ran: str, reason: str, retry_after_s: float, load: Load) -> Frame:
-    """Return a refusal; `ran` is "no" or "maybe"."""
+def refusal_frame(
+    seq: int, ran: str, reason: str, retry_after_s: float, load: Load, reached: bool = False
+) -> Frame:
+    """Return a refusal; `ran` is "no" or "maybe".
+
+    `reached` tells that the upstream got the call and turned it away.
+    """
     body: Refusal = {
         "seq": seq,
         "ran": ran,  # type: ignore[typeddict-item]
@@ -40,6 +45,8 @@
         "retry_after_ms": int(retry_after_s * 1000),
         "load": load,
     }
+    if reached:
+        body["reached"] = True
     return Frame("Refusal", body)
 
 
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -64,7 +64,9 @@
 def may_retry(now: float, call: Call, state: ServiceState | None) -> bool:
     """Return whether a call may be sent once more, and take that from the budget.
 
-    What an owner refused never reached its upstream: trying another costs nothing of the budget.
+    What an owner refused without asking its upstream is no arrival: trying another costs nothing
+    of the budget. What an upstream turned away is one: upstreams that turn every call away would
+    else get up to four arrivals a call.
     """
     if state is None or call.req.key or call.req.retried:
         return False
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -187,6 +187,10 @@
     """
     no: it certainly did not run. maybe: it was dispatched and no whole answer came.
     """
+    reached: NotRequired[bool]
+    """
+    The upstream got the call and turned it away: it counts as an arrival there. Absent if it did not get it.
+    """
     reason: str
     retry_after_ms: int
     """
--- a/tests/unit/delivery/test_ingress.py
+++ b/tests/unit/delivery/test_ingress.py
@@ -88,6 +88,23 @@
     assert attempts <= 1000 * 1.1 + 5
 
 
+def test_what_upstreams_turn_away_counts_as_arrivals_and_what_owners_refuse_does_not() -> None:
+    for reached, most in ((True, 100 * 1.1 + 5), (False, 100 * 4)):
+        ingress = make(12)
+        attempts = 0
+        for number in range(100):
+            waiting = sent(ingress.arrive(float(number), number, request()))
+            while waiting:
+                attempts += 1
+                one = waiting.pop()
+                body = refusal(one.frame.body["seq"], "no")
+                if reached:
+                    body["reached"] = True
+                waiting += sent(ingress.refusal(float(number), one.target, body))
+        assert attempts <= most
+        assert reached or attempts == most
+
+
 def test_a_late_answer_is_nobodys() -> None:
     ingress = make()
     (first,) = sent(ingress.arrive(1.0, 1, request()))
--- a/tests/unit/delivery/test_owner.py
+++ b/tests/unit/delivery/test_owner.py
@@ -7,7 +7,15 @@
 from foldhoist.admission.held import HeldBytes
 from foldhoist.admission.slots import Shape
 from foldhoist.delivery import peers as peers_module
-from foldhoist.delivery.dispatch import Broken, CancelCall, CloseLink, SendTo, StartCall, Whole
+from foldhoist.delivery.dispatch import (
+    Broken,
+    CancelCall,
+    CloseLink,
+    SendTo,
+    Shed,
+    StartCall,
+    Whole,
+)
 from foldhoist.delivery.owner import Owner
 
 if TYPE_CHECKING:
@@ -118,6 +126,26 @@
     assert said(ended) == [(1, "Refusal", "no")]
 
 
+def reached(actions: list[Any]) -> list[bool]:
+    frames = [action.frame for action in actions if isinstance(action, SendTo)]
+    return [frame.body.get("reached", False) for frame in frames if frame.kind == "Refusal"]
+
+
+def test_a_refusal_tells_whether_the_call_was_at_the_upstream() -> None:
+    for result, was_there in (
+        (Shed(0.1), True),
+        (Shed(0.0, "upstream-replaced"), True),
+        (Broken(False, "upstream-unreachable"), False),
+    ):
+        owner = make()
+        (start,) = owner.dispatch(0.1, 0, 1, dispatch(1))
+        assert isinstance(start, StartCall)
+        assert reached(owner.finished(0.2, start.ticket, result)) == [was_there]
+    owner = make()
+    owner.leave("drain")
+    assert reached(owner.dispatch(0.1, 0, 1, dispatch(2))) == [False]
+
+
 def test_waiting_calls_of_an_ingress_that_is_gone_are_dropped_and_it_can_learn_so() -> None:
     owner = make(slots=1)
     owner.dispatch(0.1, 0, 1, dispatch(1))
