Let a stopping daemon close each connection as soon as it rests

Cause: from 3.2 s after SIGTERM on, a daemon waited until all its connections rested at the same moment, and closed none before.

Change: each connection is closed when no request is under way on it. What may outlast the process (five times its usual time does not fit) is refused at the door, truly as not run, so that its caller goes elsewhere. What decides at the door has a module of its own (`delivery/door.py`, with the dead flag `leaving` gone), and so have the refusals that an owner notes for its log.

Ruled out: closing resting connections at the signal (callers learn only after 2.3 s that the daemon is not ready, and would open new ones here); refusing by the route's timeout (a route of 60 s would be refused for the whole stop although its calls take milliseconds).

--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -216,13 +216,9 @@
             self._on_hop(hop)
 
     def _tell_refusals(self) -> None:
-        refusals = self.owner.refusals
-        if not refusals:
-            return
-        if self.on_refused is not None:
-            for refused in refusals:
+        for refused in self.owner.refusals.take():
+            if self.on_refused is not None:
                 self.on_refused(refused)
-        refusals.clear()
 
     def _carry_out(self, actions: list[Action]) -> None:
         self._tell_refusals()
--- a/foldhoist/daemon/stopping.py
+++ b/foldhoist/daemon/stopping.py
@@ -15,7 +15,7 @@
 SERVE_S = 2.3
 """Time in which callers learn that this daemon is not ready, seconds; it serves on meanwhile."""
 CLOSE_S = 3.2
-"""From here on answers close their connections, and idle connections are closed, seconds."""
+"""From here on connections are closed as soon as no request is under way on them, seconds."""
 LOOK_S = 0.02
 """Time between two looks at what is still in flight, seconds."""
 FLUSH_S = 0.05
@@ -41,10 +41,11 @@
         limit = began + daemon.cfg["limits"]["drain_ms"] / 1000
         await self._wait_until(lambda: False, began + SERVE_S)
         daemon.shared.closing = True
+        daemon.ingress_task.ingress.door.stop(limit)
         await self._wait_until(lambda: not daemon.shared.open, began + CLOSE_S)
         daemon.owner_task.leave("drain")
         daemon.close_door()
-        await self._wait_until(lambda: all(conn.idle for conn in daemon.shared.open), limit)
+        await self._wait_until(self._all_closed, limit)
         for conn in list(daemon.shared.open):
             conn.close()
         await self._wait_until(lambda: not daemon.owner.calls, limit)
@@ -52,6 +53,16 @@
         await asyncio.sleep(FLUSH_S)
         await daemon.stop()
 
+    def _all_closed(self) -> bool:
+        """Close the connections that rest; returns whether none is left.
+
+        Each is closed on its own: where callers never pause together, the last request would
+        otherwise be taken just before the end and cut off.
+        """
+        for conn in [conn for conn in self._daemon.shared.open if conn.idle]:
+            conn.close()
+        return not self._daemon.shared.open
+
     async def _wait_until(self, is_done: Callable[[], bool], limit: float) -> None:
         loop = asyncio.get_running_loop()
         while not is_done() and loop.time() < limit:
--- /dev/null
+++ b/foldhoist/delivery/door.py
@@ -0,0 +1,56 @@
+"""Which requests an ingress refuses before any attempt: nothing of them has run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from foldhoist.delivery.verdict import NotRun
+
+if TYPE_CHECKING:
+    from foldhoist.delivery.call import CallerRequest
+    from foldhoist.routing.routes import Routed, RouteTable
+
+HOPS = 32
+"""Deepest nesting of calls until a configuration says it."""
+SLOWEST = 5.0
+"""How many times its usual time a call is given to end before its ingress does.
+
+A noisy neighbour makes work up to this much longer on the deployments measured.
+"""
+
+
+class Door:
+    """What decides whether a request gets any attempt; times are monotonic seconds."""
+
+    def __init__(self, most_calls: int) -> None:
+        self.most_calls = most_calls
+        self.hops = HOPS
+        self._stop_by = float("inf")
+
+    def stop(self, by: float) -> None:
+        """Refuse from now on what may take until after the end of this process.
+
+        A call that is cut off by the end of its ingress may have run, and its caller cannot send
+        it again; one refused at the door can go elsewhere.
+        """
+        self._stop_by = by
+
+    def refusal(
+        self, req: CallerRequest, routes: RouteTable | None, routed: Routed | None, calls: int
+    ) -> NotRun | None:
+        """Return why a request gets no attempt, or None; `calls` have no final answer yet."""
+        if routes is None:
+            return NotRun("no-configuration", 1.0)
+        if calls >= self.most_calls:
+            return NotRun("daemon-full", 0.1)
+        if routed is None:
+            return NotRun("no-such-service", 0.0, status=404)
+        if req.hops > self.hops:
+            return NotRun("nested-too-deep", 0.0, status=508)
+        if req.budget_s < 0:
+            return NotRun("deadline-passed", 0.0, status=504)
+        return None
+
+    def ends_too_late(self, now: float, usual_s: float, budget_s: float) -> bool:
+        """Return whether a call may outlast this process; `usual_s` is 0 if nothing is known."""
+        return now + min(budget_s, usual_s * SLOWEST) > self._stop_by
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -23,6 +23,7 @@
     Timer,
     record_of,
 )
+from foldhoist.delivery.door import Door
 from foldhoist.delivery.outgoing import dispatch_of
 from foldhoist.delivery.services import RetrySlack, Services
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response, Verdict
@@ -48,12 +49,10 @@
     def __init__(
         self, data_centre: str, most_calls: int, rng: Random, slack: RetrySlack | None = None
     ) -> None:
-        self.most_calls = most_calls
+        self.door = Door(most_calls)
         self.generation = 0
-        self.leaving = False
         self.explain = True
         self.count = Counters()
-        self._hops = 32
         self._routes: RouteTable | None = None
         self._services = Services(data_centre, rng, slack)
         self._book = CallBook()
@@ -73,7 +72,7 @@
     ) -> list[Action]:
         """Take over a configuration; what is known of upstreams that stay is kept."""
         self.generation = generation
-        self._hops = fleet["fleet"]["hops"]
+        self.door.hops = fleet["fleet"]["hops"]
         self._routes = RouteTable(fleet)
         self._services.adopt(fleet, homes)
         return self.track(now, tracked, daemons)
@@ -93,7 +92,7 @@
         """Take in a request of a caller."""
         self.count.calls += 1
         routed = self._route(req)
-        refused = self._refusal_at_door(req, routed)
+        refused = self.door.refusal(req, self._routes, routed, len(self._book))
         if refused is not None or routed is None:
             verdict = refused or NotRun("no-configuration", 1.0)
             return [self._refuse_at_door(now, call_id, req, routed, verdict)]
@@ -102,6 +101,8 @@
             return [self._refuse_at_door(now, call_id, req, routed, NotRun("service-removed", 1.0))]
         limit = routed.timeout_s or state.cfg["deadline_ms"] / 1000
         budget = min(req.budget_s, limit) if req.budget_s > 0 else limit
+        if self.door.ends_too_late(now, state.picker.times.mean(routed.route), budget):
+            return [self._refuse_at_door(now, call_id, req, routed, NotRun("daemon-leaving", 0.0))]
         call = Call(call_id, req, routed, now, now + budget)
         self._book.add(call)
         state.budget.call()
@@ -258,15 +259,6 @@
             return routed
         return routed._replace(service=self._services.draw(routed))
 
-    def _refusal_at_door(self, req: CallerRequest, routed: Routed | None) -> NotRun | None:
-        if self.leaving:
-            return NotRun("daemon-leaving", 0.0)
-        if self._routes is None:
-            return NotRun("no-configuration", 1.0)
-        if len(self._book) >= self.most_calls:
-            return NotRun("daemon-full", 0.1)
-        return rules.refusal_of(req, routed, self._hops)
-
     def _refuse_at_door(
         self, now: float, call_id: int, req: CallerRequest, routed: Routed | None, verdict: NotRun
     ) -> Reply:
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -20,7 +20,6 @@
     Ended,
     Frame,
     Peer,
-    Refused,
     Result,
     SendTo,
     Shed,
@@ -31,6 +30,7 @@
 from foldhoist.delivery.joined import Joined
 from foldhoist.delivery.keys import Deny, Join, KeyTable, Replay, fingerprint
 from foldhoist.delivery.peers import Peers, drop_acked, fate_without_result
+from foldhoist.delivery.refusal_notes import RefusalNotes
 from foldhoist.delivery.standing import Standing
 from foldhoist.delivery.tickets import Tickets
 from foldhoist.delivery.verdict import Response
@@ -51,8 +51,6 @@
 """An ingress without connection or calls is forgotten after this, seconds."""
 ORPHAN_S = 1.0
 """Waiting calls of an ingress whose connection fell are dropped after this, seconds."""
-NOTED_REFUSALS = 100
-"""Refusals noted for the log, until the task that runs the owner takes them."""
 STEADY_SHARE = 0.8
 """Share of the slots that an upstream announces up to which it is taken to keep its speed."""
 QUEUE_PER_SLOT = 3
@@ -81,7 +79,7 @@
         self.standing = Standing()
         self._peers = Peers()
         self._tickets = Tickets(bodies)
-        self.refusals: list[Refused] = []
+        self.refusals = RefusalNotes()
         self._joined = Joined()
 
     # What the tasks tell it
@@ -348,7 +346,7 @@
         ticket = self._tickets.pop(ticket_id)
         self.count.refused += 1
         if ran == "no":
-            self._note_refusal(ticket.request, reason, retry_after_s)
+            self.refusals.note(ticket.request, reason, retry_after_s, self.load())
         actions: list[Action] = []
         for peer, seq in self._waiters(ticket):
             frame = replies.refusal_frame(seq, ran, reason, retry_after_s, self.load(), reached)
@@ -376,17 +374,13 @@
         return SendTo(-1 if peer.link is None else peer.link, frame)
 
     def _refuse(self, peer: Peer, req: Dispatch, reason: str, retry_after_s: float) -> Action:
-        self._note_refusal(req, reason, retry_after_s)
+        self.refusals.note(req, reason, retry_after_s, self.load())
         self.count.refused += 1
         seq = req["seq"]
         return self._send(
             peer, seq, replies.refusal_frame(seq, "no", reason, retry_after_s, self.load())
         )
 
-    def _note_refusal(self, req: Dispatch, reason: str, retry_after_s: float) -> None:
-        if len(self.refusals) < NOTED_REFUSALS:
-            self.refusals.append(replies.refused_record(req, reason, retry_after_s, self.load()))
-
     def _refuse_waiting(self, tickets: list[int], reason: str) -> list[Action]:
         actions: list[Action] = []
         for ticket_id in tickets:
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -1,10 +1,9 @@
-"""What an ingress refuses at the door, what may be tried again, what pickers learn."""
+"""What may be tried again, what pickers learn."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from foldhoist.delivery.verdict import NotRun
 from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice
 from foldhoist.routing.policies import REMOTE_COST_S
 from foldhoist.routing.rendezvous import home
@@ -12,10 +11,9 @@
 if TYPE_CHECKING:
     from collections.abc import Container
 
-    from foldhoist.delivery.call import Call, CallerRequest, Live
+    from foldhoist.delivery.call import Call, Live
     from foldhoist.delivery.services import ServiceState
     from foldhoist.routing.picker import Picker
-    from foldhoist.routing.routes import Routed
     from foldhoist.schema.messages import Answer, Refusal
 
 MOST_REFUSALS = 3
@@ -37,17 +35,6 @@
 """Longest such wait as a share of the route's objective, or of the call's time without one."""
 
 
-def refusal_of(req: CallerRequest, routed: Routed | None, hops: int) -> NotRun | None:
-    """Return why a request gets no attempt, or None if it may; `hops` is the deepest nesting."""
-    if routed is None:
-        return NotRun("no-such-service", 0.0, status=404)
-    if req.hops > hops:
-        return NotRun("nested-too-deep", 0.0, status=508)
-    if req.budget_s < 0:
-        return NotRun("deadline-passed", 0.0, status=504)
-    return None
-
-
 def hedge_after_s(call: Call, state: ServiceState) -> float:
     """Return how long a call runs before it is sent to a second upstream, seconds; 0 for never."""
     if not call.repeatable or call.req.retried:
--- a/tests/unit/delivery/test_owner.py
+++ b/tests/unit/delivery/test_owner.py
@@ -219,7 +219,7 @@
     assert said(owner.dispatch(0.0, 0, 1, dispatch(3, body=b"x" * 30_000))) == [
         (3, "Refusal", "no")
     ]
-    assert owner.refusals[-1].reason == "bodies-full"
+    assert owner.refusals.take()[-1].reason == "bodies-full"
     assert bodies.held == 90_000
     owner.finished(0.1, 1, ANSWER)
     owner.withdraw(0.1, 1, {"seq": 2})
