Let waiting, parking and hedging end by what still can be on time, not by shares of an objective

Routes with an objective of 1 s are due after those with 0.6 s, so in a queue by due time they stood behind all of these and were refused after 250 ms, always. Ruled out: the routes were known and in force (404 only after their removal); the retry budget (the refusals are "no-slot-in-time").

Change: a call waits while its work still fits in before it is due, or before its deadline if it cannot be on time; one module says so (`admission/completion.py`), the owner works it out from what the message tells (`wait_ms` is gone). A nested call is of use until its deadline. A call that waits for a first connection is held no longer than that, and not at all for a service of which no upstream was heard for 2 s. A hedge goes out at the last moment at which it is on time. How long calls of a route take is learned from the time of their work, no longer with their wait in line.

The test that a parked call is held for a quarter of its time is replaced: it is held exactly while it can be on time, in five cases, and refused at once where there is no upstream.

--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -10,6 +10,7 @@
 from heapq import heappop, heappush
 from typing import TYPE_CHECKING, NamedTuple
 
+from foldhoist.admission.completion import latest_start
 from foldhoist.admission.nested import CallersOfRoutes
 from foldhoist.admission.slots import DEFAULT_SERVICE_S, SMOOTHING, Refuse, Start, Wait
 
@@ -19,8 +20,6 @@
 
 RANK_S = 0.02
 """Each rank counts as if its calls were due this much later, seconds."""
-NESTED_WAIT_SHARE = 0.5
-"""Longest wait of a nested call for a slot, as a share of the time it has."""
 
 
 class Wish(NamedTuple):
@@ -67,8 +66,8 @@
         self._callers.learn(route, req.get("caller", ""))
         if not self._callers.is_nested(route):
             return Wish(due, start_by, expect_s, deadline)
-        patient = now + (deadline - now) * NESTED_WAIT_SHARE
-        return Wish(due, max(start_by, patient), expect_s, deadline, deadline)
+        useful = latest_start(now, deadline, deadline, expect_s)
+        return Wish(due, max(start_by, useful), expect_s, deadline, deadline)
 
     def submit(self, now: float, ticket: int, wish: Wish) -> Decision:
         """Decide on a new call."""
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
+from foldhoist.admission.completion import latest_start
+
 if TYPE_CHECKING:
     from foldhoist.delivery.verdict import Headers
     from foldhoist.schema.messages import Answer, Dispatch, Refusal, Report
@@ -167,9 +169,9 @@
         self.request = request
         self.arrived = now
         self.deadline = now + request["budget_ms"] / 1000
-        self.start_by = self.deadline
-        if "wait_ms" in request:
-            self.start_by = min(self.deadline, now + request["wait_ms"] / 1000)
+        due = now + request.get("due_ms", request["budget_ms"]) / 1000
+        expect_s = request.get("expect_ms", 0) / 1000
+        self.start_by = latest_start(now, due, self.deadline, expect_s)
         self.running = False
         self.started = 0.0
         self.ahead = 0
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -236,8 +236,11 @@
         state = self._services.get(call.service)
         if state is None:
             return self._give_up(now, call, "service-removed", 0.0)
+        wait_s = rules.park_s(now, call, state)
+        if not wait_s:
+            return self._give_up(now, call, NO_CONNECTION, 1.0)
         self._book.park(call)
-        self._book.remind(now + rules.park_s(now, call), call, Timer.UNPARK)
+        self._book.remind(now + wait_s, call, Timer.UNPARK)
         if call.req.key:
             name = home(state.homes, call.req.key)
             return [Connect((name,) if name else ())]
--- a/foldhoist/delivery/outgoing.py
+++ b/foldhoist/delivery/outgoing.py
@@ -13,10 +13,6 @@
 
 DEADLINE_MARGIN_S = 0.005
 """The owner is given this much less than is left, so that its refusal comes in time, seconds."""
-WAIT_SHARE = 0.25
-"""Longest wait for a slot, as a share of the route's objective."""
-LEAST_WAIT_MS = 5
-"""Wait for a slot that every attempt is allowed, milliseconds."""
 
 
 def dispatch_of(
@@ -56,8 +52,6 @@
 
 
 def _add_objective(message: Dispatch, now: float, call: Call, expected_s: float) -> None:
-    wait_s = call.objective_s * WAIT_SHARE - (now - call.arrived)
-    message["wait_ms"] = max(LEAST_WAIT_MS, int(wait_s * 1000))
     message["due_ms"] = int((call.arrived + call.objective_s - now) * 1000)
     message["route"] = call.route
     message["expect_ms"] = int(expected_s * 1000)
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from foldhoist.admission.completion import hedge_after, latest_start
 from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice
 from foldhoist.routing.policies import REMOTE_COST_S
 from foldhoist.routing.rendezvous import home
@@ -22,8 +23,6 @@
 """Statuses from this on count against an upstream."""
 LEAST_BUDGET_S = 0.001
 """A call with less time left than this is not dispatched, seconds."""
-HEDGE_SHARE = 0.5
-"""A repeatable call is hedged after this share of its route's objective."""
 REMOTE_SHARE = 0.4
 """What another data centre costs beside the time of a call, as a share of its objective."""
 REMOTE_SHARE_KB = 0.08
@@ -31,21 +30,26 @@
 
 PARK_S = 0.3
 """Longest wait of a call for a first connection to an owner, seconds."""
-PARK_SHARE = 0.25
-"""Longest such wait as a share of the route's objective, or of the call's time without one."""
 
 
 def hedge_after_s(call: Call, state: ServiceState) -> float:
     """Return how long a call runs before it is sent to a second upstream, seconds; 0 for never."""
     if not call.repeatable or call.req.retried:
         return 0.0
-    return state.cfg["hedge_ms"] / 1000 or call.objective_s * HEDGE_SHARE
+    expect_s = state.picker.times.mean(call.route)
+    return state.cfg["hedge_ms"] / 1000 or hedge_after(call.objective_s, expect_s)
 
 
-def park_s(now: float, call: Call) -> float:
-    """Return how long a call may wait for a first connection, seconds: nothing is offered to it."""
-    aim_s = call.objective_s or call.deadline - now
-    return min(PARK_S, aim_s * PARK_SHARE)
+def park_s(now: float, call: Call, state: ServiceState) -> float:
+    """Return how long a call may wait for a first connection to an owner, seconds.
+
+    Nothing is offered to it meanwhile, so it is sent back at once where no upstream is known.
+    """
+    if not state.may_appear(now):
+        return 0.0
+    due = call.arrived + call.objective_s if call.objective_s else call.deadline
+    expect_s = state.picker.times.mean(call.route)
+    return max(0.0, min(PARK_S, latest_start(now, due, call.deadline, expect_s) - now))
 
 
 def may_retry(now: float, call: Call, state: ServiceState | None) -> bool:
@@ -93,7 +97,8 @@
     failed = message["status"] >= SERVER_ERROR
     size = len(call.req.body) + len(message["body"])
     load, ahead = message["load"], message["ahead"]
-    picker.answered(live.target, live.seq, now, failed, load, ahead, call.route, size)
+    served_s = message["served_us"] / 1e6
+    picker.answered(live.target, live.seq, now, failed, load, ahead, call.route, size, served_s)
 
 
 def tell_refusal(now: float, picker: Picker, call: Call, live: Live, message: Refusal) -> None:
--- a/foldhoist/delivery/services.py
+++ b/foldhoist/delivery/services.py
@@ -22,6 +22,11 @@
 """Share of the retries allowed beside a share of calls that all daemons together may hold."""
 GAINED_SHARE = 0.25
 """Share of these that all daemons together gain in a window."""
+ANNOUNCED_S = 2.0
+"""A service of which no upstream was heard for this long has none, seconds.
+
+Upstreams announce themselves about every 1.5 s on the deployments known.
+"""
 FEWEST_DAEMONS = 8
 """A daemon that knows fewer others may not know all of them, and takes no larger part."""
 
@@ -37,13 +42,26 @@
 class ServiceState:
     """A service of the configuration in force, with what this ingress knows of it."""
 
-    __slots__ = ("budget", "cfg", "homes", "picker")
+    __slots__ = ("budget", "cfg", "homes", "missing_since", "picker")
 
     def __init__(self, cfg: Service, picker: Picker, budget: RetryBudget) -> None:
         self.cfg = cfg
         self.picker = picker
         self.budget = budget
         self.homes: tuple[str, ...] = ()
+        self.missing_since: float | None = None
+
+    def track(self, now: float, members: list[Member]) -> None:
+        """Take over the upstreams to choose from."""
+        self.picker.members(members, now)
+        if members:
+            self.missing_since = None
+        elif self.missing_since is None:
+            self.missing_since = now
+
+    def may_appear(self, now: float) -> bool:
+        """Return whether an upstream can be hoped for: one is known, or was a moment ago."""
+        return self.missing_since is None or now - self.missing_since < ANNOUNCED_S
 
 
 class Services:
@@ -71,7 +89,7 @@
     ) -> None:
         """Take over the upstreams to choose from; `up` are those that are connected."""
         for name, state in self._by_name.items():
-            state.picker.members(tracked.get(name, []), now)
+            state.track(now, tracked.get(name, []))
             for target in state.picker.tracks:
                 state.picker.linked(target, now, target in up, fresh=False)
             if self._slack is not None:
--- a/foldhoist/routing/picker.py
+++ b/foldhoist/routing/picker.py
@@ -183,8 +183,13 @@
         ahead: int = -1,
         route: str = "",
         size: int = 0,
+        served_s: float = 0.0,
     ) -> None:
-        """Take in an answer; `ahead` is the number of calls that it met, -1 if unknown."""
+        """Take in an answer; `ahead` is the number of calls that it met, -1 if unknown.
+
+        `served_s` is the time of the work itself, 0 if unknown: waiting in line says nothing of how
+        long calls of the route take.
+        """
         track = self.tracks.get(name)
         if track is None:
             return
@@ -196,7 +201,7 @@
         self._learn(sent, ahead, load.get("pace", 0))
         latency_s = now - sent.at
         if route and not failed:
-            self.times.learned(route, latency_s, size)
+            self.times.learned(route, served_s or latency_s, size)
         self._judge(track, now, latency_s * self.times.scale(route), failed)
 
     def refused(self, name: str, seq: int, now: float, retry_after_s: float, load: Load) -> None:
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -135,10 +135,6 @@
     """
     Rank of the call, 0 goes first; absent for the two ranks that `urgent` tells apart.
     """
-    wait_ms: NotRequired[int]
-    """
-    Longest useful wait for a slot, milliseconds; absent if it may wait until its deadline.
-    """
     due_ms: NotRequired[int]
     """
     Time left until the answer is late by its route's objective, milliseconds; negative if it is late, absent without an objective.
--- a/tests/unit/admission/test_due.py
+++ b/tests/unit/admission/test_due.py
@@ -9,6 +9,7 @@
 
 from foldhoist.admission.due import DueQueue, Wish
 from foldhoist.admission.slots import Refuse, Shape, Start, Wait
+from foldhoist.delivery.dispatch import Ticket
 
 
 def queue(slots: int = 1, most: int = 10) -> DueQueue:
@@ -67,6 +68,36 @@
     assert slots.release(0.3, 0.3) == []
 
 
+def test_under_lasting_load_calls_with_more_time_are_served_as_others_are() -> None:
+    """One slot, twice the work that it can do; one call in six may take longer than the others."""
+    slots = queue(1, 50)
+    sent: list[int] = []
+    started: list[int] = []
+
+    def take(decisions: list[Any]) -> None:
+        started.extend(each.ticket for each in decisions if isinstance(each, Start))
+
+    for step in range(300):
+        now = step * 0.1
+        for number in range(2):
+            ticket = 2 * step + number
+            sent.append(ticket)
+            due_ms = 1000 if ticket % 6 == 0 else 600
+            request = call("any", "", due_ms=due_ms, budget_ms=2500, expect_ms=100)
+            start_by = Ticket("", request, now).start_by
+            asked = slots.wish_of(now, request, start_by, now + 2.5)
+            take([slots.submit(now, ticket, asked)])
+        if slots.busy:
+            take(slots.release(now, 0.1))
+        slots.expire(now)
+    shares = []
+    for patient in (True, False):
+        kind = [ticket for ticket in sent if (ticket % 6 == 0) is patient]
+        shares.append(sum(ticket in started for ticket in kind) / len(kind))
+    assert min(shares) > 0.25
+    assert shares[0] > shares[1] / 2
+
+
 Steps = st.lists(st.tuples(st.integers(0, 3), st.floats(0.0, 2.0)), max_size=60)
 
 
@@ -126,6 +157,7 @@
     assert slots.release(0.15, 0.1) == [Start(3)]
 
 
-def call(route: str, caller: str, due_ms: int = 500) -> Any:
+def call(route: str, caller: str, **fields: Any) -> Any:
     """Return what the queue reads of a call."""
-    return {"route": route, "caller": caller, "due_ms": due_ms, "budget_ms": 400, "expect_ms": 30}
+    plain = {"route": route, "caller": caller, "due_ms": 500, "budget_ms": 400, "expect_ms": 30}
+    return {"key": "", **plain, **fields}
--- a/tests/unit/delivery/test_ingress.py
+++ b/tests/unit/delivery/test_ingress.py
@@ -6,12 +6,15 @@
 from typing import TYPE_CHECKING, Any
 
 from bench.stages import fleet_text
+from foldhoist.admission.completion import ROOM
 from foldhoist.config.fleet import parse_fleet
 from foldhoist.delivery.call import CallerRequest, Reply, SendTo
 from foldhoist.delivery.ingress import Ingress
 from foldhoist.delivery.rules import PARK_S
+from foldhoist.delivery.services import ANNOUNCED_S
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun
 from foldhoist.membership.view import homes, tracked
+from foldhoist.routing.picker import Member
 
 if TYPE_CHECKING:
     from foldhoist.schema.messages import Load
@@ -130,14 +133,30 @@
     assert replies(ingress.tick(at)) == [NotRun("no-upstream-connected", 1.0)]
 
 
-def test_a_parked_call_is_held_for_a_quarter_of_its_time_or_objective_at_most() -> None:
-    for budget_s, objective_ms, longest_s in ((0.4, 0, 0.1), (0.4, 80, 0.02), (9.0, 0, PARK_S)):
+def test_a_parked_call_is_held_while_it_can_still_be_on_time() -> None:
+    for budget_s, objective_ms, usual_s, longest_s in (
+        (0.2, 0, 0.0, 0.2),
+        (9.0, 0, 0.0, PARK_S),
+        (9.0, 200, 0.0, 0.2),
+        (9.0, 200, 0.1, 0.2 - 0.1 * ROOM),
+        (9.0, 200, 0.5, PARK_S),
+    ):
         ingress = make(linked=False, objective_ms=objective_ms)
+        for _ in range(10 if usual_s else 0):
+            ingress.pickers()["depo"].times.learned("depo", usual_s)
         ingress.arrive(1.0, 1, request(budget_s=budget_s))
-        at = ingress.next_at()
-        assert at is not None
-        assert abs(at - 1.0 - longest_s) < 1e-9
-        assert replies(ingress.tick(at)) == [NotRun("no-upstream-connected", 1.0)]
+        assert replies(ingress.tick(1.0 + longest_s - 0.002)) == []
+        assert replies(ingress.tick(1.0 + longest_s + 0.001)) != []
+
+
+def test_a_call_for_a_service_that_has_no_upstream_is_refused_at_once() -> None:
+    ingress = make(linked=False)
+    ingress.track(1.0, {})
+    assert replies(ingress.arrive(1.1, 1, request())) == []
+    ended = replies(ingress.arrive(1.0 + ANNOUNCED_S, 2, request()))
+    assert ended == [NotRun("no-upstream-connected", 1.0)]
+    ingress.track(9.0, {"depo": [Member("depo-1", "a", 4)]})
+    assert replies(ingress.arrive(9.1, 3, request())) == []
 
 
 def test_an_owner_of_another_life_cannot_say_no() -> None:
