Let an owner sample its upstream's pace and tell its callers' daemons when that changes

The owner is beside its upstream and can ask.

`daemon/sampler.py` asks the health path on a connection of its own and takes nothing else from it. A changed pace goes to the ingresses that had calls here within 2 s; while it is watched, silence means unchanged for as long. The owner's reports have a module of their own (`delivery/telling.py`).

--- a/foldhoist/daemon/dialect.py
+++ b/foldhoist/daemon/dialect.py
@@ -54,6 +54,12 @@
     def result(self, status: int, head: HeadReader, body: bytes, call: StartCall) -> Result | None:
         """Return what a whole answer means, or None if it belongs to another call."""
 
+    def sample_headers(self, instance: str, address: bytes) -> Headers:
+        """Return the headers of a question to the health path of this life of the upstream."""
+
+    def sampled_pace(self, status: int, head: HeadReader) -> int:
+        """Return the pace that an answer of the health path tells, percent; 0 for none."""
+
     def leaves(self, head: HeadReader) -> bool:
         """Return whether an answer says that the upstream is leaving."""
 
@@ -112,6 +118,14 @@
             return Shed(_retry_after(head.said))
         return Whole(status, head.passed_on(), body)
 
+    def sample_headers(self, instance: str, address: bytes) -> Headers:
+        """Return the headers of a question to the health path."""
+        return [[b"Host", address]]
+
+    def sampled_pace(self, status: int, head: HeadReader) -> int:
+        """Return 0: upstreams that speak the product's own headers tell no pace."""
+        return 0
+
     def leaves(self, head: HeadReader) -> bool:
         """Return whether an answer says that the upstream is leaving."""
         return head.said.get(STATE) == b"leaving"
--- a/foldhoist/daemon/figures.py
+++ b/foldhoist/daemon/figures.py
@@ -20,6 +20,7 @@
     return {
         "ingress": counters_of(ingress_task.ingress.count),
         "owner": counters_of(owner_task.owner.count),
+        "sampler": counters_of(owner_task.sampler.count),
         "callers": counters_of(shared.count),
     }
 
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -252,6 +252,9 @@
 
     def _on_adopt(self, version: Version, fleet: Fleet) -> None:
         self.shared.adopt(_limits(self.cfg["limits"], fleet))
+        own = fleet["services"].get(self.owner.service)
+        if own is not None and own["health_path"]:
+            self.owner_task.sampler.path = own["health_path"]
         tracked = self.registry.tracked(self.upstream.known.current)
         daemons = len(self.registry.peers) + 1
         self.ingress_task.adopt(version.number, fleet, tracked, {}, daemons)
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -9,10 +9,12 @@
 from loguru import logger
 
 from foldhoist.daemon.frames import FrameConnection
+from foldhoist.daemon.sampler import Sampler
 from foldhoist.daemon.upstream import UpstreamPool
 from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
-from foldhoist.delivery.dispatch import Broken, CancelCall, CloseLink, SendTo, StartCall
+from foldhoist.delivery.dispatch import Broken, CancelCall, CloseLink, SendTo, StartCall, Whole
 from foldhoist.delivery.owner import LOCAL_LINK
+from foldhoist.routing.sampling import SamplePlan
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -74,11 +76,19 @@
             lambda: self.set_state("leaving"),
             dialect,
         )
+        self.sampler = Sampler(
+            SamplePlan(cfg["measuring"]["sample_cost"]),
+            (host, int(port)),
+            self.pool.dialect,
+            self._paced,
+        )
+        self.sampler.path = cfg["upstream"]["health_path"]
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Start looking at what has waited too long."""
         self._task = self._loop.create_task(self._tick())
+        self.sampler.start()
 
     def close(self) -> None:
         """Close every connection."""
@@ -89,6 +99,7 @@
         for conn in list(self._conns.values()):
             conn.close()
         self.pool.close()
+        self.sampler.close()
 
     def connection(self) -> FrameConnection:
         """Return the protocol object of a new connection."""
@@ -114,6 +125,7 @@
         before = self.owner.standing.upstream
         if before is not None and before["instance"] != upstream["instance"]:
             self.pool.forget()
+        self.sampler.instance = upstream["instance"]
         self._carry_out(self.owner.announce(self._loop.time(), upstream))
 
     def reshape(self, shape: Shape) -> None:
@@ -190,6 +202,7 @@
         now = self._loop.time()
         match kind:
             case "Dispatch":
+                self.sampler.called()
                 self._carry_out(self.owner.dispatch(now, int(time.time() * 1000), link, body))
             case "Withdraw":
                 self._carry_out(self.owner.withdraw(now, link, body))
@@ -209,12 +222,19 @@
     def _result(self, ticket: int, result: Result) -> None:
         now = self._loop.time()
         hop = self.owner.ended(now, ticket, result)
+        if isinstance(result, Whole):
+            self.sampler.heard(result.pace)
+        self.owner.standing.watched = self.sampler.watching
         if self.owner.standing.upstream is not None and _is_away(result):
             self._look_for_upstream()
         self._carry_out(self.owner.finished(now, ticket, result))
         if hop is not None:
             self._on_hop(hop)
 
+    def _paced(self, pace: int) -> None:
+        self.owner.standing.watched = True
+        self._carry_out(self.owner.paced(self._loop.time(), pace))
+
     def _tell_refusals(self) -> None:
         for refused in self.owner.refusals.take():
             if self.on_refused is not None:
--- /dev/null
+++ b/foldhoist/daemon/sampler.py
@@ -0,0 +1,202 @@
+"""Asks the upstream beside this daemon how long work takes there now, on its health path.
+
+Nothing else is taken from the health endpoint: whether an upstream is well is judged by what it
+does with calls.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import httptools
+from loguru import logger
+
+from foldhoist.daemon.http import HeadReader, write_head
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foldhoist.daemon.dialect import Dialect
+    from foldhoist.routing.sampling import SamplePlan
+
+ANSWER_S = 0.1
+"""Longest wait for a sample, seconds: a later one tells of a pace that may be over."""
+
+
+@dataclass(slots=True)
+class Counters:
+    """What the sampler has counted."""
+
+    failed: int = 0
+    samples: int = 0
+
+
+class _SampleConnection(asyncio.Protocol):
+    """A kept connection to the health endpoint; one question at a time."""
+
+    def __init__(self, dialect: Dialect) -> None:
+        self._dialect = dialect
+        self._transport: asyncio.Transport | None = None
+        self._answer: asyncio.Future[int] | None = None
+
+    @property
+    def usable(self) -> bool:
+        """Return whether a question may be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the question in hand."""
+        self._transport = None
+        self._fail("health connection lost")
+
+    async def ask(self, data: bytes) -> int:
+        """Return the pace that the answer tells, percent; 0 if it tells none."""
+        if self._transport is None:
+            raise ConnectionError("health connection lost")
+        self._head = HeadReader(self._dialect.upstream_rules)
+        self._parser = httptools.HttpResponseParser(self)
+        self._answer = asyncio.get_running_loop().create_future()
+        self._transport.write(data)
+        async with asyncio.timeout(ANSWER_S):
+            return await self._answer
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse the answer; bytes that nobody asked for end the connection."""
+        if self._answer is None or self._answer.done():
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._fail("malformed health answer")
+            self.close()
+
+    # httptools
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take in a header."""
+        self._head.add(name, value)
+
+    def on_message_complete(self) -> None:
+        """Tell the pace, whatever the status says of health."""
+        if self._answer is not None and not self._answer.done():
+            status = self._parser.get_status_code()
+            self._answer.set_result(self._dialect.sampled_pace(status, self._head))
+        if not self._parser.should_keep_alive():
+            self.close()
+
+    def _fail(self, reason: str) -> None:
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_exception(ConnectionError(reason))
+
+
+class Sampler:
+    """Takes samples when its plan says so and hands on the pace that they tell."""
+
+    def __init__(
+        self,
+        plan: SamplePlan,
+        address: tuple[str, int],
+        dialect: Dialect,
+        on_pace: Callable[[int], None],
+    ) -> None:
+        self.count = Counters()
+        self.path = "/health"
+        self.instance = ""
+        self._plan = plan
+        self._address = address
+        self._dialect = dialect
+        self._on_pace = on_pace
+        self._conn: _SampleConnection | None = None
+        self._wanted = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+        self._task: asyncio.Task[None] | None = None
+        self._failing = False
+
+    def start(self) -> None:
+        """Start sampling."""
+        self._task = self._loop.create_task(self._run())
+
+    def close(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+        self._drop()
+
+    def called(self) -> None:
+        """Take in that a call came for the upstream."""
+        now = self._loop.time()
+        self._plan.called(now)
+        if not self._wanted.is_set() and self._plan.next_at(now) is not None:
+            self._wanted.set()
+
+    def heard(self, pace: int) -> None:
+        """Take in the pace that came with an answer."""
+        self._plan.heard(self._loop.time(), pace)
+
+    @property
+    def watching(self) -> bool:
+        """Return whether changes of the pace are seen soon."""
+        return self._plan.next_at(self._loop.time()) is not None and not self._failing
+
+    async def _run(self) -> None:
+        while True:
+            now = self._loop.time()
+            at = self._plan.next_at(now)
+            if at is None:
+                self._wanted.clear()
+                self._drop()
+                await self._wanted.wait()
+            elif at > now:
+                await asyncio.sleep(at - now)
+            else:
+                await self._sample()
+
+    async def _sample(self) -> None:
+        self.count.samples += 1
+        try:
+            pace = await self._ask()
+        except (OSError, TimeoutError) as exc:
+            self.count.failed += 1
+            self._drop()
+            self._plan.failed(self._loop.time())
+            if not self._failing:
+                logger.info("pace of the upstream cannot be sampled: {!r}", exc)
+            self._failing = True
+            return
+        if not pace:
+            self._plan.failed(self._loop.time())
+            return
+        if self._failing:
+            logger.info("pace of the upstream is sampled again")
+        self._failing = False
+        self._plan.heard(self._loop.time(), pace)
+        self._on_pace(pace)
+
+    async def _ask(self) -> int:
+        if self._conn is None or not self._conn.usable:
+            async with asyncio.timeout(ANSWER_S):
+                _, self._conn = await self._loop.create_connection(
+                    lambda: _SampleConnection(self._dialect), *self._address
+                )
+        first = f"GET {self.path} HTTP/1.1\r\n".encode("latin-1")
+        host = "{}:{}".format(*self._address).encode()
+        headers = self._dialect.sample_headers(self.instance, host)
+        return await self._conn.ask(write_head(first, headers, None))
+
+    def _drop(self) -> None:
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -135,6 +135,7 @@
         "live",
         "lost_at",
         "name",
+        "used_at",
     )
 
     def __init__(self, name: str, incarnation: str, epoch: int, link: int) -> None:
@@ -147,6 +148,7 @@
         self.kept_bytes = 0
         self.forgotten = 0
         self.lost_at = 0.0
+        self.used_at = 0.0
 
 
 class Ticket:
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -32,6 +32,7 @@
 from foldhoist.delivery.peers import Peers, drop_acked, fate_without_result
 from foldhoist.delivery.refusal_notes import RefusalNotes
 from foldhoist.delivery.standing import Standing
+from foldhoist.delivery.telling import Telling
 from foldhoist.delivery.tickets import Tickets
 from foldhoist.delivery.verdict import Response
 
@@ -78,6 +79,7 @@
         self.count = Counters()
         self.standing = Standing()
         self._peers = Peers()
+        self._telling = Telling(self.standing, self.queue, self._peers)
         self._tickets = Tickets(bodies)
         self.refusals = RefusalNotes()
         self._joined = Joined()
@@ -160,7 +162,7 @@
             case Whole():
                 self.standing.answered(result.status, result.pace)
                 started = self._apply(now, self.queue.release(now, served))
-                told = self._tell_all() if self.standing.is_pace_news() else []
+                told = self._telling.pace(now)
                 return [*self._end_answered(now, ticket_id, result, served), *started, *told]
             case Shed():
                 self.standing.state = "shedding"
@@ -176,6 +178,11 @@
                 ran = "maybe" if result.sent else "no"
                 return [*self._end_refused(ticket_id, ran, result.reason, 0.5), *started]
 
+    def paced(self, now: float, pace: int) -> list[Action]:
+        """Take in the upstream's pace, percent; tells who sends calls here if it is another one."""
+        self.standing.pace = pace
+        return self._telling.pace(now)
+
     def announce(self, now: float, upstream: Announced) -> list[Action]:
         """Take in what the upstream says of itself; "gone" is said when none is known."""
         actions: list[Action] = []
@@ -194,19 +201,19 @@
         before, self.queue.shape = self.queue.shape, shape
         if before.slots == shape.slots:
             return []
-        return [*self._tell_all(), *self._apply(now, self.queue.advance(now))]
+        return [*self._telling.all(), *self._apply(now, self.queue.advance(now))]
 
     def set_state(self, state: str) -> list[Action]:
         """Take in what the upstream says of itself; tells every ingress if it changed."""
-        return self._tell_all() if self.standing.set_state(state) else []
+        return self._telling.all() if self.standing.set_state(state) else []
 
     def leave(self, source: str) -> list[Action]:
         """Stop taking new work, because `source` says that the upstream is leaving."""
-        return self._tell_all() if self.standing.leave(source) else []
+        return self._telling.all() if self.standing.leave(source) else []
 
     def stay(self, source: str) -> list[Action]:
         """Take back what `source` said; other sources still count."""
-        return self._tell_all() if self.standing.stay(source) else []
+        return self._telling.all() if self.standing.stay(source) else []
 
     def tick(self, now: float) -> list[Action]:
         """Refuse what has waited too long, drop what nobody will ask for, forget old peers."""
@@ -259,7 +266,7 @@
 
     def load(self) -> Load:
         """Return the load as it is now."""
-        return self.standing.load(self.queue)
+        return self._telling.load()
 
     # Steps
 
@@ -295,6 +302,7 @@
         ticket = Ticket(peer.incarnation, req, now)
         ticket.ahead = self.queue.busy + self.queue.queued
         ticket_id = self._tickets.add(ticket)
+        peer.used_at = now
         peer.live[req["seq"]] = ticket_id
         match self.queue:
             case SlotQueue() as queue:
@@ -334,6 +342,7 @@
         times_us = (int((ticket.started - ticket.arrived) * 1e6), int(served_s * 1e6))
         actions: list[Action] = []
         for peer, seq in self._waiters(ticket):
+            peer.used_at = now
             frame = replies.answer_frame(seq, response, ticket.ahead, times_us, self.load())
             actions.append(self._end(peer, seq, frame))
         if ticket.key:
@@ -389,7 +398,3 @@
             self.queue.withdraw(ticket_id)
             actions += self._end_refused(ticket_id, "no", reason, 0.0)
         return actions
-
-    def _tell_all(self) -> list[Action]:
-        report = Frame("Report", {"load": self.load()})
-        return [SendTo(link, report) for link in self._peers.links()]
--- a/foldhoist/delivery/peers.py
+++ b/foldhoist/delivery/peers.py
@@ -56,6 +56,10 @@
         """Return the connections that stand."""
         return list(self._by_link)
 
+    def users(self, since: float) -> list[int]:
+        """Return the connections of ingresses that have had calls here since then."""
+        return [link for link, peer in self._by_link.items() if peer.used_at >= since]
+
     def greet(self, link: int, hello: Hello) -> Greeting:
         """Take in a new connection; one that is older than the newest is not taken."""
         peer = self._by_life.get(hello["incarnation"])
--- a/foldhoist/delivery/standing.py
+++ b/foldhoist/delivery/standing.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from foldhoist.routing.sampling import is_change
+
 if TYPE_CHECKING:
     from foldhoist.admission.due import DueQueue
     from foldhoist.admission.slots import SlotQueue
@@ -13,8 +15,11 @@
 """Weight of the newest answer in the share of errors."""
 USUAL_PACE = 100
 """Pace of an upstream that works as usual, percent."""
-PACE_CHANGE = 1.5
-"""A pace is told when it is another one by at least this factor."""
+PACE_KEPT_MS = 2000
+"""While the pace is watched, what was told holds this long without another word, milliseconds.
+
+Ingresses that have had no call here for as long are not told of changes.
+"""
 LEAVING_QUEUE_S = 0.8
 """Calls that wait when the upstream begins to leave may still start for this long, seconds."""
 
@@ -29,6 +34,7 @@
         self.errors = 0.0
         self.leaving_why: dict[str, bool] = {}
         self.stop_at = float("inf")
+        self.watched = False
         self._told_pace = 0
         self._answered_any = False
 
@@ -96,8 +102,7 @@
         """Return whether the pace is another one than was last told; it counts as told then."""
         if not self.pace:
             return False
-        low, high = sorted((self.pace, self._told_pace or USUAL_PACE))
-        if high < low * PACE_CHANGE:
+        if not is_change(self.pace, self._told_pace or USUAL_PACE):
             return False
         self._told_pace = self.pace
         return True
@@ -114,4 +119,6 @@
         }
         if self.pace:
             load["pace"] = self.pace
+            if self.watched:
+                load["pace_kept_ms"] = PACE_KEPT_MS
         return load
--- /dev/null
+++ b/foldhoist/delivery/telling.py
@@ -0,0 +1,43 @@
+"""What an owner tells ingresses unasked: its load, to all or to those that it concerns; no I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from foldhoist.delivery.dispatch import Frame, SendTo
+from foldhoist.delivery.standing import PACE_KEPT_MS
+
+if TYPE_CHECKING:
+    from foldhoist.admission.due import DueQueue
+    from foldhoist.admission.slots import SlotQueue
+    from foldhoist.delivery.dispatch import Action
+    from foldhoist.delivery.peers import Peers
+    from foldhoist.delivery.standing import Standing
+    from foldhoist.schema.messages import Load
+
+
+class Telling:
+    """Reports of one owner; times are monotonic seconds."""
+
+    def __init__(self, standing: Standing, queue: SlotQueue | DueQueue, peers: Peers) -> None:
+        self._standing = standing
+        self._queue = queue
+        self._peers = peers
+
+    def load(self) -> Load:
+        """Return the load as it is now."""
+        return self._standing.load(self._queue)
+
+    def all(self) -> list[Action]:
+        """Tell every ingress."""
+        return self._to(self._peers.links())
+
+    def pace(self, now: float) -> list[Action]:
+        """Tell the pace, if it is news, to the ingresses that have had calls here of late."""
+        if not self._standing.is_pace_news():
+            return []
+        return self._to(self._peers.users(now - PACE_KEPT_MS / 1000))
+
+    def _to(self, links: list[int]) -> list[Action]:
+        report = Frame("Report", {"load": self.load()})
+        return [SendTo(link, report) for link in links]
--- a/foldhoist/routing/policies.py
+++ b/foldhoist/routing/policies.py
@@ -165,7 +165,7 @@
         if track.errors > MINOR_ERRORS:
             cost *= 1.0 + ERROR_COST * track.errors_now(now)
         if paces is not None and track.pace:
-            cost *= paces.factor(track.pace, now - track.load_at)
+            cost *= paces.factor(track.pace, now - track.load_at - track.pace_kept_s)
         if track.data_centre != data_centre:
             cost += remote_s
         costs.append(cost)
--- a/foldhoist/routing/times.py
+++ b/foldhoist/routing/times.py
@@ -69,10 +69,13 @@
         self._mean = _moved(self._mean, float(pace), self._results)
 
     def factor(self, pace: int, age_s: float) -> float:
-        """Return how much longer than on average a call takes now at this upstream."""
+        """Return how much longer than on average a call takes now at this upstream.
+
+        `age_s` is how old the word is, less the time for which it holds.
+        """
         if not pace:
             return 1.0
-        return 1.0 + (pace / self._mean - 1.0) * exp(-age_s / PACE_S)
+        return 1.0 + (pace / self._mean - 1.0) * exp(-max(0.0, age_s) / PACE_S)
 
 
 def _moved(mean: float, value: float, results: int) -> float:
--- a/foldhoist/routing/track.py
+++ b/foldhoist/routing/track.py
@@ -47,6 +47,7 @@
         "name",
         "others",
         "pace",
+        "pace_kept_s",
         "results",
         "sent_at",
         "since",
@@ -72,6 +73,7 @@
         self.load_at = 0.0
         self.others = 0
         self.pace = 0
+        self.pace_kept_s = 0.0
         self.backoff_until = 0.0
         self.ejected_until = 0.0
         self.ejections = 0
@@ -94,6 +96,7 @@
         self.load = load
         self.load_at = now
         self.pace = load.get("pace", 0)
+        self.pace_kept_s = load.get("pace_kept_ms", 0) / 1000
         self.slots = load["slots"] or self.slots
         self.others = max(0, load["busy"] + load["queued"] - self.in_flight)
 
--- a/foldhoist/schema/fleet.py
+++ b/foldhoist/schema/fleet.py
@@ -71,6 +71,10 @@
     """
     A repeatable call without an answer after this many milliseconds is sent to a second upstream; 0 for never.
     """
+    health_path: str
+    """
+    Path of the health endpoint of its upstreams; empty for what the daemon's settings say.
+    """
     queue: int
     """
     Calls that may wait at one owner.
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -44,6 +44,10 @@
     """
     How long work takes there at this moment, in percent of the usual; absent if the upstream does not say.
     """
+    pace_kept_ms: NotRequired[int]
+    """
+    How long that pace holds if the owner tells of no other, milliseconds; absent if the owner does not watch it.
+    """
 
 
 class Hello(TypedDict):
--- a/foldhoist/schema/settings.py
+++ b/foldhoist/schema/settings.py
@@ -194,6 +194,10 @@
     """
     Health probes a second to the upstream, from every daemon together; only the owner sends any.
     """
+    sample_cost: float
+    """
+    What a sample of the upstream's pace costs, in calls, with an adapter: it is sampled as often as that saves more slow calls than it costs; 0 for never.
+    """
     control_bytes_per_s: int
     """
     Control bytes a second that this daemon may send, averaged over the burst.
--- a/tests/adapter/target.py
+++ b/tests/adapter/target.py
@@ -30,6 +30,9 @@
         self.surplus = False
         self.cut = False
         self.full = False
+        self.pace = "100"
+        self.sampled = 0
+        self.health_hangs = False
         self.gate: asyncio.Event | None = None
         self.address = ""
         self._tasks: set[asyncio.Task[None]] = set()
@@ -63,6 +66,12 @@
             self.turned_away += 1
             writer.write(_answer(421, attempt, b"", signed=False))
             return
+        if path == "/health":
+            self.sampled += 1
+            if self.health_hangs:
+                await asyncio.Event().wait()
+            writer.write(_answer(200, "", b"", signed=False, more=self._load()))
+            return
         if self.full:
             self.turned_away += 1
             writer.write(_answer(503, attempt, b"", signed=False, more="X-Not-Executed: 1\r\n"))
@@ -75,7 +84,13 @@
             raise ConnectionResetError
         if self.surplus:
             writer.write(_answer(200, "of-another", b"surplus"))
-        writer.write(_answer(self.status, attempt, f"ran {path}".encode(), signed=self.signed))
+        more = self._load() if self.signed else ""
+        body = f"ran {path}".encode()
+        writer.write(_answer(self.status, attempt, body, signed=self.signed, more=more))
+
+    def _load(self) -> str:
+        pace = f",{self.pace}" if self.pace else ""
+        return f"X-Server-Load: 1,0,4{pace}\r\n"
 
     async def _work(self, reader: asyncio.StreamReader) -> None:
         if self.gate is None:
@@ -94,5 +109,5 @@
 def _answer(status: int, attempt: str, body: bytes, signed: bool = True, more: str = "") -> bytes:
     head = f"HTTP/1.1 {status} Status\r\nX-Attempt-Id: {attempt}\r\n{more}"
     if signed:
-        head += "X-Response-Signature: s.1\r\nX-Server-Load: 1,0,4,100\r\n"
+        head += "X-Response-Signature: s.1\r\n"
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
