Let calls wait for the end of a slow spell of their upstream instead of starting in it

Hypothesis: how long work takes is settled when it starts. A call that starts while the neighbours of an upstream are busy takes five times as long and keeps its slot for seven spells, also after they have fallen quiet; under load a quarter of such starts halves what a site can do.

Change: an owner that knows its upstream's pace (`admission/pace.py`) holds a call back while the rest of the spell is expected to be shorter than what the spell would add to the call's work. Short work starts meanwhile. A call that was held until it can no longer be on time is refused as not run. What becomes of ingresses whose connection fell is the peers' matter now.

--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -12,6 +12,7 @@
 
 from foldhoist.admission.completion import latest_start
 from foldhoist.admission.nested import CallersOfRoutes
+from foldhoist.admission.pace import PaceWatch
 from foldhoist.admission.slots import DEFAULT_SERVICE_S, SMOOTHING, Refuse, Start, Wait
 
 if TYPE_CHECKING:
@@ -43,6 +44,7 @@
         self.shape = shape
         self.busy = 0
         self.service_s = DEFAULT_SERVICE_S
+        self.pace = PaceWatch()
         self._callers = CallersOfRoutes()
         self._waiting: dict[int, Wish] = {}
         self._timely: list[tuple[float, int]] = []
@@ -70,10 +72,10 @@
         return Wish(due, max(start_by, useful), expect_s, deadline, deadline)
 
     def submit(self, now: float, ticket: int, wish: Wish) -> Decision:
-        """Decide on a new call."""
+        """Decide on a new call: with a slot free, what waits only waits for a faster moment."""
         if now >= wish.start_by:
             return Refuse(ticket, "deadline-passed", 0.0)
-        if self.busy < self.shape.slots and not self._waiting:
+        if self.busy < self.shape.slots and self._may_start(now, wish):
             self.busy += 1
             return Start(ticket)
         expected = self.expected_wait(wish)
@@ -127,17 +129,47 @@
         """Return when the first waiting call may not start any more, None if none waits."""
         return min((wish.start_by for wish in self._waiting.values()), default=None)
 
+    def _may_start(self, now: float, wish: Wish) -> bool:
+        """Return whether the call should start now rather than wait for a faster moment.
+
+        A call that starts in a slow spell of the upstream holds its slot for several times as long
+        as one that waits for the end of the spell.
+        """
+        return not self.pace.is_worth_waiting(now, wish.expect_s)
+
     def _next(self, now: float) -> int | None:
+        held: list[tuple[float, int]] = []
+        found = self._first_timely(now, held)
+        for entry in held:
+            heappush(self._timely, entry)
+        return self._first_late(now) if found is None else found
+
+    def _first_timely(self, now: float, held: list[tuple[float, int]]) -> int | None:
         while self._timely:
-            _, ticket = heappop(self._timely)
+            due, ticket = heappop(self._timely)
             wish = self._waiting.get(ticket)
             if wish is None:
                 continue
-            if now + wish.expect_s <= (wish.timely or wish.due):
-                return ticket
-            heappush(self._late, (wish.start_by, ticket))
-        while self._late:
-            _, ticket = heappop(self._late)
-            if ticket in self._waiting:
+            if now + wish.expect_s > (wish.timely or wish.due):
+                heappush(self._late, (wish.start_by, ticket))
+                continue
+            if self._may_start(now, wish):
                 return ticket
+            held.append((due, ticket))
         return None
+
+    def _first_late(self, now: float) -> int | None:
+        held: list[tuple[float, int]] = []
+        found: int | None = None
+        while self._late and found is None:
+            start_by, ticket = heappop(self._late)
+            wish = self._waiting.get(ticket)
+            if wish is None:
+                continue
+            if self._may_start(now, wish):
+                found = ticket
+            else:
+                held.append((start_by, ticket))
+        for entry in held:
+            heappush(self._late, entry)
+        return found
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -48,10 +48,6 @@
         Withdraw,
     )
 
-PEER_FORGET_S = 600.0
-"""An ingress without connection or calls is forgotten after this, seconds."""
-ORPHAN_S = 1.0
-"""Waiting calls of an ingress whose connection fell are dropped after this, seconds."""
 STEADY_SHARE = 0.8
 """Share of the slots that an upstream announces up to which it is taken to keep its speed."""
 QUEUE_PER_SLOT = 3
@@ -160,9 +156,9 @@
         served = now - ticket.started
         match result:
             case Whole():
-                self.standing.answered(result.status, result.pace)
+                self.standing.answered(result.status)
+                told = self._learn_pace(now, result.pace)
                 started = self._apply(now, self.queue.release(now, served))
-                told = self._telling.pace(now)
                 return [*self._end_answered(now, ticket_id, result, served), *started, *told]
             case Shed():
                 self.standing.state = "shedding"
@@ -180,8 +176,8 @@
 
     def paced(self, now: float, pace: int) -> list[Action]:
         """Take in the upstream's pace, percent; tells who sends calls here if it is another one."""
-        self.standing.pace = pace
-        return self._telling.pace(now)
+        told = self._learn_pace(now, pace)
+        return [*told, *self._apply(now, self.queue.advance(now))]
 
     def announce(self, now: float, upstream: Announced) -> list[Action]:
         """Take in what the upstream says of itself; "gone" is said when none is known."""
@@ -218,14 +214,11 @@
     def tick(self, now: float) -> list[Action]:
         """Refuse what has waited too long, drop what nobody will ask for, forget old peers."""
         actions = self._apply(now, self.queue.expire(now))
-        for peer in list(self._peers.values()):
-            if peer.link is not None or not peer.incarnation:
-                continue
-            if now - peer.lost_at > ORPHAN_S:
-                dropped = self._refuse_waiting(list(peer.live.values()), "ingress-gone")
-                self.count.withdrawn += len(dropped)
-            if now - peer.lost_at > PEER_FORGET_S and not peer.live:
-                self._peers.forget(peer)
+        actions += self._apply(now, self.queue.advance(now))
+        for peer in self._peers.orphaned(now):
+            dropped = self._refuse_waiting(list(peer.live.values()), "ingress-gone")
+            self.count.withdrawn += len(dropped)
+        self._peers.forget_old(now)
         self.keys.expire(now)
         return actions
 
@@ -270,6 +263,13 @@
 
     # Steps
 
+    def _learn_pace(self, now: float, pace: int) -> list[Action]:
+        self.standing.pace = pace
+        match self.queue:
+            case DueQueue() as queue:
+                queue.pace.told(now, pace)
+        return self._telling.pace(now)
+
     def _refusal_at_door(self, req: Dispatch) -> str | None:
         if self.leaving:
             return "upstream-leaving"
--- a/foldhoist/delivery/peers.py
+++ b/foldhoist/delivery/peers.py
@@ -18,6 +18,10 @@
 """Bytes of results kept for one ingress."""
 KEPT_TOTAL_BYTES = 32 * 1024 * 1024
 """Bytes of results kept for all ingresses, an equal part for each."""
+FORGET_S = 600.0
+"""An ingress without connection or calls is forgotten after this, seconds."""
+ORPHAN_S = 1.0
+"""Waiting calls of an ingress whose connection fell are dropped after this, seconds."""
 RESULT_BYTES = 100
 """Bytes that a kept result is counted for beside its body."""
 
@@ -86,9 +90,18 @@
         peer.link = None
         peer.lost_at = now
 
-    def forget(self, peer: Peer) -> None:
-        """Forget an ingress that will not come back."""
-        del self._by_life[peer.incarnation]
+    def orphaned(self, now: float) -> list[Peer]:
+        """Return the ingresses whose connection fell too long ago for their calls to wait on."""
+        return [peer for peer in self._away() if now - peer.lost_at > ORPHAN_S]
+
+    def forget_old(self, now: float) -> None:
+        """Forget the ingresses that will not come back and have no calls."""
+        for peer in self._away():
+            if now - peer.lost_at > FORGET_S and not peer.live:
+                del self._by_life[peer.incarnation]
+
+    def _away(self) -> list[Peer]:
+        return [peer for peer in self._by_life.values() if peer.link is None and peer.incarnation]
 
     def keep(self, peer: Peer, seq: int, frame: Frame) -> None:
         """Keep a result until the ingress says that it has it, or there are too many."""
--- a/foldhoist/delivery/standing.py
+++ b/foldhoist/delivery/standing.py
@@ -85,9 +85,8 @@
             self.stop_at = float("inf")
         return True
 
-    def answered(self, status: int, pace: int) -> None:
-        """Count an answer, and the pace that came with it."""
-        self.pace = pace
+    def answered(self, status: int) -> None:
+        """Count an answer."""
         failed = 1.0 if status >= 500 else 0.0
         self.errors += ERROR_SMOOTHING * (failed - self.errors)
         self._answered_any = True
--- a/tests/adapter/cluster.py
+++ b/tests/adapter/cluster.py
@@ -38,6 +38,8 @@
 stream = daemons
 wait_ms = 1000
 first_start = {first}
+[measuring]
+sample_cost = 0.0001
 [limits]
 drain_ms = 5000
 """
--- a/tests/adapter/test_pace.py
+++ b/tests/adapter/test_pace.py
@@ -47,7 +47,7 @@
     await cluster.settle(2)
     for number in range(CALLS):
         assert (await cluster.ask("a", "/m/1", attempt=f"{number:x}")).status == 200
-    assert cluster.targets["b"].sampled > 0
+    await until(lambda: cluster.targets["b"].sampled > 0)
     assert cluster.targets["silent"].sampled == 0
     assert cluster.targets["a"].sampled == 0
 
