--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -13,6 +13,7 @@
 from foldhoist.admission.completion import latest_start
 from foldhoist.admission.nested import CallersOfRoutes
 from foldhoist.admission.pace import PaceWatch
+from foldhoist.admission.shares import Shares
 from foldhoist.admission.slots import DEFAULT_SERVICE_S, SMOOTHING, Refuse, Start, Wait
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
 
     It waits until `start_by`; a slot that is free then is still taken before the `deadline`. What
     can't be answered before `timely` goes behind the others; None for the time that it is `due`.
+    A call that `yields` goes behind those that don't.
     """
 
     due: float
@@ -35,6 +37,13 @@
     expect_s: float
     deadline: float
     timely: float | None = None
+    rank: int = 0
+    yields: bool = False
+
+    @property
+    def order(self) -> tuple[bool, float]:
+        """Return what the queue sorts by."""
+        return self.yields, self.due
 
 
 class DueQueue:
@@ -47,7 +56,8 @@
         self.pace = PaceWatch()
         self._callers = CallersOfRoutes()
         self._waiting: dict[int, Wish] = {}
-        self._timely: list[tuple[float, int]] = []
+        self._shares = Shares()
+        self._timely: list[tuple[tuple[bool, float], int]] = []
         self._late: list[tuple[float, int]] = []
 
     @property
@@ -58,38 +68,43 @@
     def wish_of(self, now: float, req: Dispatch, start_by: float, deadline: float) -> Wish:
         """Return what a new call asks for; without an objective it is due at its deadline.
 
+        A nested call has the rank of what it is a part of.
+
         The call is counted for what its route is taken for. A nested call is a part of another
         one, which is lost if it is refused: it waits longer, and is of use until its deadline.
         """
-        due = now + req.get("due_ms", req["budget_ms"]) / 1000
-        due += max(0, req.get("rank", 0)) * RANK_S
-        expect_s = req.get("expect_ms", 0) / 1000
         route = req.get("route", "")
         self._callers.learn(route, req.get("caller", ""))
-        if not self._callers.is_nested(route):
-            return Wish(due, start_by, expect_s, deadline)
+        nested = self._callers.is_nested(route)
+        rank = max(0, req.get("rank", 0))
+        if nested:
+            rank = max(0, req.get("parent_rank", rank))
+        due = now + req.get("due_ms", req["budget_ms"]) / 1000 + rank * RANK_S
+        expect_s = req.get("expect_ms", 0) / 1000
+        wish = Wish(due, start_by, expect_s, deadline, None, rank, self._shares.yields(now, rank))
+        if not nested:
+            return wish
         useful = latest_start(now, deadline, deadline, expect_s)
-        return Wish(due, max(start_by, useful), expect_s, deadline, deadline)
+        return wish._replace(start_by=max(start_by, useful), timely=deadline)
 
     def submit(self, now: float, ticket: int, wish: Wish) -> Decision:
         """Decide on a new call: with a slot free, what waits only waits for a faster moment."""
         if now >= wish.start_by:
-            return Refuse(ticket, "deadline-passed", 0.0)
+            return self._refused(now, ticket, wish, "deadline-passed", 0.0)
         if self.busy < self.shape.slots and self._may_start(now, wish):
-            self.busy += 1
-            return Start(ticket)
+            return self._started(now, ticket, wish)
         expected = self.expected_wait(wish)
         if len(self._waiting) >= self.shape.queue:
-            return Refuse(ticket, "queue-full", expected)
+            return self._refused(now, ticket, wish, "queue-full", expected)
         if now + expected > wish.start_by:
-            return Refuse(ticket, "no-slot-in-time", expected)
+            return self._refused(now, ticket, wish, "no-slot-in-time", expected)
         self._waiting[ticket] = wish
-        heappush(self._timely, (wish.due, ticket))
+        heappush(self._timely, (wish.order, ticket))
         return Wait(ticket)
 
     def expected_wait(self, wish: Wish) -> float:
         """Return the seconds until a new call gets a slot, by the work that goes before it."""
-        ahead = sum(other.expect_s for other in self._waiting.values() if other.due <= wish.due)
+        ahead = sum(other.expect_s for other in self._waiting.values() if other.order <= wish.order)
         return (ahead + self.service_s) / self.shape.slots
 
     def withdraw(self, ticket: int) -> None:
@@ -112,23 +127,36 @@
                 return decisions
             wish = self._waiting.pop(ticket)
             if now + wish.expect_s >= wish.deadline:
-                decisions.append(Refuse(ticket, "no-slot-in-time", self.service_s))
+                reason, again_s = "no-slot-in-time", self.service_s
+                decisions.append(self._refused(now, ticket, wish, reason, again_s))
                 continue
-            self.busy += 1
-            decisions.append(Start(ticket))
+            decisions.append(self._started(now, ticket, wish))
         return decisions
 
     def expire(self, now: float) -> list[Decision]:
         """Refuse every waiting call that may not start any more."""
         late = [ticket for ticket, wish in self._waiting.items() if now >= wish.start_by]
-        for ticket in late:
-            del self._waiting[ticket]
-        return [Refuse(ticket, "no-slot-in-time", self.service_s) for ticket in late]
+        reason, again_s = "no-slot-in-time", self.service_s
+        return [
+            self._refused(now, ticket, self._waiting.pop(ticket), reason, again_s)
+            for ticket in late
+        ]
 
     def next_at(self) -> float | None:
         """Return when the first waiting call may not start any more, None if none waits."""
         return min((wish.start_by for wish in self._waiting.values()), default=None)
 
+    def _started(self, now: float, ticket: int, wish: Wish) -> Start:
+        self.busy += 1
+        self._shares.decided(now, wish.rank, refused=False)
+        return Start(ticket)
+
+    def _refused(
+        self, now: float, ticket: int, wish: Wish, reason: str, retry_after_s: float
+    ) -> Refuse:
+        self._shares.decided(now, wish.rank, refused=True)
+        return Refuse(ticket, reason, retry_after_s)
+
     def _may_start(self, now: float, wish: Wish) -> bool:
         """Return whether the call should start now rather than wait for a faster moment.
 
@@ -138,15 +166,15 @@
         return not self.pace.is_worth_waiting(now, wish.expect_s)
 
     def _next(self, now: float) -> int | None:
-        held: list[tuple[float, int]] = []
+        held: list[tuple[tuple[bool, float], int]] = []
         found = self._first_timely(now, held)
         for entry in held:
             heappush(self._timely, entry)
         return self._first_late(now) if found is None else found
 
-    def _first_timely(self, now: float, held: list[tuple[float, int]]) -> int | None:
+    def _first_timely(self, now: float, held: list[tuple[tuple[bool, float], int]]) -> int | None:
         while self._timely:
-            due, ticket = heappop(self._timely)
+            order, ticket = heappop(self._timely)
             wish = self._waiting.get(ticket)
             if wish is None:
                 continue
@@ -155,7 +183,7 @@
                 continue
             if self._may_start(now, wish):
                 return ticket
-            held.append((due, ticket))
+            held.append((order, ticket))
         return None
 
     def _first_late(self, now: float) -> int | None:
--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -56,6 +56,7 @@
         self._next_call += 1
         self._callers[call_id] = conn
         conn.begin(call_id)
+        req = req._replace(parent_rank=self._owner_task.owner.tickets.usual_rank)
         self._carry_out(self.ingress.arrive(self._loop.time(), call_id, req))
 
     def gone(self, call_id: int) -> None:
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -300,7 +300,7 @@
 
     def _stop_late(self) -> None:
         now = self._loop.time()
-        for ticket, limit in self.owner.running():
+        for ticket, limit in self.owner.tickets.running():
             if now > limit:
                 self.pool.cancel(ticket, "deadline-passed")
 
--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
 from foldhoist.delivery.verdict import Answered, Headers, MayHaveRun, NotRun, Response, Verdict
+from foldhoist.routing.routes import NO_RANK
 
 if TYPE_CHECKING:
     from foldhoist.routing.picker import Choice
@@ -18,8 +19,9 @@
 class CallerRequest(NamedTuple):
     """A request as a caller sent it; `budget_s` and `key_issued_ms` are 0 if not given.
 
-    `caller` is the service of this host and `name` the caller's own name for the request, where a
-    deployment has them.
+    `parent_rank` is the rank of most calls at the upstream of this host when the request came: what
+    it is a part of if that upstream sent it. `caller` is the service of this host and `name` the
+    caller's own name for the request, where a deployment has them.
     """
 
     method: str
@@ -36,6 +38,7 @@
     host: str = ""
     caller: str = ""
     name: str = ""
+    parent_rank: int = NO_RANK
 
 
 class Outgoing(NamedTuple):
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
 from foldhoist.admission.completion import latest_start
+from foldhoist.routing.routes import NO_RANK
 
 if TYPE_CHECKING:
     from foldhoist.delivery.verdict import Headers
@@ -160,6 +161,7 @@
         "deadline",
         "incarnation",
         "key",
+        "rank",
         "request",
         "running",
         "start_by",
@@ -178,3 +180,4 @@
         self.started = 0.0
         self.ahead = 0
         self.key = request["key"]
+        self.rank = request.get("rank", NO_RANK)
--- a/foldhoist/delivery/outgoing.py
+++ b/foldhoist/delivery/outgoing.py
@@ -46,6 +46,8 @@
         message["name"] = req.name
     if call.rank != NO_RANK:
         message["rank"] = call.rank
+    if req.parent_rank != NO_RANK:
+        message["parent_rank"] = req.parent_rank
     if call.objective_s:
         _add_objective(message, now, call, expected_s)
     return message
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -76,7 +76,7 @@
         self.standing = Standing()
         self._peers = Peers()
         self._telling = Telling(self.standing, self.queue, self._peers)
-        self._tickets = Tickets(bodies)
+        self.tickets = Tickets(bodies)
         self.refusals = RefusalNotes()
         self._joined = Joined()
 
@@ -122,7 +122,7 @@
         ticket_id = peer.live.get(message["seq"])
         if ticket_id is None:
             return []
-        ticket = self._tickets[ticket_id]
+        ticket = self.tickets[ticket_id]
         if ticket.key:
             return []
         if not ticket.running:
@@ -150,7 +150,7 @@
 
     def finished(self, now: float, ticket_id: int, result: Result) -> list[Action]:
         """Take in what the upstream made of a call."""
-        ticket = self._tickets.get(ticket_id)
+        ticket = self.tickets.get(ticket_id)
         if ticket is None:
             return []
         served = now - ticket.started
@@ -183,7 +183,7 @@
         """Take in what the upstream says of itself; "gone" is said when none is known."""
         actions: list[Action] = []
         if self.standing.announce(now, upstream):
-            actions += self._refuse_waiting(self._tickets.ids(), "upstream-replaced")
+            actions += self._refuse_waiting(self.tickets.ids(), "upstream-replaced")
         self.service = upstream["service"]
         slots = max(1, int(upstream["slots"] * STEADY_SHARE))
         queue = slots * QUEUE_PER_SLOT
@@ -232,7 +232,7 @@
     @property
     def calls(self) -> int:
         """Return the calls that wait or run here."""
-        return len(self._tickets)
+        return len(self.tickets)
 
     def next_at(self) -> float | None:
         """Return when `tick` has a waiting call to refuse, monotonic seconds; None for never."""
@@ -246,13 +246,9 @@
         peer = self._peers.at(link)
         return peer.name if peer is not None else ""
 
-    def running(self) -> list[tuple[int, float]]:
-        """Return ticket and deadline of the calls that are at the upstream."""
-        return self._tickets.running()
-
     def ended(self, now: float, ticket_id: int, result: Result) -> Ended | None:
         """Return what to record of a call whose result is about to be taken in."""
-        ticket = self._tickets.get(ticket_id)
+        ticket = self.tickets.get(ticket_id)
         if ticket is None:
             return None
         return replies.ended_record(now, ticket, result, self.queue.busy, self.queue.queued)
@@ -277,7 +273,7 @@
             return "not-my-service"
         if self.standing.state == "down":
             return "upstream-down"
-        if not self._tickets.has_room(req):
+        if not self.tickets.has_room(req):
             return "bodies-full"
         return None
 
@@ -301,7 +297,7 @@
     def _admit(self, now: float, peer: Peer, req: Dispatch) -> list[Action]:
         ticket = Ticket(peer.incarnation, req, now)
         ticket.ahead = self.queue.busy + self.queue.queued
-        ticket_id = self._tickets.add(ticket)
+        ticket_id = self.tickets.add(ticket)
         peer.used_at = now
         peer.live[req["seq"]] = ticket_id
         match self.queue:
@@ -309,6 +305,7 @@
                 decision = queue.submit(now, ticket_id, req["urgent"], ticket.start_by)
             case DueQueue() as queue:
                 wish = queue.wish_of(now, req, ticket.start_by, ticket.deadline)
+                ticket.rank = wish.rank
                 decision = queue.submit(now, ticket_id, wish)
         return self._apply(now, [decision])
 
@@ -326,9 +323,7 @@
         return actions
 
     def _start(self, now: float, ticket_id: int) -> Action:
-        ticket = self._tickets[ticket_id]
-        ticket.running = True
-        ticket.started = now
+        ticket = self.tickets.start(ticket_id, now)
         self.count.dispatched += 1
         instance = self.standing.instance
         return StartCall(ticket_id, ticket.request, ticket.deadline - now, instance)
@@ -336,7 +331,7 @@
     def _end_answered(
         self, now: float, ticket_id: int, whole: Whole, served_s: float
     ) -> list[Action]:
-        ticket = self._tickets.pop(ticket_id)
+        ticket = self.tickets.pop(ticket_id)
         self.count.answered += 1
         response = Response(whole.status, whole.headers, whole.body)
         times_us = (int((ticket.started - ticket.arrived) * 1e6), int(served_s * 1e6))
@@ -352,7 +347,7 @@
     def _end_refused(
         self, ticket_id: int, ran: str, reason: str, retry_after_s: float, reached: bool = False
     ) -> list[Action]:
-        ticket = self._tickets.pop(ticket_id)
+        ticket = self.tickets.pop(ticket_id)
         self.count.refused += 1
         if ran == "no":
             self.refusals.note(ticket.request, reason, retry_after_s, self.load())
@@ -393,7 +388,7 @@
     def _refuse_waiting(self, tickets: list[int], reason: str) -> list[Action]:
         actions: list[Action] = []
         for ticket_id in tickets:
-            if self._tickets[ticket_id].running:
+            if self.tickets[ticket_id].running:
                 continue
             self.queue.withdraw(ticket_id)
             actions += self._end_refused(ticket_id, "no", reason, 0.0)
--- a/foldhoist/delivery/tickets.py
+++ b/foldhoist/delivery/tickets.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from foldhoist.admission.held import MOST_BODY_BYTES, HeldBytes
+from foldhoist.routing.routes import NO_RANK
 
 if TYPE_CHECKING:
     from foldhoist.delivery.dispatch import Ticket
@@ -18,6 +19,7 @@
         self._bodies = bodies if bodies is not None else HeldBytes(MOST_BODY_BYTES)
         self._by_id: dict[int, Ticket] = {}
         self._next_id = 1
+        self._running: dict[int, int] = {}
 
     def __len__(self) -> int:
         """Return the calls that wait or run."""
@@ -48,10 +50,27 @@
         self._bodies.take(len(ticket.request["body"]))
         return ticket_id
 
+    def start(self, ticket_id: int, now: float) -> Ticket:
+        """Note that a call goes to the upstream."""
+        ticket = self._by_id[ticket_id]
+        ticket.running = True
+        ticket.started = now
+        self._running[ticket.rank] = self._running.get(ticket.rank, 0) + 1
+        return ticket
+
+    @property
+    def usual_rank(self) -> int:
+        """Return the rank of most calls at the upstream, NO_RANK if there are none."""
+        return max(self._running, key=self._running.__getitem__, default=NO_RANK)
+
     def pop(self, ticket_id: int) -> Ticket:
         """Remove a call that has ended, with its body."""
         ticket = self._by_id.pop(ticket_id)
         self._bodies.give_back(len(ticket.request["body"]))
+        if ticket.running:
+            self._running[ticket.rank] -= 1
+            if not self._running[ticket.rank]:
+                del self._running[ticket.rank]
         return ticket
 
     def running(self) -> list[tuple[int, float]]:
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -135,6 +135,10 @@
     """
     Service of the host at which the call started; absent if the deployment does not tell callers apart.
     """
+    parent_rank: NotRequired[int]
+    """
+    Rank of the calls that the upstream beside the ingress is at work on: what a nested call is a part of. Absent if there are none.
+    """
     rank: NotRequired[int]
     """
     Rank of the call, 0 goes first; absent for the two ranks that `urgent` tells apart.
