Wait 0.4 s for peers that cannot be reached, not 2 s, before a restarted daemon serves

Cause: a restarted daemon serves its upstream when the store and all peers that it names have answered. Records of hosts that were taken away stay in the store and never answer.

Change: once the store has answered, peers get 0.4 s; a peer that runs answers within milliseconds, and each peer that lived on has noted every leaving, so that any of them is enough. Without the store's answer it stays at 2 s. A line in the log tells when a daemon may serve.

Test, new: unreachable peers are not waited for, the store is. The model of leavings holds unchanged.

--- a/foldhoist/daemon/upstream_task.py
+++ b/foldhoist/daemon/upstream_task.py
@@ -20,6 +20,12 @@
 
 SETTLE_S = 2.0
 """Longest wait of a restarted daemon for what earlier lives have acknowledged, seconds."""
+PEERS_S = 0.4
+"""Longest wait for peers after the store has answered, seconds.
+
+A peer that runs answers within some milliseconds; without this bound, records of hosts that are
+gone keep a restarted daemon from serving for the whole of `SETTLE_S`.
+"""
 BIND_S = 0.6
 """Longest wait for a peer or the store to note that the upstream leaves, seconds."""
 WRITE_AGAIN_S = 0.1
@@ -40,6 +46,7 @@
         self._service = service
         self._settling = Settling(first=False)
         self._settled = False
+        self._began = 0.0
         self._noted: dict[str, asyncio.Event] = {}
         self._loop = asyncio.get_running_loop()
         self._stores: set[asyncio.Task[None]] = set()
@@ -48,6 +55,7 @@
         """Begin; the first life of a daemon has nothing to learn of earlier ones."""
         self._peers = peers
         self._settling = Settling(first)
+        self._began = self._loop.time()
         self._loop.call_later(SETTLE_S, self._give_up)
         self._settle()
 
@@ -110,6 +118,7 @@
     def store_answered(self, ended: Iterable[str], peers: AbstractSet[str]) -> None:
         """Take in what the store knows of this daemon's earlier lives, and which peers it names."""
         self._settling.store_answered(peers)
+        self._loop.call_later(PEERS_S, self._waited)
         self._take_ended(ended)
 
     def remember(self, ended: Iterable[str]) -> None:
@@ -126,6 +135,10 @@
             self._changed(before)
         self._settle()
 
+    def _waited(self) -> None:
+        self._settling.waited()
+        self._settle()
+
     def _give_up(self) -> None:
         self._settling.give_up()
         self._settle()
@@ -134,6 +147,9 @@
         if self._settled or not self._settling.done:
             return
         self._settled = True
+        logger.info(
+            "{:.3f} s after the start, the upstream may be served", self._loop.time() - self._began
+        )
         if self.known.current is not None:
             self._changed(None)
 
--- a/foldhoist/membership/settling.py
+++ b/foldhoist/membership/settling.py
@@ -20,6 +20,7 @@
         self._peers: AbstractSet[str] | None = None
         self._remembered = False
         self._answered: set[str] = set()
+        self._waited = False
 
     @property
     def done(self) -> bool:
@@ -28,7 +29,7 @@
             return True
         if self._peers is None:
             return False
-        return self._remembered or self._peers <= self._answered
+        return self._remembered or self._waited or self._peers <= self._answered
 
     def store_answered(self, peers: AbstractSet[str]) -> None:
         """Take in that the store told of this daemon, and which peers it names."""
@@ -42,6 +43,10 @@
         """Take in that a peer has answered, whether it knew an earlier life or not."""
         self._answered.add(name)
 
+    def waited(self) -> None:
+        """Take in that every peer that can be reached had time to answer."""
+        self._waited = True
+
     def give_up(self) -> None:
         """Wait no longer."""
         self._over = True
--- a/tests/unit/membership/test_settling.py
+++ b/tests/unit/membership/test_settling.py
@@ -45,3 +45,11 @@
     settling = Settling(first=False)
     settling.give_up()
     assert settling.done
+
+
+def test_peers_that_cannot_be_reached_are_not_waited_for_but_the_store_is() -> None:
+    settling = Settling(first=False)
+    settling.waited()
+    assert not settling.done
+    settling.store_answered({"gone"})
+    assert settling.done
