--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -68,7 +68,8 @@
     def wish_of(self, now: float, req: Dispatch, start_by: float, deadline: float) -> Wish:
         """Return what a new call asks for; without an objective it is due at its deadline.
 
-        A nested call has the rank of what it is a part of.
+        A nested call has the rank of what it is a part of. One that yields waits no longer than
+        others: it would only keep what it is a part of in its slot.
 
         The call is counted for what its route is taken for. A nested call is a part of another
         one, which is lost if it is refused: it waits longer, and is of use until its deadline.
@@ -82,14 +83,18 @@
         due = now + req.get("due_ms", req["budget_ms"]) / 1000 + rank * RANK_S
         expect_s = req.get("expect_ms", 0) / 1000
         wish = Wish(due, start_by, expect_s, deadline, None, rank, self._shares.yields(now, rank))
-        if not nested:
+        if not nested or wish.yields:
             return wish
         useful = latest_start(now, deadline, deadline, expect_s)
         return wish._replace(start_by=max(start_by, useful), timely=deadline)
 
     def submit(self, now: float, ticket: int, wish: Wish) -> Decision:
-        """Decide on a new call: with a slot free, what waits only waits for a faster moment."""
-        if now >= wish.start_by:
+        """Decide on a new call: with a slot free, what waits only waits for a faster moment.
+
+        A call that takes such a slot may end late; only one that has to wait is held to being on
+        time, since what it is expected to take may be wrong.
+        """
+        if now >= wish.deadline:
             return self._refused(now, ticket, wish, "deadline-passed", 0.0)
         if self.busy < self.shape.slots and self._may_start(now, wish):
             return self._started(now, ticket, wish)
--- a/tests/unit/admission/test_due.py
+++ b/tests/unit/admission/test_due.py
@@ -68,6 +68,16 @@
     assert slots.release(0.3, 0.3) == []
 
 
+def test_a_free_slot_is_taken_by_a_call_that_is_expected_to_be_late() -> None:
+    """What such calls take may have been learned in worse times."""
+    slots = queue()
+    late = wish(due=1.0, start_by=0.5, expect=0.9, deadline=2.0)
+    assert slots.submit(0.6, 1, late) == Start(1)
+    assert isinstance(slots.submit(0.6, 2, late), Refuse)
+    slots.release(0.7, 0.1)
+    assert isinstance(slots.submit(2.0, 3, late), Refuse)
+
+
 def test_under_lasting_load_calls_with_more_time_are_served_as_others_are() -> None:
     """One slot, twice the work that it can do; one call in six may take longer than the others."""
     slots = queue(1, 50)
