--- a/foldhoist/admission/completion.py
+++ b/foldhoist/admission/completion.py
@@ -26,13 +26,11 @@
     return deadline - needed_s
 
 
-def hedge_after(useful_s: float, expect_s: float) -> float:
+def hedge_after(objective_s: float, expect_s: float) -> float:
     """Return when a second attempt still can be on time, seconds after the first; 0 for never.
 
-    An answer is on time for `useful_s` seconds after the first attempt.
-
     While the first attempt is about as old as such calls get, it is the likelier to be first.
     """
-    if useful_s <= 0.0:
+    if not objective_s:
         return 0.0
-    return max(useful_s - expect_s * ROOM, expect_s * ROOM)
+    return max(objective_s - expect_s * ROOM, expect_s * ROOM)
--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -23,12 +23,6 @@
 RANK_S = 0.02
 """Each rank counts as if its calls were due this much later, seconds."""
 
-LATE_PATIENCE = 2.0
-"""A call that cannot be on time waits this many times the wait that it was expected to have.
-
-Calls that can be on time go before it; if that takes longer, they will not let it in.
-"""
-
 
 class Wish(NamedTuple):
     """What a call asks for; times are monotonic seconds, `expect_s` how long it takes.
@@ -46,11 +40,6 @@
     rank: int = 0
     yields: bool = False
 
-    @property
-    def on_time_by(self) -> float:
-        """Return until when an answer is on time."""
-        return self.due if self.timely is None else self.timely
-
     @property
     def order(self) -> tuple[bool, float]:
         """Return what the queue sorts by."""
@@ -109,10 +98,7 @@
             return self._refused(now, ticket, wish, "deadline-passed", 0.0)
         if self.busy < self.shape.slots and self._may_start(now, wish):
             return self._started(now, ticket, wish)
-        late = now + wish.expect_s > wish.on_time_by
-        expected = self.expected_wait(wish, late)
-        if late:
-            wish = wish._replace(start_by=min(wish.start_by, now + LATE_PATIENCE * expected))
+        expected = self.expected_wait(wish)
         if len(self._waiting) >= self.shape.queue:
             return self._refused(now, ticket, wish, "queue-full", expected)
         if now + expected > wish.start_by:
@@ -121,14 +107,9 @@
         heappush(self._timely, (wish.order, ticket))
         return Wait(ticket)
 
-    def expected_wait(self, wish: Wish, late: bool = False) -> float:
-        """Return the seconds until a new call gets a slot, by the work that goes before it.
-
-        All that waits goes before a call that is `late` already.
-        """
-        ahead = sum(
-            other.expect_s for other in self._waiting.values() if late or other.order <= wish.order
-        )
+    def expected_wait(self, wish: Wish) -> float:
+        """Return the seconds until a new call gets a slot, by the work that goes before it."""
+        ahead = sum(other.expect_s for other in self._waiting.values() if other.order <= wish.order)
         return (ahead + self.service_s) / self.shape.slots
 
     def withdraw(self, ticket: int) -> None:
@@ -202,7 +183,7 @@
             wish = self._waiting.get(ticket)
             if wish is None:
                 continue
-            if now + wish.expect_s > wish.on_time_by:
+            if now + wish.expect_s > (wish.timely or wish.due):
                 heappush(self._late, (wish.start_by, ticket))
                 continue
             if self._may_start(now, wish):
--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -155,7 +155,6 @@
         "attempts_allowed",
         "call_id",
         "deadline",
-        "due",
         "excluded",
         "failure",
         "live",
@@ -187,7 +186,6 @@
         self.attempts_allowed = routed.attempts
         self.rank = routed.rank
         self.objective_s = routed.objective_s
-        self.due = now + routed.objective_s if routed.objective_s else deadline
         self.tries = 0
         self.arrivals = 0
         self.maybe = ""
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -27,7 +27,6 @@
 from foldhoist.delivery.outgoing import dispatch_of
 from foldhoist.delivery.services import RetrySlack, Services
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response, Verdict
-from foldhoist.routing.first_tries import FirstTries
 from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice, Picker
 from foldhoist.routing.rendezvous import home
 from foldhoist.routing.routes import Routed, RouteTable
@@ -57,7 +56,6 @@
         self._routes: RouteTable | None = None
         self._services = Services(data_centre, rng, slack)
         self._book = CallBook()
-        self._first_tries = FirstTries()
         self._linked: dict[str, str] = {}
         self._up: set[str] = set()
 
@@ -77,7 +75,6 @@
         self.door.hops = fleet["fleet"]["hops"]
         self._routes = RouteTable(fleet)
         self._services.adopt(fleet, homes)
-        self._first_tries.keep(fleet["routes"])
         return self.track(now, tracked, daemons)
 
     def track(
@@ -107,7 +104,6 @@
         if self.door.ends_too_late(now, state.picker.times.mean(routed.route), budget):
             return [self._refuse_at_door(now, call_id, req, routed, NotRun("daemon-leaving", 0.0))]
         call = Call(call_id, req, routed, now, now + budget)
-        call.due -= self._first_tries.passed_s(routed.route, req.budget_s)
         self._book.add(call)
         state.budget.call()
         self._book.remind(call.deadline, call, Timer.EXPIRE)
--- a/foldhoist/delivery/outgoing.py
+++ b/foldhoist/delivery/outgoing.py
@@ -54,6 +54,6 @@
 
 
 def _add_objective(message: Dispatch, now: float, call: Call, expected_s: float) -> None:
-    message["due_ms"] = int((call.due - now) * 1000)
+    message["due_ms"] = int((call.arrived + call.objective_s - now) * 1000)
     message["route"] = call.route
     message["expect_ms"] = int(expected_s * 1000)
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -37,8 +37,7 @@
     if not call.repeatable or call.req.retried:
         return 0.0
     expect_s = state.picker.times.mean(call.route)
-    useful_s = call.due - call.arrived if call.objective_s else 0.0
-    return state.cfg["hedge_ms"] / 1000 or hedge_after(useful_s, expect_s)
+    return state.cfg["hedge_ms"] / 1000 or hedge_after(call.objective_s, expect_s)
 
 
 def park_s(now: float, call: Call, state: ServiceState) -> float:
@@ -48,8 +47,9 @@
     """
     if not state.may_appear(now):
         return 0.0
+    due = call.arrived + call.objective_s if call.objective_s else call.deadline
     expect_s = state.picker.times.mean(call.route)
-    return max(0.0, min(PARK_S, latest_start(now, call.due, call.deadline, expect_s) - now))
+    return max(0.0, min(PARK_S, latest_start(now, due, call.deadline, expect_s) - now))
 
 
 def may_retry(now: float, call: Call, state: ServiceState | None) -> bool:
--- a/tests/unit/admission/test_due.py
+++ b/tests/unit/admission/test_due.py
@@ -68,26 +68,6 @@
     assert slots.release(0.3, 0.3) == []
 
 
-def test_a_call_that_came_back_late_lets_those_pass_that_can_be_on_time() -> None:
-    slots = queue()
-    slots.submit(0.0, 1, wish(5.0))
-    assert slots.submit(0.0, 2, wish(due=-0.2, start_by=2.0)) == Wait(2)
-    assert slots.submit(0.0, 3, wish(due=1.0, start_by=0.9)) == Wait(3)
-    assert slots.release(0.01, 0.01) == [Start(3)]
-    assert slots.release(0.02, 0.01) == [Start(2)]
-
-
-def test_a_late_call_waits_no_longer_than_twice_what_was_expected() -> None:
-    slots = queue()
-    slots.service_s = 0.1
-    slots.submit(0.0, 1, wish(5.0))
-    for ticket in (2, 3):
-        slots.submit(0.0, ticket, wish(3.0))
-    assert slots.submit(0.0, 4, wish(due=-0.2)) == Wait(4)
-    assert slots.expire(0.59) == []
-    assert [each.ticket for each in slots.expire(0.61) if isinstance(each, Refuse)] == [4]
-
-
 def test_a_free_slot_is_taken_by_a_call_that_is_expected_to_be_late() -> None:
     """What such calls take may have been learned in worse times."""
     slots = queue()
