--- a/foldhoist/admission/completion.py
+++ b/foldhoist/admission/completion.py
@@ -10,7 +10,7 @@
 ROOM = 1.4
 """Time that is kept for a call, in times of how long such calls take.
 
-Nine calls of ten take less, with times of work spread by 0.3 of their mean.
+Against 1.1 and 1.8 it had the best sum of worth over four days: 2.397, 2.381 and 2.358.
 """
 
 
--- a/foldhoist/routing/sampling.py
+++ b/foldhoist/routing/sampling.py
@@ -13,10 +13,7 @@
 CHANGE = 1.5
 """A pace counts as another one when it differs by at least this factor."""
 LOSS_CALLS = 0.5
-"""What a call loses at an upstream that has turned slow unseen, in calls.
-
-About half of the calls sent to an upstream that works five times as long miss their objective.
-"""
+"""What a call loses at an upstream that has turned slow unseen, in calls: assumed, not measured."""
 CALLS_S = 2.0
 """Calls count by 1/e after this long, seconds: longer than an upstream is avoided for its pace."""
 CHANGES_S = 5.0
