Count what was not retried for want of budget, and what upstreams turned away or got again

The log lines are sampled and the counters told only how often a call was retried or hedged: the three hypotheses of the incident could not be told apart by them. Ingress: unpaid, turned_away; owner: repeats, turned_away. No decision changes.

--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -120,6 +120,8 @@
     may_have_run: int = 0
     not_run: int = 0
     retried: int = 0
+    turned_away: int = 0
+    unpaid: int = 0
 
 
 class Timer(IntEnum):
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -120,6 +120,8 @@
     key_replayed: int = 0
     lost: int = 0
     refused: int = 0
+    repeats: int = 0
+    turned_away: int = 0
     withdrawn: int = 0
 
 
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -139,7 +139,9 @@
         call.note(now, live, f"{message['ran']}:{message['reason']}", 0, 0)
         if message["ran"] == "maybe":
             call.maybe = message["reason"]
-        elif not message.get("reached", False):
+        elif message.get("reached", False):
+            self.count.turned_away += 1
+        else:
             call.arrivals -= 1
         return self._go_on(now, call, message["reason"], message["retry_after_ms"] / 1000)
 
@@ -304,13 +306,14 @@
     def _go_on(self, now: float, call: Call, reason: str, retry_after_s: float) -> list[Action]:
         if call.live:
             return []
-        if not rules.may_retry(now, call, self._services.get(call.service)):
+        if not rules.may_retry(now, call, self._services.get(call.service), self.count):
             return self._give_up(now, call, reason, retry_after_s)
         self.count.retried += 1
         return self._attempt(now, call, first_reason=reason)
 
     def _hedge(self, now: float, call: Call) -> list[Action]:
-        if len(call.live) != 1 or not rules.may_retry(now, call, self._services.get(call.service)):
+        state = self._services.get(call.service)
+        if len(call.live) != 1 or not rules.may_retry(now, call, state, self.count):
             return []
         self.count.hedged += 1
         return self._attempt(now, call)
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -161,6 +161,7 @@
                 started = self._apply(now, self.queue.release(now, served))
                 return [*self._end_answered(now, ticket_id, result, served), *started, *told]
             case Shed():
+                self.count.turned_away += 1
                 self.standing.state = "shedding"
                 started = self._apply(now, self.queue.release(now, None))
                 ended = self._end_refused(
@@ -325,6 +326,7 @@
     def _start(self, now: float, ticket_id: int) -> Action:
         ticket = self.tickets.start(ticket_id, now)
         self.count.dispatched += 1
+        self.count.repeats += ticket.request["retried"]
         instance = self.standing.instance
         return StartCall(ticket_id, ticket.request, ticket.deadline - now, instance)
 
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Container
 
-    from foldhoist.delivery.call import Call, Live
+    from foldhoist.delivery.call import Call, Counters, Live
     from foldhoist.delivery.services import ServiceState
     from foldhoist.routing.picker import Picker
     from foldhoist.schema.messages import Answer, Refusal
@@ -52,7 +52,7 @@
     return max(0.0, min(PARK_S, latest_start(now, due, call.deadline, expect_s) - now))
 
 
-def may_retry(now: float, call: Call, state: ServiceState | None) -> bool:
+def may_retry(now: float, call: Call, state: ServiceState | None, count: Counters) -> bool:
     """Return whether a call may be sent once more, and take that from the budget.
 
     What an owner refused without asking its upstream is no arrival: trying another costs nothing
@@ -71,7 +71,10 @@
         return False
     if isinstance(state.picker.pick(now, call.excluded, explain=False), NoChoice):
         return False
-    return call.arrivals == 0 or state.budget.spend(now)
+    if call.arrivals == 0 or state.budget.spend(now):
+        return True
+    count.unpaid += 1
+    return False
 
 
 def remote_cost_s(call: Call, state: ServiceState) -> float:
