Pay for the calls of a repeated run from the retry budget where they arrive

Cause: the budget was kept by what an ingress sent once more. What a repeated run calls is a repeat at the next service, too, but earned a tenth of a further attempt there, and was retried. Along a chain the shares added up: 0.1, 0.2, 0.3.

Change: an owner counts which share of the calls that began at its upstream were repeats; a call that starts beside it costs that share of an attempt, and passes it on. A caller that says so costs a whole one, as before it is not retried. Only an attempt after one that reached an upstream is told as a repeat (before: also one after an owner's own refusal). Overcharged are callers that are not the upstream of their host: by the same share.

Not tried: naming the run in the wire of the users' targets; it is theirs.

--- a/foldhoist/admission/bucket.py
+++ b/foldhoist/admission/bucket.py
@@ -38,6 +38,11 @@
 
     RESERVE = 3.0
     CAP = 20.0
+    MOST_OWED = 20.0
+    """Most attempts that repeats made elsewhere may take in advance.
+
+    About what a daemon with 20 calls a second earns in 10 s, after which repeats do not count.
+    """
 
     def __init__(self, share: float) -> None:
         self.share = share
@@ -55,9 +60,15 @@
         self.per_s = per_s
         self._tokens = min(self._tokens, cap)
 
-    def call(self) -> None:
-        """Count a first attempt, which earns `share` of a further one."""
-        self._tokens = min(self.cap, self._tokens + self.share)
+    def call(self, repeat: float = 0.0) -> None:
+        """Count a first attempt, which earns `share` of a further one.
+
+        `repeat` is how likely it is a part of a further attempt at another service, 0 to 1. It is
+        then a repeat itself, and costs what a further attempt costs: along a chain of services,
+        each with its own share, repeats would else add up to a share for each of them.
+        """
+        earned = self.share * (1.0 - repeat) - repeat
+        self._tokens = max(-self.MOST_OWED, min(self.cap, self._tokens + earned))
 
     def spend(self, now: float = 0.0) -> bool:
         """Take one further attempt if the budget has it; `now` is in seconds, monotonic."""
--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -56,7 +56,8 @@
         self._next_call += 1
         self._callers[call_id] = conn
         conn.begin(call_id)
-        req = req._replace(parent_rank=self._owner_task.owner.tickets.usual_rank)
+        tickets = self._owner_task.owner.tickets
+        req = req._replace(parent_rank=tickets.usual_rank, parent_repeat=tickets.repeat_share)
         self._carry_out(self.ingress.arrive(self._loop.time(), call_id, req))
 
     def gone(self, call_id: int) -> None:
--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -20,7 +20,9 @@
     """A request as a caller sent it; `budget_s` and `key_issued_ms` are 0 if not given.
 
     `parent_rank` is the rank of most calls at the upstream of this host when the request came: what
-    it is a part of if that upstream sent it. `caller` is the service of this host and `name` the
+    it is a part of if that upstream sent it. `retried` tells whether it is a part of a run that was
+    a further attempt, None if the caller does not say; `parent_repeat` is then the share of such
+    runs at the upstream of this host. `caller` is the service of this host and `name` the
     caller's own name for the request, where a deployment has them.
     """
 
@@ -33,12 +35,18 @@
     key: str
     key_issued_ms: int
     hops: int
-    retried: bool
+    retried: bool | None
     trace: str
     host: str = ""
     caller: str = ""
     name: str = ""
     parent_rank: int = NO_RANK
+    parent_repeat: float = 0.0
+
+    @property
+    def repeat(self) -> float:
+        """Return how likely this is a part of a run that was a further attempt, 0 to 1."""
+        return self.parent_repeat if self.retried is None else float(self.retried)
 
 
 class Outgoing(NamedTuple):
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -164,6 +164,7 @@
         "incarnation",
         "key",
         "rank",
+        "repeat",
         "request",
         "running",
         "start_by",
@@ -183,3 +184,4 @@
         self.ahead = 0
         self.key = request["key"]
         self.rank = request.get("rank", NO_RANK)
+        self.repeat = 1.0 if request["retried"] else request.get("repeat_percent", 0) / 100
--- a/foldhoist/delivery/outgoing.py
+++ b/foldhoist/delivery/outgoing.py
@@ -37,7 +37,7 @@
         "key_issued_ms": req.key_issued_ms or issued_by_uuid7(req.key),
         "generation": generation,
         "hops": req.hops,
-        "retried": req.retried or call.tries > 1,
+        "retried": bool(req.retried) or call.arrivals > 1,
         "trace": req.trace,
     }
     if req.caller:
@@ -48,6 +48,8 @@
         message["rank"] = call.rank
     if req.parent_rank != NO_RANK:
         message["parent_rank"] = req.parent_rank
+    if not message["retried"] and req.repeat:
+        message["repeat_percent"] = round(100 * req.repeat)
     if call.objective_s:
         _add_objective(message, now, call, expected_s)
     return message
--- a/foldhoist/delivery/tickets.py
+++ b/foldhoist/delivery/tickets.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from foldhoist.admission.held import MOST_BODY_BYTES, HeldBytes
+from foldhoist.delivery.repeats import StartedRepeats
 from foldhoist.routing.routes import NO_RANK
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
         self._by_id: dict[int, Ticket] = {}
         self._next_id = 1
         self._running: dict[int, int] = {}
+        self._repeats = StartedRepeats()
 
     def __len__(self) -> int:
         """Return the calls that wait or run."""
@@ -56,6 +58,7 @@
         ticket.running = True
         ticket.started = now
         self._running[ticket.rank] = self._running.get(ticket.rank, 0) + 1
+        self._repeats.started(now, ticket.repeat)
         return ticket
 
     @property
@@ -63,6 +66,11 @@
         """Return the rank of most calls at the upstream, NO_RANK if there are none."""
         return max(self._running, key=self._running.__getitem__, default=NO_RANK)
 
+    @property
+    def repeat_share(self) -> float:
+        """Return how likely a call of the upstream is a part of a repeat, 0 if it runs nothing."""
+        return self._repeats.share if self._running else 0.0
+
     def pop(self, ticket_id: int) -> Ticket:
         """Remove a call that has ended, with its body."""
         ticket = self._by_id.pop(ticket_id)
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -121,7 +121,11 @@
     """
     retried: bool
     """
-    This, or a call that it is nested in, is a further attempt.
+    This, or a call that it is nested in, is a further attempt after one that reached an upstream.
+    """
+    repeat_percent: NotRequired[int]
+    """
+    How likely it is a part of such an attempt where the caller does not say, percent. Absent if it is not, or said.
     """
     trace: str
     """
--- a/tests/unit/admission/test_due.py
+++ b/tests/unit/admission/test_due.py
@@ -170,4 +170,4 @@
 def call(route: str, caller: str, **fields: Any) -> Any:
     """Return what the queue reads of a call."""
     plain = {"route": route, "caller": caller, "due_ms": 500, "budget_ms": 400, "expect_ms": 30}
-    return {"key": "", **plain, **fields}
+    return {"key": "", "retried": False, **plain, **fields}
--- a/tests/unit/admission/test_shares.py
+++ b/tests/unit/admission/test_shares.py
@@ -34,7 +34,14 @@
 
 
 def call(route: str, caller: str, rank: int, **fields: Any) -> Any:
-    plain = {"route": route, "caller": caller, "rank": rank, "key": "", "budget_ms": 2500}
+    plain = {
+        "route": route,
+        "caller": caller,
+        "rank": rank,
+        "key": "",
+        "retried": False,
+        "budget_ms": 2500,
+    }
     return {**plain, "due_ms": 800, "expect_ms": 100, **fields}
 
 
--- a/tests/unit/delivery/test_ingress.py
+++ b/tests/unit/delivery/test_ingress.py
@@ -108,6 +108,30 @@
         assert reached or attempts == most
 
 
+def test_only_what_follows_an_arrival_is_told_as_a_further_attempt() -> None:
+    for reached in (True, False):
+        ingress = make()
+        for number in range(20):
+            ingress.arrive(0.5, 100 + number, request())
+        (first,) = sent(ingress.arrive(1.0, 1, request()))
+        body = refusal(first.frame.body["seq"], "no")
+        if reached:
+            body["reached"] = True
+        (again,) = sent(ingress.refusal(1.1, first.target, body))
+        assert not first.frame.body["retried"]
+        assert again.frame.body["retried"] is reached
+
+
+def test_the_owner_is_told_how_likely_a_call_is_a_part_of_a_repeat() -> None:
+    for retried, share, told in ((None, 0.3, 30), (None, 0.0, None), (False, 0.3, None)):
+        ingress = make()
+        (first,) = sent(ingress.arrive(1.0, 1, request(retried=retried, parent_repeat=share)))
+        assert first.frame.body["retried"] is False
+        assert first.frame.body.get("repeat_percent") == told
+    (first,) = sent(make().arrive(1.0, 1, request(retried=True)))
+    assert first.frame.body["retried"] is True
+
+
 def test_a_late_answer_is_nobodys() -> None:
     ingress = make()
     (first,) = sent(ingress.arrive(1.0, 1, request()))
--- /dev/null
+++ b/tests/unit/delivery/test_repeats.py
@@ -0,0 +1,34 @@
+"""Tests of the share of repeats among the calls that an upstream got lately."""
+
+from __future__ import annotations
+
+from foldhoist.delivery.dispatch import Ticket
+from foldhoist.delivery.repeats import KEPT_S, StartedRepeats
+from foldhoist.delivery.tickets import Tickets
+from tests.unit.daemon.calls import dispatch_of
+
+
+def test_the_share_follows_what_begins() -> None:
+    repeats = StartedRepeats()
+    assert repeats.share == 0.0
+    for number in range(1000):
+        repeats.started(number * 0.01, float(number % 4 == 0))
+    assert 0.2 < repeats.share < 0.3
+    for number in range(1000, 1000 + int(500 * KEPT_S)):
+        repeats.started(number * 0.01, 0.0)
+    assert repeats.share < 0.01
+
+
+def test_an_upstream_that_runs_nothing_sends_no_parts_of_repeats() -> None:
+    tickets = Tickets(None)
+    number = tickets.add(Ticket("in", {**dispatch_of(), "retried": True}, 0.0))
+    tickets.start(number, 0.0)
+    assert tickets.repeat_share == 1.0
+    tickets.pop(number)
+    assert tickets.repeat_share == 0.0
+
+
+def test_a_share_is_passed_on() -> None:
+    tickets = Tickets(None)
+    tickets.start(tickets.add(Ticket("in", {**dispatch_of(), "repeat_percent": 30}, 0.0)), 0.0)
+    assert tickets.repeat_share == 0.3
