Offer no calls to an address that answers for another life of an upstream

Cause: a 421 is an arrival and paid from the retry budget, and the owner went on offering calls there until the next announcement (up to 1.5 s); from the second on callers got 503.

Change: such an answer is a result of its own, Replaced; the owner then refuses calls by itself, which costs nothing, tells its ingresses, and begins again when an upstream announces itself there, be it the same one.

--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -14,6 +14,7 @@
 from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
 from foldhoist.delivery.dispatch import Broken, CancelCall, CloseLink, SendTo, StartCall, Whole
 from foldhoist.delivery.owner import LOCAL_LINK
+from foldhoist.delivery.standing import REPLACED
 from foldhoist.routing.sampling import SamplePlan
 
 if TYPE_CHECKING:
@@ -128,6 +129,10 @@
         self.sampler.instance = upstream["instance"]
         self._carry_out(self.owner.announce(self._loop.time(), upstream))
 
+    def heard_again(self) -> None:
+        """Take in that the upstream announced itself with nothing new: it is at its address."""
+        self._carry_out(self.owner.stay(REPLACED))
+
     def reshape(self, shape: Shape) -> None:
         """Take over the sizes of the queue."""
         self._carry_out(self.owner.reshape(self._loop.time(), shape))
--- a/foldhoist/daemon/upstream_task.py
+++ b/foldhoist/daemon/upstream_task.py
@@ -91,6 +91,8 @@
                 announced["sequence"],
             )
             self._changed(before)
+        elif self.known.current is announced:
+            self._owner_task.heard_again()
         if heard is Heard.LEAVING:
             await self._bind(announced["instance"])
         elif announced["state"] != "ready":
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -68,7 +68,10 @@
     """The upstream says that it did not run the call."""
 
     retry_after_s: float
-    reason: str = "upstream-shed"
+
+
+class Replaced(NamedTuple):
+    """Another life of an upstream answers at the address, and says that it did not run the call."""
 
 
 class Broken(NamedTuple):
@@ -78,7 +81,7 @@
     reason: str
 
 
-Result: TypeAlias = Whole | Shed | Broken
+Result: TypeAlias = Whole | Shed | Replaced | Broken
 
 
 class Ended(NamedTuple):
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -20,6 +20,7 @@
     Ended,
     Frame,
     Peer,
+    Replaced,
     Result,
     SendTo,
     Shed,
@@ -31,7 +32,7 @@
 from foldhoist.delivery.keys import Deny, Join, KeyTable, Replay, fingerprint
 from foldhoist.delivery.peers import Peers, drop_acked, fate_without_result
 from foldhoist.delivery.refusal_notes import RefusalNotes
-from foldhoist.delivery.standing import Standing
+from foldhoist.delivery.standing import REPLACED, Standing
 from foldhoist.delivery.telling import Telling
 from foldhoist.delivery.tickets import Tickets
 from foldhoist.delivery.verdict import Response
@@ -161,13 +162,12 @@
                 started = self._apply(now, self.queue.release(now, served))
                 return [*self._end_answered(now, ticket_id, result, served), *started, *told]
             case Shed():
-                self.count.turned_away += 1
                 self.standing.state = "shedding"
-                started = self._apply(now, self.queue.release(now, None))
-                ended = self._end_refused(
-                    ticket_id, "no", result.reason, result.retry_after_s, reached=True
-                )
-                return [*ended, *started]
+                return self._turned_away(now, ticket_id, "upstream-shed", result.retry_after_s)
+            case Replaced():
+                told = self.leave(REPLACED)
+                waiting = self._refuse_waiting(self.tickets.ids(), REPLACED)
+                return [*told, *waiting, *self._turned_away(now, ticket_id, REPLACED, 0.0)]
             case Broken():
                 self.count.lost += 1
                 self.standing.broke()
@@ -184,7 +184,7 @@
         """Take in what the upstream says of itself; "gone" is said when none is known."""
         actions: list[Action] = []
         if self.standing.announce(now, upstream):
-            actions += self._refuse_waiting(self.tickets.ids(), "upstream-replaced")
+            actions += self._refuse_waiting(self.tickets.ids(), REPLACED)
         self.service = upstream["service"]
         slots = max(1, int(upstream["slots"] * STEADY_SHARE))
         queue = slots * QUEUE_PER_SLOT
@@ -269,14 +269,12 @@
 
     def _refusal_at_door(self, req: Dispatch) -> str | None:
         if self.leaving:
-            return "upstream-leaving"
+            return self.standing.refusal
         if req["service"] != self.service:
             return "not-my-service"
         if self.standing.state == "down":
             return "upstream-down"
-        if not self.tickets.has_room(req):
-            return "bodies-full"
-        return None
+        return None if self.tickets.has_room(req) else "bodies-full"
 
     def _claim(self, now: float, wall_ms: int, peer: Peer, req: Dispatch) -> list[Action] | None:
         mark = fingerprint(req["method"], req["path"], req["body"])
@@ -346,6 +344,13 @@
             self.keys.ended(ticket.key, response, ran=True)
         return actions
 
+    def _turned_away(
+        self, now: float, ticket_id: int, reason: str, retry_after_s: float
+    ) -> list[Action]:
+        self.count.turned_away += 1
+        started = self._apply(now, self.queue.release(now, None))
+        return [*self._end_refused(ticket_id, "no", reason, retry_after_s, reached=True), *started]
+
     def _end_refused(
         self, ticket_id: int, ran: str, reason: str, retry_after_s: float, reached: bool = False
     ) -> list[Action]:
@@ -382,10 +387,8 @@
     def _refuse(self, peer: Peer, req: Dispatch, reason: str, retry_after_s: float) -> Action:
         self.refusals.note(req, reason, retry_after_s, self.load())
         self.count.refused += 1
-        seq = req["seq"]
-        return self._send(
-            peer, seq, replies.refusal_frame(seq, "no", reason, retry_after_s, self.load())
-        )
+        frame = replies.refusal_frame(req["seq"], "no", reason, retry_after_s, self.load())
+        return self._send(peer, req["seq"], frame)
 
     def _refuse_waiting(self, tickets: list[int], reason: str) -> list[Action]:
         actions: list[Action] = []
--- a/foldhoist/delivery/replies.py
+++ b/foldhoist/delivery/replies.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from foldhoist.delivery.dispatch import Broken, Ended, Frame, Refused, Shed, Whole
+from foldhoist.delivery.dispatch import Broken, Ended, Frame, Refused, Replaced, Shed, Whole
+from foldhoist.delivery.standing import REPLACED
 
 if TYPE_CHECKING:
     from foldhoist.delivery.dispatch import Result, Ticket
@@ -75,8 +76,10 @@
     match result:
         case Whole(status):
             name = f"answered {status}"
-        case Shed(_, reason):
-            name = "shed" if reason == "upstream-shed" else reason
+        case Shed():
+            name = "shed"
+        case Replaced():
+            name = REPLACED
         case Broken(_, reason):
             name = reason
     req = ticket.request
--- a/foldhoist/delivery/standing.py
+++ b/foldhoist/delivery/standing.py
@@ -20,6 +20,11 @@
 
 Ingresses that have had no call here for as long are not told of changes.
 """
+REPLACED = "upstream-replaced"
+"""Why calls are refused while another life of an upstream answers at the address.
+
+None that is offered there will run, but each is an arrival, which the retry budget pays for.
+"""
 LEAVING_QUEUE_S = 0.8
 """Calls that wait when the upstream begins to leave may still start for this long, seconds."""
 
@@ -43,6 +48,11 @@
         """Return whether the upstream takes no new work."""
         return bool(self.leaving_why)
 
+    @property
+    def refusal(self) -> str:
+        """Return why an upstream that takes no new work is not offered a call."""
+        return REPLACED if REPLACED in self.leaving_why else "upstream-leaving"
+
     @property
     def instance(self) -> str:
         """Return the name of its life, empty if it has none."""
@@ -66,6 +76,7 @@
             self.pace = 0
             self.errors = 0.0
             self.leaving_why.pop("upstream", None)
+            self.leaving_why.pop(REPLACED, None)
         if upstream["state"] != "ready":
             self.stop_at = min(self.stop_at, now + LEAVING_QUEUE_S)
         return before is not None and before["service"] != upstream["service"]
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from foldhoist.routing.picker import REFUSED_LONGEST_S
 from tests.adapter.cluster import (
     DEADLINE_S,
     Cluster,
@@ -162,6 +163,19 @@
     assert cluster.targets["a"].ran == []
 
 
+@played
+async def test_calls_to_an_address_that_is_another_services_now_do_not_use_up_the_budget(
+    cluster: Cluster,
+) -> None:
+    await two(cluster)
+    cluster.targets["a"].instance = "i-new"
+    for _ in range(6):
+        assert (await cluster.ask("a", attempt="0c")).status == 200
+        await asyncio.sleep(1.2 * REFUSED_LONGEST_S)
+    assert cluster.targets["a"].ran == []
+    assert cluster.targets["a"].turned_away <= 1
+
+
 @played
 async def test_a_surplus_answer_is_passed_over(cluster: Cluster) -> None:
     await two(cluster)
--- a/tests/unit/daemon/test_upstream_task.py
+++ b/tests/unit/daemon/test_upstream_task.py
@@ -34,6 +34,10 @@
         """Keep the state."""
         self.told.append(upstream["state"])
 
+    def heard_again(self) -> None:
+        """Keep that."""
+        self.told.append("heard again")
+
 
 class FakePeers:
     """A store that writes when the test says so."""
