Keep the retry budget of a service whose options change

Cause, found by reading and shown by a test that failed: a change of any option made a new budget with a first attempt of its own; 49 changes in one moment gave 49 further attempts, now 1. Also: the chance by which a part of an attempt is one is drawn after an attempt only, not each time that a daemon learns of another.

--- a/foldhoist/admission/bucket.py
+++ b/foldhoist/admission/bucket.py
@@ -71,7 +71,7 @@
     def __init__(self, share: float, rng: Random) -> None:
         self.share = share
         self._rng = rng
-        self._needed = 1.0
+        self._chance = rng.random()
         self._slack: SlackPart | None = None
         self.cap = self.CAP
         self._at = 0.0
@@ -93,7 +93,6 @@
             self._given = slack.held
         self._slack = slack
         self.cap = max(1.0, slack.held)
-        self._draw()
         self._tokens = min(self._tokens, self.cap)
 
     def call(self, now: float = 0.0, repeat: float = 0.0) -> None:
@@ -110,16 +109,17 @@
     def spend(self, now: float = 0.0) -> bool:
         """Take one further attempt if the budget has it."""
         self._refill(now)
-        if self._tokens < self._needed:
+        if self._tokens < self._needed():
             return False
         self._tokens -= 1.0
-        self._draw()
+        self._chance = self._rng.random()
         return True
 
-    def _draw(self) -> None:
+    def _needed(self) -> float:
         # With whole attempts only, daemons that each see few calls would never retry any.
-        chance = self._slack is not None and self._slack.held < 1.0
-        self._needed = self._rng.random() if chance else 1.0
+        if self._slack is not None and self._slack.held < 1.0:
+            return self._chance
+        return 1.0
 
     def _refill(self, now: float) -> None:
         passed = now - self._at
--- a/foldhoist/delivery/services.py
+++ b/foldhoist/delivery/services.py
@@ -139,6 +139,9 @@
             cfg["eject_share"],
             self._rng,
         )
-        if old is not None:
-            picker.tracks = old.picker.tracks
-        return ServiceState(cfg, picker, RetryBudget(cfg["retry_share"], self._rng))
+        if old is None:
+            return ServiceState(cfg, picker, RetryBudget(cfg["retry_share"], self._rng))
+        picker.tracks = old.picker.tracks
+        # What was spent in this window stays spent, whatever option has changed.
+        old.budget.share = cfg["retry_share"]
+        return ServiceState(cfg, picker, old.budget)
--- a/tests/unit/admission/test_bucket.py
+++ b/tests/unit/admission/test_bucket.py
@@ -163,6 +163,24 @@
     assert fleet.most_over() <= 0.0
 
 
+def test_a_service_whose_options_change_keeps_what_it_has_spent() -> None:
+    """Symptom: further attempts without end while options change.
+
+    Cause: each change began a new budget, with one attempt: 49 changes gave 49.
+    """
+    services = Services("a", random.Random(5), RetrySlack(SLACK, WINDOW_S))
+    fleet, _ = parse_fleet(fleet_text(3), "x")
+    spent = 0
+    for track in range(1, 50):
+        cfg = fleet["services"]["depo"]
+        services.adopt({**fleet, "services": {"depo": {**cfg, "track": track}}}, {})
+        services.track(1.0, {}, (), 13)
+        state = services.get("depo")
+        assert state is not None
+        spent += state.budget.spend(1.0)
+    assert spent == 1
+
+
 @pytest.mark.parametrize("known", [1, 8, 88])
 @pytest.mark.parametrize("daemons", [8, 13, 16, 88])
 @pytest.mark.parametrize("per_s", [10, 50, 300])
