--- a/tests/unit/admission/test_bucket.py
+++ b/tests/unit/admission/test_bucket.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from bisect import bisect_left
 
 import pytest
 from hypothesis import given
@@ -13,6 +12,7 @@
 from foldhoist.admission.bucket import RetryBudget, TokenBucket
 from foldhoist.config.fleet import parse_fleet
 from foldhoist.delivery.services import RetrySlack, Services
+from tests.unit.allowance import Allowance
 
 
 @given(
@@ -76,8 +76,7 @@
 
 ATTEMPTS = 4
 """Upstreams that a call may be sent to."""
-RATIO, SLACK, WINDOW_S = 0.2, 58.0, 10.0
-"""What is allowed: a share of the requests of a window and some beside it; seconds."""
+ALLOWED = Allowance()
 
 
 class Fleet:
@@ -94,7 +93,8 @@
     def start(self, known: int) -> None:
         """Start all daemons anew; each knows of so many at first."""
         self.services = [
-            Services("a", self.rng, RetrySlack(SLACK, WINDOW_S)) for _ in range(self.daemons)
+            Services("a", self.rng, RetrySlack(ALLOWED.slack, ALLOWED.window_s))
+            for _ in range(self.daemons)
         ]
         fleet, _ = parse_fleet(fleet_text(3), "x")
         for services in self.services:
@@ -119,18 +119,7 @@
 
     def most_over(self) -> float:
         """Return by how many the further attempts of the worst window exceed what is allowed."""
-        worst = -SLACK
-        for begin in self.spent:
-            inside = between(self.spent, begin)
-            starts = (begin, begin - WINDOW_S / 2, begin - WINDOW_S)
-            asked = max(between(self.calls, start) for start in starts)
-            worst = max(worst, inside - RATIO * asked - SLACK)
-        return worst
-
-
-def between(moments: list[float], begin: float) -> int:
-    """Return how many of the moments, in order, lie in the window that begins then."""
-    return bisect_left(moments, begin + WINDOW_S) - bisect_left(moments, begin)
+        return ALLOWED.most_over(self.spent, self.calls)
 
 
 @pytest.mark.parametrize("daemons", [1, 8, 13, 16, 24, 88, 300])
@@ -168,7 +157,7 @@
 
     Cause: each change began a new budget, with one attempt: 49 changes gave 49.
     """
-    services = Services("a", random.Random(5), RetrySlack(SLACK, WINDOW_S))
+    services = Services("a", random.Random(5), RetrySlack(ALLOWED.slack, ALLOWED.window_s))
     fleet, _ = parse_fleet(fleet_text(3), "x")
     spent = 0
     for track in range(1, 50):
--- a/tests/unit/delivery/chain.py
+++ b/tests/unit/delivery/chain.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import random
-from bisect import bisect_left
 from functools import partial
 from itertools import count, product
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -25,12 +24,15 @@
 from foldhoist.delivery.services import RetrySlack
 from foldhoist.delivery.verdict import Answered
 from foldhoist.membership.view import homes, tracked
+from tests.unit.allowance import Allowance
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from foldhoist.schema.messages import Dispatch, Hello
 
+ALLOWED = Allowance()
+"""Repeats that are allowed: a service of the chain retries half of that share of its calls."""
 WORK_S = 0.02
 """What an upstream takes for a call, beside the calls that it makes."""
 ONE_WAY_S = 0.0003
@@ -48,8 +50,6 @@
     hosts: int = 4
     calls: int = 1
     per_s: float = 60.0
-    slack: float = 58.0
-    window_s: float = 10.0
     unsafe_share: float = 0.0
 
 
@@ -61,20 +61,10 @@
         self.asked: list[float] = []
         self.repeats: list[float] = []
 
-    def most_over(self, ratio: float, deployment: Deployment) -> float:
-        """Return by how many the repeats of the worst window exceed what is allowed in it.
-
-        Allowed is a share of the requests of that window, of the one before it, or of the one half
-        a window before it, whichever holds most, and the slack.
-        """
-        window = deployment.window_s
-        worst = -deployment.slack
-        for begin in self.repeats:
-            repeats = _between(self.repeats, begin, window)
-            starts = (begin, begin - window / 2, begin - window)
-            asked = max(_between(self.asked, start, window) for start in starts)
-            worst = max(worst, repeats - ratio * asked - deployment.slack)
-        return worst
+    @property
+    def most_over(self) -> float:
+        """Return by how many the repeats of the worst window exceed what is allowed in it."""
+        return ALLOWED.most_over(self.repeats, self.asked)
 
 
 class Chain:
@@ -177,7 +167,7 @@
         return Owner(name, service, Shape(SLOTS, SLOTS, 0, 8), 600.0)
 
     def _ingress(self, name: str) -> Ingress:
-        slack = RetrySlack(self.deployment.slack, self.deployment.window_s)
+        slack = RetrySlack(ALLOWED.slack, ALLOWED.window_s)
         ingress = Ingress("a", 100_000, random.Random(self._rng.random()), slack)
         ingress.explain = False
         known = tracked(self._fleet, name, "a")
@@ -316,10 +306,6 @@
     """Stand in for a caller whose daemon has ended meanwhile."""
 
 
-def _between(moments: list[float], begin: float, length: float) -> int:
-    return bisect_left(moments, begin + length) - bisect_left(moments, begin)
-
-
 def _configuration(deployment: Deployment) -> str:
     parts = ["[fleet]\nname = chain\ndata_centres = a\n"]
     for at in range(deployment.depth):
--- a/tests/unit/delivery/test_chain.py
+++ b/tests/unit/delivery/test_chain.py
@@ -25,8 +25,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-RATIO = 0.2
-"""Repeats that are allowed as a share of requests; a service of the chain retries half of it."""
 TROUBLE = (12.0, 24.0)
 """When the last service is in trouble, seconds."""
 
@@ -62,7 +60,7 @@
         chain.run(30.0)
         for service, seen in chain.arrivals.items():
             assert seen.repeats
-            most = seen.most_over(RATIO, deployment)
+            most = seen.most_over
             if most > 0.0:
                 over[f"{service} of {deployment.depth}, {last.__name__}"] = round(most, 1)
     assert not over
@@ -77,7 +75,7 @@
     chain = Chain(deployment, last, seed=3)
     chain.run(30.0)
     assert chain.arrivals["s0"].repeats
-    over = {name: seen.most_over(RATIO, deployment) for name, seen in chain.arrivals.items()}
+    over = {name: seen.most_over for name, seen in chain.arrivals.items()}
     assert max(over.values()) <= 0.0, over
 
 
@@ -102,6 +100,6 @@
     for step in range(24_000):
         chain.after(step * 0.001, partial(lose, chain, rng))
     chain.run(30.0)
-    over = {name: seen.most_over(RATIO, deployment) for name, seen in chain.arrivals.items()}
+    over = {name: seen.most_over for name, seen in chain.arrivals.items()}
     assert all(seen.repeats for seen in chain.arrivals.values())
     assert max(over.values()) <= 0.0, over
