--- a/foldhoist/delivery/services.py
+++ b/foldhoist/delivery/services.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from foldhoist.admission.bucket import RetryBudget, SlackPart
+from foldhoist.admission.retries import RetryBudget, SlackPart
 from foldhoist.routing.picker import Picker
 from foldhoist.routing.policies import make_policy
 from foldhoist.routing.split import Split
@@ -24,7 +24,11 @@
 With the default of 20 and few daemons each begins with one, so that its first call may be retried.
 """
 GAINED_SHARE = 0.1
-"""Share of these that all daemons together gain in a window."""
+"""Share of these that all daemons together gain in a window.
+
+What is left of the slack is for what chance and uneven debts of daemons add along a chain: with 0.2
+the last of 29 services got up to 4 arrivals too many in 10 s, counted on simulated time.
+"""
 ANNOUNCED_S = 2.0
 """A service of which no upstream was heard for this long has none, seconds.
 
--- a/tests/adapter/test_arrivals.py
+++ b/tests/adapter/test_arrivals.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from foldhoist.admission.bucket import RetryBudget
+from foldhoist.admission.retries import RetryBudget
 from foldhoist.routing.picker import REFUSED_LONGEST_S
 from tests.adapter.cluster import Cluster, played, route
 
--- a/tests/unit/delivery/test_chain.py
+++ b/tests/unit/delivery/test_chain.py
@@ -70,7 +70,7 @@
 def test_a_chain_of_29_services_stays_within_what_is_allowed(
     last: Callable[[float, random.Random], Result],
 ) -> None:
-    """58 hosts, few calls at each: before the mend 1,108 and 636 repeats too many at the last."""
+    """58 hosts, few calls at each: before the mend 636 and 1,108 repeats too many at the last."""
     deployment = Deployment(depth=29, hosts=2, per_s=20.0)
     chain = Chain(deployment, last, seed=3)
     chain.run(30.0)
