--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -121,9 +121,8 @@
     assert (await cluster.leave("a")).status == 200
 
 
-@played
-async def test_a_leaving_binds_the_next_life_of_the_daemon_too(cluster: Cluster) -> None:
-    await two(cluster)
+async def leave_and_start_anew(cluster: Cluster) -> None:
+    """Let a target leave, its daemon start again and hear a late word of it: it gets no call."""
     await cluster.beat("a", "draining")
     await cluster.daemons["a"].stop()
     await cluster.start_daemon("a")
@@ -135,19 +134,17 @@
     assert cluster.targets["a"].ran == []
 
 
+@played
+async def test_a_leaving_binds_the_next_life_of_the_daemon_too(cluster: Cluster) -> None:
+    await two(cluster)
+    await leave_and_start_anew(cluster)
+
+
 @played
 async def test_with_the_store_down_a_peer_remembers_the_leaving(cluster: Cluster) -> None:
     await two(cluster)
     cluster.log.down = True
-    await cluster.beat("a", "draining")
-    await cluster.daemons["a"].stop()
-    await cluster.start_daemon("a")
-    await cluster.beat("a", "ready", status={"sequence": 1})
-    await cluster.settle(3)
-    await until(lambda: cluster.daemons["a"].upstream._settled)
-    for _ in range(5):
-        assert (await cluster.ask("a")).status == 200
-    assert cluster.targets["a"].ran == []
+    await leave_and_start_anew(cluster)
 
 
 @played
--- a/tests/unit/delivery/test_ingress.py
+++ b/tests/unit/delivery/test_ingress.py
@@ -54,8 +54,22 @@
     return [each.verdict for each in actions if isinstance(each, Reply)]
 
 
-def refusal(seq: int, ran: str) -> Any:
-    return {"seq": seq, "ran": ran, "reason": "why", "retry_after_ms": 50, "load": LOAD}
+def refusal(seq: int, ran: str, reached: bool = False) -> Any:
+    plain = {"seq": seq, "ran": ran, "reason": "why", "retry_after_ms": 50, "load": LOAD}
+    return {**plain, "reached": True} if reached else plain
+
+
+def attempts_where_all_refuse(ingress: Ingress, calls: int, ran: str, reached: bool) -> int:
+    """Return the attempts that an ingress makes of so many calls, one a second."""
+    attempts = 0
+    for number in range(calls):
+        waiting = sent(ingress.arrive(float(number), number, request()))
+        while waiting:
+            attempts += 1
+            one = waiting.pop()
+            body = refusal(one.frame.body["seq"], ran, reached)
+            waiting += sent(ingress.refusal(float(number), one.target, body))
+    return attempts
 
 
 def test_not_run_is_tried_elsewhere_and_maybe_only_if_repeatable() -> None:
@@ -79,31 +93,13 @@
 
 
 def test_retries_stay_a_share_of_calls_when_everything_fails() -> None:
-    ingress = make(12)
-    attempts = 0
-    for number in range(1000):
-        waiting = sent(ingress.arrive(float(number), number, request()))
-        while waiting:
-            attempts += 1
-            one = waiting.pop()
-            body = refusal(one.frame.body["seq"], "maybe")
-            waiting += sent(ingress.refusal(float(number), one.target, body))
+    attempts = attempts_where_all_refuse(make(12), 1000, "maybe", reached=False)
     assert attempts <= 1000 * 1.1 + 5
 
 
 def test_what_upstreams_turn_away_counts_as_arrivals_and_what_owners_refuse_does_not() -> None:
     for reached, most in ((True, 100 * 1.1 + 5), (False, 100 * 4)):
-        ingress = make(12)
-        attempts = 0
-        for number in range(100):
-            waiting = sent(ingress.arrive(float(number), number, request()))
-            while waiting:
-                attempts += 1
-                one = waiting.pop()
-                body = refusal(one.frame.body["seq"], "no")
-                if reached:
-                    body["reached"] = True
-                waiting += sent(ingress.refusal(float(number), one.target, body))
+        attempts = attempts_where_all_refuse(make(12), 100, "no", reached)
         assert attempts <= most
         assert reached or attempts == most
 
@@ -114,9 +110,7 @@
         for number in range(20):
             ingress.arrive(0.5, 100 + number, request())
         (first,) = sent(ingress.arrive(1.0, 1, request()))
-        body = refusal(first.frame.body["seq"], "no")
-        if reached:
-            body["reached"] = True
+        body = refusal(first.frame.body["seq"], "no", reached)
         (again,) = sent(ingress.refusal(1.1, first.target, body))
         assert not first.frame.body["retried"]
         assert again.frame.body["retried"] is reached
