Take fractions wherever the platform tells a number

Cause: the settings took the retries that all daemons may make in a window as a whole number only.

Change: retry_slack is a number.

--- a/foldhoist/schema/settings.py
+++ b/foldhoist/schema/settings.py
@@ -113,9 +113,9 @@
     """
     How an upstream is chosen, with an adapter; all but mixed are baselines for measurements.
     """
-    retry_slack: int
+    retry_slack: float
     """
-    Further attempts that all daemons together may make in a window beside their share of calls, with an adapter.
+    Further attempts that all daemons together may make in a window beside their share of calls, with an adapter; may be a fraction, as where it is shared out by a fleet's size.
     """
     retry_window_s: float
     """
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
-from foldhoist.daemon.http import HeadReader
 from foldhoist.daemon.request import BadRequest
 from foldhoist.delivery.call import CallerRequest
 from foldhoist.delivery.dispatch import Broken, Replaced, Shed, StartCall, Whole
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response
 from foldhoist_adapter.headers import PlatformDialect
-from tests.unit.daemon.calls import dispatch_of
+from tests.unit.daemon.calls import dispatch_of, head_of
+
+if TYPE_CHECKING:
+    from foldhoist.daemon.http import HeadReader
 
 DIALECT = PlatformDialect("web")
 CALL = StartCall(1, dispatch_of("GET", [[b"X-Attempt-Id", b"a1"]]), 0.5, "i-1")
@@ -18,10 +22,7 @@
 
 
 def head(fields: dict[bytes, bytes], of_caller: bool = False) -> HeadReader:
-    reader = HeadReader(DIALECT.caller_rules if of_caller else DIALECT.upstream_rules)
-    for name, value in fields.items():
-        reader.add(name, value)
-    return reader
+    return head_of(DIALECT.caller_rules if of_caller else DIALECT.upstream_rules, fields)
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/adapter/test_numbers.py
@@ -0,0 +1,140 @@
+"""Numbers that carry a fraction, wherever the platform tells one.
+
+Symptom: no daemon of a deployment started. The settings gave the retries that all daemons may make
+in a window as 30.714285714285715, since that count is shared out by the size of the fleet, and the
+settings took whole numbers only: 14 of 14 processes ended at once.
+"""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from foldhoist.config.settings import parse_settings
+from foldhoist.configlog.versions import Version
+from foldhoist.daemon.request import BadRequest
+from foldhoist.delivery.services import RetrySlack
+from foldhoist_adapter.configuration import translate
+from foldhoist_adapter.endpoints import _BEATS, _announced
+from foldhoist_adapter.headers import PlatformDialect
+from foldhoist_adapter.numbers import number_in, whole
+from tests.unit.daemon.calls import head_of
+
+TEMPLATE = (Path(__file__).resolve().parents[2] / "deploy" / "settings.ini").read_text()
+PLACES = {
+    "{{node_name}}": "kasa-1",
+    "{{zone}}": "kadikoy",
+    "{{listen.outbound}}": "10.0.0.1:8304",
+    "{{ip}}:{{internal_port_range.0}}": "10.0.0.1:7620",
+    "{{listen.control}}": "10.0.0.1:8306",
+    "{{listen.ready}}": "10.0.0.1:8302",
+    "{{app_addr}}": "10.0.0.1:8301",
+    "{{service}}": "kasa",
+    "{{platform.address}}": "10.0.0.9:8309",
+    "{{bootstrap}}": "true",
+}
+
+
+def filled(slack: str, window: str) -> str:
+    text = TEMPLATE
+    gaps = {"{{bounds.retry_budget_slack}}": slack, "{{bounds.budget_window_s}}": window}
+    for gap, value in {**PLACES, **gaps}.items():
+        text = text.replace(gap, value)
+    assert "{{" not in text
+    return text
+
+
+@pytest.mark.parametrize(
+    ("slack", "window"),
+    [("430", "10"), ("30.714285714285715", "10"), ("0.5", "2.5"), ("430.0", "0.25"), ("4e2", "1")],
+)
+def test_settings_take_counts_and_times_with_a_fraction(slack: str, window: str) -> None:
+    settings, faults = parse_settings(filled(slack, window), "node.ini")
+    assert faults == []
+    assert settings["platform"]["retry_slack"] == float(slack)
+    assert settings["platform"]["retry_window_s"] == float(window)
+    part = RetrySlack(float(slack), float(window)).part(14)
+    assert part.held > 0
+    assert part.per_s > 0
+
+
+@pytest.mark.parametrize("slack", ["nan", "inf", "-1", "many"])
+def test_settings_refuse_what_is_no_count(slack: str) -> None:
+    faults = parse_settings(filled(slack, "10"), "node.ini")[1]
+    assert [(fault.section, fault.option) for fault in faults] == [("platform", "retry_slack")]
+
+
+@pytest.mark.parametrize(
+    ("told", "counted"), [(0, 0), (0.4, 1), (1, 1), (5.0, 5), (5.9, 5), (0.0, 0), (-2, 0)]
+)
+def test_a_part_of_one_counts_as_one(told: float, counted: int) -> None:
+    assert whole(told) == counted
+
+
+@pytest.mark.parametrize(
+    ("header", "number"),
+    [
+        (b"812", 812.0),
+        (b" 812.5 ", 812.5),
+        (b"", None),
+        (b"1e3", None),
+        (b"-1", None),
+        (b"9" * 13, None),
+        (b"nan", None),
+    ],
+)
+def test_a_number_in_a_header_is_plain(header: bytes, number: float | None) -> None:
+    assert number_in(header) == number
+
+
+def test_a_target_may_tell_its_slots_with_a_fraction() -> None:
+    beat = {
+        "info": {"service": "kasa", "slots": 4.5},
+        "status": {"state": "ready", "sequence": 3, "cold_remaining_s": 0.25},
+    }
+    announced = _announced("i-1", _BEATS.decode(json.dumps(beat)))
+    assert announced["slots"] == 4
+    assert announced["cold_ms"] == 250
+
+
+def test_a_configuration_may_hold_counts_with_a_fraction() -> None:
+    route: dict[str, Any] = {
+        "path_prefix": "/a/",
+        "route_type": "safe",
+        "timeout_s": 1.25,
+        "service": "kasa",
+        "attempts": 2.5,
+        "priority": 1.0,
+    }
+    content = {
+        "version": "0000000a",
+        "virtual_hosts": [{"host": "h", "route_paths": [route]}],
+        "services": [{"name": "kasa", "max_connections": 171.4}],
+        "limits": {"max_header_bytes": 4681.1, "max_body_bytes": 65536.0},
+    }
+    fleet = translate(Version(10, json.dumps(content).encode())).ok
+    assert fleet["routes"]["h/a/"]["attempts"] == 2
+    assert fleet["routes"]["h/a/"]["rank"] == 1
+    assert fleet["routes"]["h/a/"]["timeout_ms"] == 1250
+    assert fleet["fleet"]["header_bytes"] == 4681
+    assert fleet["fleet"]["body_bytes"] == 65536
+
+
+@pytest.mark.parametrize(
+    ("deadline", "budget_s"), [(b"800", 0.8), (b"812.5", 0.8125), (b"0", -1.0), (b"0.0", -1.0)]
+)
+def test_a_deadline_may_have_a_fraction(deadline: bytes, budget_s: float) -> None:
+    dialect = PlatformDialect("kasa")
+    head = head_of(dialect.caller_rules, {b"Host": b"h", b"X-Deadline-Ms": deadline})
+    req = dialect.read_request("GET", b"/a/1", head, b"")
+    assert not isinstance(req, BadRequest)
+    assert req.budget_s == budget_s
+
+
+def test_the_pace_may_have_a_fraction() -> None:
+    dialect = PlatformDialect("kasa")
+    head = head_of(dialect.upstream_rules, {b"X-Server-Load": b"1,0,12,112.5"})
+    assert dialect.sampled_pace(200, head) == 112
--- a/tests/unit/daemon/calls.py
+++ b/tests/unit/daemon/calls.py
@@ -4,7 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from foldhoist.daemon.http import HeadReader
+
 if TYPE_CHECKING:
+    from foldhoist.daemon.http import HeadRules
     from foldhoist.delivery.verdict import Headers
     from foldhoist.schema.messages import Dispatch
 
@@ -35,3 +38,11 @@
         "retried": False,
         "trace": "",
     }
+
+
+def head_of(rules: HeadRules, fields: dict[bytes, bytes]) -> HeadReader:
+    """Return a head of these fields as it is read by the rules of its sender."""
+    reader = HeadReader(rules)
+    for name, value in fields.items():
+        reader.add(name, value)
+    return reader
