Restart with one call to the store, and leave reading to the readers

Cause: a restart read the list of daemons twice, wrote its record anew and read the configuration.

Change: a record that still holds stays, and the second read is left out: who has come since tells of itself. A daemon reads the configuration only if it is one of the readers of its data centre, if none is heard, or if no peer has given it one for 1 s after a restart; the list of daemons is waited for first. A configuration that came from another data centre is told in this one.

--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -113,7 +113,7 @@
         self.addresses.update(self.endpoints.addresses)
         self.upstream.start(self.peers, first=cfg["platform"]["first_start"])
         self.peers.start(cfg["platform"]["first_start"])
-        self.versions.start(self.peers)
+        self.versions.start(self.peers, cfg["platform"]["first_start"])
         self.owner_task.start()
         self.ingress_task.local_up(self.incarnation)
         self._late_task = asyncio.get_running_loop().create_task(self.shared.close_late())
@@ -325,7 +325,7 @@
             case "Noted":
                 self.upstream.peer_answered(name, body["ended"])
             case "Versioned":
-                self.versions.on_versioned(body)
+                self.versions.on_versioned(name, body)
             case "Roster":
                 self.peers.roster(body)
             case _:
@@ -339,7 +339,7 @@
             case "Remembered":
                 self.upstream.remember(body["ended"])
             case "Versioned":
-                self.versions.on_versioned(body)
+                self.versions.on_versioned(self.owner.peer_name(link), body)
             case "Roster":
                 self.peers.roster(body)
                 if body["wanted"]:
--- a/foldhoist/daemon/peers_task.py
+++ b/foldhoist/daemon/peers_task.py
@@ -69,6 +69,7 @@
         self._news: dict[str, Row] = {}
         self._telling: asyncio.TimerHandle | None = None
         self._left_to_ask = ASKED
+        self._record: Registration | None = None
 
     def start(self, first: bool) -> None:
         """Register and read the list; `first` says that no life of this daemon was before."""
@@ -136,6 +137,11 @@
             # Many actions of one turn of the loop, as when all hosts start, are followed once.
             self._rewiring = self._loop.call_soon(self._rewire)
 
+    def is_near(self, name: str) -> bool:
+        """Return whether a peer is of this data centre."""
+        peer = self.registry.peers.get(name)
+        return peer is not None and peer.data_centre == self.registry.data_centre
+
     def send(self, name: str, kind: str, body: Any) -> None:
         """Write a message to a peer if it is connected."""
         self._links.send(name, kind, body)
@@ -143,10 +149,7 @@
     def tell(self, kind: str, body: Any, near: bool | None = None) -> None:
         """Write a message to connected peers; `near` for those of this data centre or of others."""
         for name in self._links.open():
-            peer = self.registry.peers.get(name)
-            if peer is None:
-                continue
-            if near is not None and (peer.data_centre == self.registry.data_centre) != near:
+            if near is not None and self.is_near(name) != near:
                 continue
             self._links.send(name, kind, body)
 
@@ -176,13 +179,25 @@
     async def _join(self, first: bool) -> None:
         """Write before the last read: of two that start at once, at least one sees the other.
 
-        The record of an earlier life is read before it is replaced.
+        The record of an earlier life is read before it is replaced. One that still holds stays, and
+        those that have come since tell of themselves: a restart then costs the store one call in
+        place of three.
         """
         if not first:
             await self._until_done(self._list)
+            if self._still_holds():
+                return
         await self._until_done(self.store_ended)
         await self._until_done(self._list)
 
+    def _still_holds(self) -> bool:
+        """Return whether the store's record of this daemon says what a new one would say."""
+        if self._record is None:
+            return False
+        new = self._registration()
+        same = self._record._replace(incarnation=new.incarnation, ended=new.ended) == new
+        return same and set(new.ended) <= set(self._record.ended)
+
     async def _until_done(self, step: Callable[[], Any]) -> None:
         pause = RETRY_FIRST_S
         while not await step():
@@ -195,6 +210,7 @@
         if answer.is_error():
             return False
         own = [record for record in answer.ok if record.name == self.registry.name]
+        self._record = own[0] if own else None
         self.carry_out(self.registry.stored(self._loop.time(), answer.ok))
         self._rewire()
         self._on_own(own[0].ended if own else (), set(self._wanted))
--- a/foldhoist/daemon/versions_task.py
+++ b/foldhoist/daemon/versions_task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -33,6 +34,10 @@
 """Shortest wait for news, as a share of the longest; it is drawn by lot."""
 LOOK_S = 0.2
 """Time between two looks at whether this daemon is to read, seconds."""
+LISTED_S = 0.5
+"""Longest wait for the list of peers, which says who reads, seconds; the store takes 0.01."""
+ALONE_S = 1.0
+"""A restarted daemon that no peer has given a configuration for so long reads itself, seconds."""
 ASK_S = 0.4
 """Time between two questions to a peer while no reader is heard, seconds."""
 
@@ -76,9 +81,10 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: list[asyncio.Task[None]] = []
 
-    def start(self, peers: PeersTask) -> None:
-        """Start reading and telling."""
+    def start(self, peers: PeersTask, first: bool) -> None:
+        """Start reading and telling; `first` says that nobody has a configuration yet."""
         self._peers = peers
+        self._alone_at = float("inf") if first else self._loop.time() + ALONE_S
         create = self._loop.create_task
         self._tasks = [create(self._read()), create(self._tell()), create(self._ask())]
 
@@ -92,9 +98,14 @@
         """Return the version in force; number 0 is none."""
         return self.held.version
 
-    def on_versioned(self, message: Versioned) -> None:
-        """Take in a configuration that a peer passed on."""
-        self._take(Version(message["version"], message["content"]))
+    def on_versioned(self, name: str, message: Versioned) -> None:
+        """Take in a configuration that a peer passed on.
+
+        What came from another data centre is told in this one: its own readers may lack it.
+        """
+        taken = self._take(Version(message["version"], message["content"]))
+        if taken and not self._peers.is_near(name):
+            self._peers.tell("Fresh", self._fresh(wanted=False), near=True)
 
     def on_fresh(self, name: str, message: Fresh) -> None:
         """Take in what a peer holds, and how recently the store answered it."""
@@ -115,8 +126,9 @@
 
     async def _read(self) -> None:
         pause = RETRY_FIRST_S
+        await self._until_listed()
         while True:
-            if self.fleet is not None and not self._readers.reads(self._loop.time()):
+            if not self._is_reader():
                 await asyncio.sleep(LOOK_S)
                 continue
             began = self._loop.time()
@@ -128,6 +140,16 @@
             await asyncio.sleep(left * (0.5 + self._rng.random()))
             pause = min(RETRY_LONGEST_S, pause * 2)
 
+    async def _until_listed(self) -> None:
+        """Wait until it is known who reads: with many daemons it is seldom this one."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LISTED_S):
+                await self._peers.listed.wait()
+
+    def _is_reader(self) -> bool:
+        now = self._loop.time()
+        return self._readers.reads(now) or (self.fleet is None and now >= self._alone_at)
+
     async def _read_once(self) -> bool:
         self.count.store_reads += 1
         if self._answered_at == float("-inf"):
--- a/tests/unit/daemon/test_versions_task.py
+++ b/tests/unit/daemon/test_versions_task.py
@@ -63,7 +63,11 @@
 
 
 class NoPeers:
-    """Nobody to tell."""
+    """Nobody to tell; `listed` says whether the list of daemons is known."""
+
+    def __init__(self) -> None:
+        self.listed = asyncio.Event()
+        self.listed.set()
 
     def tell(self, kind: str, body: Any, near: bool | None = None) -> None:
         """Tell nobody."""
@@ -82,7 +86,7 @@
         task = VersionsTask(
             adapter, store, Readers("a", 6.0), WAIT_MS, lambda *_: None, random.Random(1)
         )
-        task.start(peers)
+        task.start(peers, first=True)
         await store.ended.wait()
         task.close()
         return list(store.calls)
