Test sparse connections: 200 and 1,200 members, newcomers, restarts

Counts of connections and steps, not seconds: connections grow with the data centre and not with the fleet, every upstream has far ingresses, a word moves as many places at 1,170 members as at 195.

--- a/foldhoist/configlog/versions.py
+++ b/foldhoist/configlog/versions.py
@@ -86,6 +86,7 @@
         self._order: list[str] = [name]
         self._heard: dict[str, tuple[float, float]] = {}
         self._uncovered_since: float | None = None
+        self._began: float | None = None
 
     def place(self, names: Iterable[str]) -> None:
         """Take over the daemons of this data centre, this one included."""
@@ -100,6 +101,8 @@
 
     def reads(self, now: float) -> bool:
         """Return whether this daemon is to wait at the store."""
+        if self._began is None:
+            self._began = now
         place = self._order.index(self.name) if self.name in self._order else 0
         if place < READERS:
             return True
@@ -107,7 +110,8 @@
             self._uncovered_since = None
             return False
         if self._uncovered_since is None:
-            self._uncovered_since = now
+            # A new life gives the readers the time between two words to tell that they read.
+            self._uncovered_since = max(now, self._began + TELL_S)
         return now - self._uncovered_since >= (place - READERS) * STEP_S
 
     def _covered(self, now: float) -> bool:
--- /dev/null
+++ b/tests/unit/membership/test_neighbours.py
@@ -0,0 +1,163 @@
+"""Whom daemons keep connections to, in fleets of 200 and 1,200.
+
+Symptom: each daemon kept two connections to every other one, told each of them all it was, and on
+each word from one ranked all of them again: 388 connections and 0.7 ms a word at 195 daemons, and
+the first messages of all connections after a power loss were 15 MB between data centres.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from foldhoist.membership import ring as ring_module
+from foldhoist.membership.neighbours import ENOUGH, FAR, NEAR, PASSED_OVER, RELAYS
+from foldhoist.membership.registry import AWAY_S, Registration, Registry
+from tests.unit.membership.test_registry import announced, member
+
+CENTRES = 5
+SHARES = {"shop": 95, "store": 60, "pay": 27, "track": 13}
+"""Upstreams of each service in a fleet of 195."""
+
+
+def fleet(times: int) -> list[Registration]:
+    """Return a fleet of 195 daemons or a multiple of it."""
+    found: list[Registration] = []
+    for service, count in SHARES.items():
+        for number in range(count * times):
+            name = f"{service}-{number}"
+            centre = f"c{number % CENTRES}"
+            found.append(Registration(name, "l1", f"{name}:1", centre, (), service))
+    return found
+
+
+def registry_of(own: Registration, everyone: list[Registration]) -> Registry:
+    registry = Registry(own.name, own.data_centre)
+    registry.stored(0.0, everyone)
+    return registry
+
+
+def most_links(times: int) -> int:
+    """Return how many connections a daemon may open in a fleet so many times as large."""
+    near = len(fleet(times)) // CENTRES + len(SHARES)
+    far = len(SHARES) * max(FAR, ENOUGH)
+    return near + far + RELAYS * (CENTRES - 1)
+
+
+@pytest.mark.parametrize("times", [1, 6])
+def test_connections_grow_with_the_data_centre_not_with_the_fleet(times: int) -> None:
+    everyone = fleet(times)
+    for own in everyone[:: max(1, len(everyone) // 20)]:
+        wanted = registry_of(own, everyone).wanted(0.0)
+        assert own.name not in wanted
+        assert len(wanted) <= most_links(times) < len(everyone)
+        near = {each.name for each in everyone if each.data_centre == own.data_centre}
+        assert near - {own.name} <= wanted
+
+
+def test_upstreams_of_a_service_have_about_as_many_far_ingresses() -> None:
+    everyone = fleet(1)
+    into: Counter[str] = Counter()
+    for own in everyone:
+        neighbours = registry_of(own, everyone).neighbours
+        for service in SHARES:
+            into.update(neighbours.far(service, lambda _: True))
+    for service, count in SHARES.items():
+        found = [into[each.name] for each in everyone if each.service == service]
+        mean = sum(found) / count
+        assert min(found) >= 1, service
+        assert max(found) < 4 * mean, service
+
+
+def test_each_service_has_enough_upstreams_wherever_they_are() -> None:
+    everyone = fleet(1)
+    registry = registry_of(everyone[0], everyone)
+    for each in everyone:
+        if each.name == registry.name or each.name not in registry.wanted(0.0):
+            continue
+        told = member(each.name, each.frames, announced(f"i-{each.name}", each.service))
+        registry.told(0.0, {**told, "data_centre": each.data_centre})
+    tracked = registry.tracked(0.0, None)
+    for service, count in SHARES.items():
+        far = [m for m in tracked[service] if m.data_centre != registry.data_centre]
+        assert len(tracked[service]) >= min(ENOUGH, count - count // CENTRES)
+        assert len(far) >= min(FAR, count - count // CENTRES - 1)
+        assert len(tracked[service]) <= NEAR + FAR
+
+
+def test_one_that_is_away_is_tried_on_and_another_is_taken_beside_it() -> None:
+    everyone = fleet(1)
+    registry = registry_of(everyone[0], everyone)
+    before = registry.wanted(0.0)
+    away = [name for name in registry.neighbours.far("shop", lambda _: True)][:2]
+    for name in away:
+        registry.linked(1.0, name, up=False)
+    assert registry.wanted(1.0 + AWAY_S / 2) == before
+    after = registry.wanted(1.0 + 2 * AWAY_S)
+    assert set(away) <= after
+    assert len(after - before) == 2
+    for name in away:
+        registry.linked(5.0, name, up=True)
+    assert registry.wanted(5.0) == before
+
+
+def test_with_a_whole_data_centre_away_the_search_ends() -> None:
+    everyone = fleet(1)
+    registry = registry_of(everyone[0], everyone)
+    for peer in registry.peers.values():
+        registry.linked(0.0, peer.name, up=False)
+    found = registry.neighbours.far("shop", lambda _: False)
+    assert len(found) == PASSED_OVER * max(FAR, ENOUGH - NEAR)
+    assert len(registry.wanted(10.0)) <= 2 * most_links(1)
+
+
+def test_a_word_of_a_peer_moves_two_places_whatever_the_size(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A word that ranks all peers costs more the larger the fleet is."""
+    steps: Counter[int] = Counter()
+    real: Any = ring_module._place
+
+    def counted(name: str) -> tuple[bytes, str]:
+        steps[times] += 1
+        place: tuple[bytes, str] = real(name)
+        return place
+
+    monkeypatch.setattr(ring_module, "_place", counted)
+    for times in (1, 6):
+        everyone = fleet(times)
+        registry = registry_of(everyone[0], everyone)
+        peer = everyone[7]
+        steps[times] = 0
+        registry.told(1.0, {**member(peer.name, peer.frames, announced("i-9", peer.service))})
+        registry.told(2.0, {**member(peer.name, peer.frames, announced("i-9", "pay"))})
+    assert steps[1] == steps[6] <= 12
+
+
+def test_what_others_say_of_a_daemon_is_not_an_earlier_life_met_here() -> None:
+    """It would let a restarted daemon serve before one that noted a leaving has told it."""
+    registry = Registry("me", "one")
+    row = {"name": "b", "incarnation": "l0", "frames": "b:1", "data_centre": "one", "service": "s"}
+    registry.passed_on(0.0, [row])  # type: ignore[list-item]
+    registry.told(1.0, member("b", "b:1"))
+    assert registry.remembered("b") is None
+    registry.told(2.0, member("b", "b:1", life="l2"))
+    assert registry.remembered("b") == []
+
+
+def test_a_daemon_that_serves_another_service_now_is_found_there() -> None:
+    everyone = fleet(1)
+    registry = registry_of(everyone[0], everyone)
+    moved = next(each for each in everyone if each.service == "track" and each.data_centre == "c1")
+    row = {
+        "name": moved.name,
+        "incarnation": "l1",
+        "frames": moved.frames,
+        "data_centre": moved.data_centre,
+        "service": "new",
+    }
+    registry.passed_on(1.0, [row])  # type: ignore[list-item]
+    assert moved.name in registry.wanted(1.0)
+    assert registry.neighbours.far("new", lambda _: True) == [moved.name]
