Count fading shares in one class

What stood twice (the share of repeats among started calls, and of refusals among the decisions of a rank) is one class; behaviour stays.

--- a/foldhoist/admission/shares.py
+++ b/foldhoist/admission/shares.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from math import exp
+from foldhoist.admission.fading import FadingShare
 
 KEPT_S = 3.0
 """A decision counts by 1/e after this long, seconds: about ten times a call's work."""
@@ -17,37 +17,18 @@
 """
 
 
-class _Decisions:
-    """Decisions of one rank, older ones count less."""
-
-    __slots__ = ("all", "at", "refused")
-
-    def __init__(self, now: float) -> None:
-        self.all = 0.0
-        self.refused = 0.0
-        self.at = now
-
-    def fade(self, now: float) -> None:
-        kept = exp(-(now - self.at) / KEPT_S)
-        self.all *= kept
-        self.refused *= kept
-        self.at = now
-
-
 class Shares:
     """The share of calls that was refused, by rank; 0 is the most urgent."""
 
     def __init__(self) -> None:
-        self._by_rank: dict[int, _Decisions] = {}
+        self._by_rank: dict[int, FadingShare] = {}
 
     def decided(self, now: float, rank: int, refused: bool) -> None:
         """Count a call that was started or refused."""
         decisions = self._by_rank.get(rank)
         if decisions is None:
-            decisions = self._by_rank[rank] = _Decisions(now)
-        decisions.fade(now)
-        decisions.all += 1.0
-        decisions.refused += refused
+            decisions = self._by_rank[rank] = FadingShare(now, KEPT_S)
+        decisions.count(now, float(refused))
 
     def yields(self, now: float, rank: int) -> bool:
         """Return whether calls of this rank are to let more urgent ones go first.
@@ -56,16 +37,10 @@
         the less urgent ones nothing where not all fits.
         """
         own = self._by_rank.get(rank)
-        own_share = _share(own, now) if own is not None else 0.0
+        own_share = own.share if own is not None else 0.0
         for other, decisions in self._by_rank.items():
-            if other >= rank:
+            if other >= rank or decisions.share <= own_share + MARGIN:
                 continue
-            share = _share(decisions, now)
-            if decisions.all >= LEAST_DECISIONS and share > own_share + MARGIN:
+            if decisions.counted(now) >= LEAST_DECISIONS:
                 return True
         return False
-
-
-def _share(decisions: _Decisions, now: float) -> float:
-    decisions.fade(now)
-    return decisions.refused / decisions.all if decisions.all else 0.0
--- a/foldhoist/delivery/repeats.py
+++ b/foldhoist/delivery/repeats.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from math import exp
+from foldhoist.admission.fading import FadingShare
 
 KEPT_S = 1.0
 """A call counts by 1/e after this long, seconds: about ten times a call's work.
@@ -19,18 +19,13 @@
     """
 
     def __init__(self) -> None:
-        self._all = 0.0
-        self._repeats = 0.0
-        self._at = 0.0
+        self._started = FadingShare(0.0, KEPT_S)
 
     def started(self, now: float, repeat: float) -> None:
         """Count a call that went to the upstream; `repeat` is how likely it is one, 0 to 1."""
-        kept = exp(-max(0.0, now - self._at) / KEPT_S)
-        self._at = now
-        self._all = self._all * kept + 1.0
-        self._repeats = self._repeats * kept + repeat
+        self._started.count(now, repeat)
 
     @property
     def share(self) -> float:
         """Return the share of repeats, 0 to 1."""
-        return self._repeats / self._all if self._all else 0.0
+        return self._started.share
--- a/tests/unit/configlog/test_versions.py
+++ b/tests/unit/configlog/test_versions.py
@@ -6,6 +6,7 @@
     READERS,
     SILENT_S,
     STEP_S,
+    TELL_S,
     Held,
     Readers,
     Reply,
@@ -48,6 +49,15 @@
     assert counts[-1] == len(NAMES)
 
 
+def test_a_new_life_gives_the_readers_time_to_tell() -> None:
+    """Each restart read the configuration from the store, though others had read it long ago."""
+    found = all_readers()
+    first = reading(found, 0.0, [])
+    assert len(first) == READERS
+    assert reading(found, TELL_S - 0.01, []) == first
+    assert len(reading(found, TELL_S + 0.01, [])) > READERS
+
+
 def test_one_that_the_store_answers_is_enough() -> None:
     found = all_readers()
     first = reading(found, 0.0, NAMES)
