--- a/tests/unit/daemon/test_versions_task.py
+++ b/tests/unit/daemon/test_versions_task.py
@@ -6,9 +6,11 @@
 import random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+import pytest
 from expression import Error, Ok
 
 from foldhoist.configlog.versions import Readers, Version
+from foldhoist.daemon import versions_task
 from foldhoist.daemon.ports import StoreFault
 from foldhoist.daemon.versions_task import ANSWER_FIRST_S, ANSWER_LONGEST_S, VersionsTask
 
@@ -94,6 +96,33 @@
     return asyncio.run(run())
 
 
+@pytest.mark.parametrize(("first", "reads"), [(False, True), (True, False)])
+def test_a_restarted_daemon_that_nobody_gives_a_configuration_reads_itself(
+    monkeypatch: pytest.MonkeyPatch, first: bool, reads: bool
+) -> None:
+    """At a first start nobody has one yet, and the readers pass it on when it comes."""
+    monkeypatch.setattr(versions_task, "ALONE_S", 0.0)
+    monkeypatch.setattr(versions_task, "LOOK_S", 0.001)
+
+    async def run() -> list[Call]:
+        store: Any = ScriptedStore([Ok(Version(1, b""))])
+        adapter: Any = FakeAdapter()
+        peers: Any = NoPeers()
+        readers = Readers("a", 6.0)
+        readers.place(["a", *(f"b{number}" for number in range(200))])
+        monkeypatch.setattr(readers, "reads", lambda now: False)
+        task = VersionsTask(adapter, store, readers, WAIT_MS, lambda *_: None, random.Random(1))
+        task.start(peers, first)
+        for _ in range(200):
+            await asyncio.sleep(0.001)
+            if store.calls:
+                break
+        task.close()
+        return list(store.calls)
+
+    assert bool(asyncio.run(run())) is reads
+
+
 def test_readers_do_not_wait_in_step() -> None:
     """A call that hangs when the store falls silent ends at another time at each reader."""
     waits = [call.wait_ms for call in calls_with([Ok(Version(1, b""))]) if call.kind == "news"]
