--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -13,7 +13,7 @@
 from foldhoist.daemon.upstream import UpstreamPool
 from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
 from foldhoist.delivery.dispatch import Broken, CancelCall, CloseLink, SendTo, StartCall, Whole
-from foldhoist.delivery.owner import LOCAL_LINK
+from foldhoist.delivery.endings import LOCAL_LINK
 from foldhoist.delivery.standing import REPLACED
 from foldhoist.routing.sampling import SamplePlan
 
--- /dev/null
+++ b/foldhoist/delivery/endings.py
@@ -0,0 +1,100 @@
+"""How calls end at an owner: who waits for the end of one, and what is sent and kept; no I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from foldhoist.delivery import replies
+from foldhoist.delivery.dispatch import Frame, SendTo
+from foldhoist.delivery.joined import Joined
+from foldhoist.delivery.refusal_notes import RefusalNotes
+from foldhoist.delivery.verdict import Response
+
+if TYPE_CHECKING:
+    from foldhoist.delivery.dispatch import Action, Counters, Peer, Ticket, Whole
+    from foldhoist.delivery.keys import KeyTable
+    from foldhoist.delivery.peers import Peers
+    from foldhoist.delivery.telling import Telling
+    from foldhoist.delivery.tickets import Tickets
+    from foldhoist.schema.messages import Dispatch
+
+LOCAL_LINK = 0
+"""Link number of the ingress in the owner's own process."""
+
+
+class Endings:
+    """Ends calls: takes them off the tickets, tells all who wait, keeps what may be asked again."""
+
+    def __init__(
+        self, tickets: Tickets, keys: KeyTable, peers: Peers, telling: Telling, count: Counters
+    ) -> None:
+        self.joined = Joined()
+        self.refusals = RefusalNotes()
+        self._tickets = tickets
+        self._keys = keys
+        self._peers = peers
+        self._telling = telling
+        self._count = count
+
+    def answered(self, now: float, ticket_id: int, whole: Whole, served_s: float) -> list[Action]:
+        """End a call that the upstream has answered; `served_s` is its time there, seconds."""
+        ticket = self._tickets.pop(ticket_id)
+        self._count.answered += 1
+        response = Response(whole.status, whole.headers, whole.body)
+        times_us = (int((ticket.started - ticket.arrived) * 1e6), int(served_s * 1e6))
+        load = self._telling.load()
+        actions: list[Action] = []
+        for peer, seq in self._waiters(ticket):
+            peer.used_at = now
+            frame = replies.answer_frame(seq, response, ticket.ahead, times_us, load)
+            actions.append(self._end(peer, seq, frame))
+        if ticket.key:
+            self._keys.ended(ticket.key, response, ran=True)
+        return actions
+
+    def refused(
+        self, ticket_id: int, ran: str, reason: str, retry_after_s: float, reached: bool = False
+    ) -> list[Action]:
+        """End a call without an answer; `ran` is "no" or "maybe"."""
+        ticket = self._tickets.pop(ticket_id)
+        self._count.refused += 1
+        load = self._telling.load()
+        if ran == "no":
+            self.refusals.note(ticket.request, reason, retry_after_s, load)
+        actions: list[Action] = []
+        for peer, seq in self._waiters(ticket):
+            frame = replies.refusal_frame(seq, ran, reason, retry_after_s, load, reached)
+            actions.append(self._end(peer, seq, frame))
+        if ticket.key:
+            self._keys.ended(ticket.key, None, ran=ran != "no")
+        return actions
+
+    def refused_at_door(
+        self, peer: Peer, req: Dispatch, reason: str, retry_after_s: float
+    ) -> Action:
+        """Send back a call that was not taken in."""
+        load = self._telling.load()
+        self.refusals.note(req, reason, retry_after_s, load)
+        self._count.refused += 1
+        return self.send(
+            peer, req["seq"], replies.refusal_frame(req["seq"], "no", reason, retry_after_s, load)
+        )
+
+    def send(self, peer: Peer, seq: int, frame: Frame) -> Action:
+        """Send the end of a call, and keep it until its ingress says that it has it."""
+        if peer.link == LOCAL_LINK:
+            return SendTo(LOCAL_LINK, frame)
+        self._peers.keep(peer, seq, frame)
+        return SendTo(-1 if peer.link is None else peer.link, frame)
+
+    def _waiters(self, ticket: Ticket) -> list[tuple[Peer, int]]:
+        """Return who waits for the call: its ingress, and those that sent its key again."""
+        waiters = [(ticket.incarnation, ticket.request["seq"])]
+        if ticket.key:
+            waiters += self.joined.take(ticket.key)
+        found = [(self._peers.get(incarnation), seq) for incarnation, seq in waiters]
+        return [(peer, seq) for peer, seq in found if peer is not None]
+
+    def _end(self, peer: Peer, seq: int, frame: Frame) -> Action:
+        peer.live.pop(seq, None)
+        return self.send(peer, seq, frame)
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -28,14 +28,12 @@
     Ticket,
     Whole,
 )
-from foldhoist.delivery.joined import Joined
+from foldhoist.delivery.endings import Endings
 from foldhoist.delivery.keys import Deny, Join, KeyTable, Replay, fingerprint
 from foldhoist.delivery.peers import Peers, drop_acked, fate_without_result
-from foldhoist.delivery.refusal_notes import RefusalNotes
 from foldhoist.delivery.standing import REPLACED, Standing
 from foldhoist.delivery.telling import Telling
 from foldhoist.delivery.tickets import Tickets
-from foldhoist.delivery.verdict import Response
 
 if TYPE_CHECKING:
     from foldhoist.admission.held import HeldBytes
@@ -53,8 +51,6 @@
 """Share of the slots that an upstream announces up to which it is taken to keep its speed."""
 QUEUE_PER_SLOT = 3
 """Calls that may wait for each slot of an upstream that announces itself."""
-LOCAL_LINK = 0
-"""Link number of the ingress in the owner's own process."""
 
 
 class Owner:
@@ -78,8 +74,8 @@
         self._peers = Peers()
         self._telling = Telling(self.standing, self.queue, self._peers)
         self.tickets = Tickets(bodies)
-        self.refusals = RefusalNotes()
-        self._joined = Joined()
+        self._endings = Endings(self.tickets, self.keys, self._peers, self._telling, self.count)
+        self.refusals = self._endings.refusals
 
     # What the tasks tell it
 
@@ -108,7 +104,7 @@
         drop_acked(peer, req["acked"])
         refused = self._refusal_at_door(req)
         if refused is not None:
-            return [self._refuse(peer, req, refused, 1.0)]
+            return [self._endings.refused_at_door(peer, req, refused, 1.0)]
         if req["key"]:
             early = self._claim(now, wall_ms, peer, req)
             if early is not None:
@@ -129,7 +125,7 @@
         if not ticket.running:
             self.queue.withdraw(ticket_id)
             self.count.withdrawn += 1
-            return self._end_refused(ticket_id, "no", "withdrawn", 0.0)
+            return self._endings.refused(ticket_id, "no", "withdrawn", 0.0)
         self.count.cancelled += 1
         return [CancelCall(ticket_id)]
 
@@ -140,7 +136,7 @@
             return []
         actions: list[Action] = []
         for seq in message["seqs"]:
-            if seq in peer.live or self._joined.holds(peer.incarnation, seq):
+            if seq in peer.live or self._endings.joined.holds(peer.incarnation, seq):
                 continue
             frame = peer.kept.get(seq)
             if frame is None:
@@ -160,7 +156,7 @@
                 self.standing.answered(result.status)
                 told = self._learn_pace(now, result.pace)
                 started = self._apply(now, self.queue.release(now, served))
-                return [*self._end_answered(now, ticket_id, result, served), *started, *told]
+                return [*self._endings.answered(now, ticket_id, result, served), *started, *told]
             case Shed():
                 self.standing.state = "shedding"
                 return self._turned_away(now, ticket_id, "upstream-shed", result.retry_after_s)
@@ -173,7 +169,7 @@
                 self.standing.broke()
                 started = self._apply(now, self.queue.release(now, None))
                 ran = "maybe" if result.sent else "no"
-                return [*self._end_refused(ticket_id, ran, result.reason, 0.5), *started]
+                return [*self._endings.refused(ticket_id, ran, result.reason, 0.5), *started]
 
     def paced(self, now: float, pace: int) -> list[Action]:
         """Take in the upstream's pace, percent; tells who sends calls here if it is another one."""
@@ -283,13 +279,15 @@
         match claim:
             case Deny():
                 self.count.key_denied += 1
-                return [self._send(peer, seq, replies.denied_frame(seq, claim, self.load()))]
+                return [
+                    self._endings.send(peer, seq, replies.denied_frame(seq, claim, self.load()))
+                ]
             case Replay(response):
                 self.count.key_replayed += 1
                 frame = replies.answer_frame(seq, response, -1, (0, 0), self.load())
-                return [self._send(peer, seq, frame)]
+                return [self._endings.send(peer, seq, frame)]
             case Join():
-                self._joined.add(req["key"], peer.incarnation, seq)
+                self._endings.joined.add(req["key"], peer.incarnation, seq)
                 return []
         return None
 
@@ -314,11 +312,11 @@
             match decision:
                 case Start(ticket_id) if now > self.standing.stop_at:
                     actions += self._apply(now, self.queue.release(now, None))
-                    actions += self._end_refused(ticket_id, "no", "upstream-leaving", 0.0)
+                    actions += self._endings.refused(ticket_id, "no", "upstream-leaving", 0.0)
                 case Start(ticket_id):
                     actions.append(self._start(now, ticket_id))
                 case Refuse(ticket_id, reason, retry_after_s):
-                    actions += self._end_refused(ticket_id, "no", reason, retry_after_s)
+                    actions += self._endings.refused(ticket_id, "no", reason, retry_after_s)
         return actions
 
     def _start(self, now: float, ticket_id: int) -> Action:
@@ -328,67 +326,15 @@
         instance = self.standing.instance
         return StartCall(ticket_id, ticket.request, ticket.deadline - now, instance)
 
-    def _end_answered(
-        self, now: float, ticket_id: int, whole: Whole, served_s: float
-    ) -> list[Action]:
-        ticket = self.tickets.pop(ticket_id)
-        self.count.answered += 1
-        response = Response(whole.status, whole.headers, whole.body)
-        times_us = (int((ticket.started - ticket.arrived) * 1e6), int(served_s * 1e6))
-        actions: list[Action] = []
-        for peer, seq in self._waiters(ticket):
-            peer.used_at = now
-            frame = replies.answer_frame(seq, response, ticket.ahead, times_us, self.load())
-            actions.append(self._end(peer, seq, frame))
-        if ticket.key:
-            self.keys.ended(ticket.key, response, ran=True)
-        return actions
-
     def _turned_away(
         self, now: float, ticket_id: int, reason: str, retry_after_s: float
     ) -> list[Action]:
         self.count.turned_away += 1
         started = self._apply(now, self.queue.release(now, None))
-        return [*self._end_refused(ticket_id, "no", reason, retry_after_s, reached=True), *started]
-
-    def _end_refused(
-        self, ticket_id: int, ran: str, reason: str, retry_after_s: float, reached: bool = False
-    ) -> list[Action]:
-        ticket = self.tickets.pop(ticket_id)
-        self.count.refused += 1
-        if ran == "no":
-            self.refusals.note(ticket.request, reason, retry_after_s, self.load())
-        actions: list[Action] = []
-        for peer, seq in self._waiters(ticket):
-            frame = replies.refusal_frame(seq, ran, reason, retry_after_s, self.load(), reached)
-            actions.append(self._end(peer, seq, frame))
-        if ticket.key:
-            self.keys.ended(ticket.key, None, ran=ran != "no")
-        return actions
-
-    def _waiters(self, ticket: Ticket) -> list[tuple[Peer, int]]:
-        """Return who waits for the call: its ingress, and those that sent its key again."""
-        waiters = [(ticket.incarnation, ticket.request["seq"])]
-        if ticket.key:
-            waiters += self._joined.take(ticket.key)
-        found = [(self._peers.get(incarnation), seq) for incarnation, seq in waiters]
-        return [(peer, seq) for peer, seq in found if peer is not None]
-
-    def _end(self, peer: Peer, seq: int, frame: Frame) -> Action:
-        peer.live.pop(seq, None)
-        return self._send(peer, seq, frame)
-
-    def _send(self, peer: Peer, seq: int, frame: Frame) -> Action:
-        if peer.link == LOCAL_LINK:
-            return SendTo(LOCAL_LINK, frame)
-        self._peers.keep(peer, seq, frame)
-        return SendTo(-1 if peer.link is None else peer.link, frame)
-
-    def _refuse(self, peer: Peer, req: Dispatch, reason: str, retry_after_s: float) -> Action:
-        self.refusals.note(req, reason, retry_after_s, self.load())
-        self.count.refused += 1
-        frame = replies.refusal_frame(req["seq"], "no", reason, retry_after_s, self.load())
-        return self._send(peer, req["seq"], frame)
+        return [
+            *self._endings.refused(ticket_id, "no", reason, retry_after_s, reached=True),
+            *started,
+        ]
 
     def _refuse_waiting(self, tickets: list[int], reason: str) -> list[Action]:
         actions: list[Action] = []
@@ -396,5 +342,5 @@
             if self.tickets[ticket_id].running:
                 continue
             self.queue.withdraw(ticket_id)
-            actions += self._end_refused(ticket_id, "no", reason, 0.0)
+            actions += self._endings.refused(ticket_id, "no", reason, 0.0)
         return actions
