--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -9,8 +9,9 @@
 from loguru import logger
 
 from foldhoist.daemon.frames import FrameConnection
+from foldhoist.daemon.lost_calls import LostCalls
 from foldhoist.daemon.sampler import Sampler
-from foldhoist.daemon.upstream import UpstreamPool
+from foldhoist.daemon.upstream import CONNECTION_LOST, UpstreamPool
 from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
 from foldhoist.delivery.dispatch import Broken, CancelCall, CloseLink, SendTo, StartCall, Whole
 from foldhoist.delivery.endings import LOCAL_LINK
@@ -22,6 +23,7 @@
 
     from foldhoist.admission.slots import Shape
     from foldhoist.daemon.dialect import Dialect
+    from foldhoist.daemon.lost_calls import LostCall
     from foldhoist.delivery.dispatch import Action, Ended, Refused, Result
     from foldhoist.delivery.owner import Owner
     from foldhoist.schema.messages import Announced, Hello
@@ -77,6 +79,7 @@
             lambda: self.set_state("leaving"),
             dialect,
         )
+        self._lost_calls = LostCalls(self.pool, self._know_lost)
         self.sampler = Sampler(
             SamplePlan(cfg["measuring"]["sample_cost"]),
             (host, int(port)),
@@ -100,6 +103,7 @@
         for conn in list(self._conns.values()):
             conn.close()
         self.pool.close()
+        self._lost_calls.close()
         self.sampler.close()
 
     def connection(self) -> FrameConnection:
@@ -237,6 +241,21 @@
         self.owner.link_lost(self._loop.time(), conn.number)
 
     def _result(self, ticket: int, result: Result) -> None:
+        match result:
+            case Broken(True, reason) if reason == CONNECTION_LOST:
+                self._lost_calls.add(ticket, result)
+            case _:
+                self._take_result(ticket, result)
+
+    def _know_lost(self, lost: list[LostCall], ended: bool) -> None:
+        """Take in what became of calls whose connection ended, and perhaps the upstream."""
+        if ended:
+            marks = self.owner.upstream_ended([call.ticket for call in lost])
+            logger.warning("upstream ended with {} calls at work: {}", len(lost), ", ".join(marks))
+        for call in lost:
+            self._take_result(call.ticket, call.result)
+
+    def _take_result(self, ticket: int, result: Result) -> None:
         now = self._loop.time()
         hop = self.owner.ended(now, ticket, result)
         if isinstance(result, Whole):
--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -21,6 +21,8 @@
 """A connection unused for this long is closed and not used again, seconds."""
 IDLE_MARGIN_S = 1.5
 """An upstream that names its own idle time is left this much of it, seconds."""
+CONNECTION_LOST = "upstream-connection-lost"
+"""Reason of a call whose connection ended before its answer was whole."""
 
 
 class _TooLargeError(Exception):
@@ -53,6 +55,11 @@
         self.head = HeadReader(dialect.upstream_rules)
         self._begin(head=False)
 
+    @property
+    def stands(self) -> bool:
+        """Return whether the upstream has not ended the connection."""
+        return self._transport is not None
+
     @property
     def usable(self) -> bool:
         """Return whether another call may use the connection."""
@@ -89,7 +96,7 @@
             if result is not None:
                 self._finish(result)
                 return
-        self._finish(Broken(self._sent, "upstream-connection-lost"))
+        self._finish(Broken(self._sent, CONNECTION_LOST))
 
     def data_received(self, data: bytes) -> None:
         """Parse; bytes that nobody asked for spoil the connection."""
@@ -231,6 +238,11 @@
         """Return the connections that are open or being opened."""
         return len(self._idle) + len(self._busy) + len(self._connecting)
 
+    @property
+    def stands(self) -> bool:
+        """Return whether any connection to the upstream stands: then it has not ended."""
+        return any(conn.stands for conn in (*self._busy.values(), *self._idle))
+
     def start(self, now: float, call: StartCall) -> None:
         """Send a call on a pooled connection, or on a new one."""
         data = self._request_bytes(call)
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
 from foldhoist.admission.completion import latest_start
+from foldhoist.quarantine.identity import identity_of
 from foldhoist.routing.routes import NO_RANK
 
 if TYPE_CHECKING:
@@ -117,6 +118,7 @@
 
     answered: int = 0
     cancelled: int = 0
+    crashes: int = 0
     dispatched: int = 0
     fenced: int = 0
     key_denied: int = 0
@@ -188,3 +190,10 @@
         self.key = request["key"]
         self.rank = request.get("rank", NO_RANK)
         self.repeat = 1.0 if request["retried"] else request.get("repeat_percent", 0) / 100
+
+    @property
+    def identity(self) -> str:
+        """Return by what the call is known when it comes again."""
+        req = self.request
+        caller = req.get("caller", "")
+        return identity_of(req["method"], req["path"], req["headers"], req["body"], caller)
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -171,6 +171,12 @@
                 ran = "maybe" if result.sent else "no"
                 return [*self._endings.refused(ticket_id, ran, result.reason, 0.5), *started]
 
+    def upstream_ended(self, tickets: list[int]) -> list[str]:
+        """Take in that the upstream has ended with these calls at work; returns who they are."""
+        self.count.crashes += 1
+        found = [ticket for each in tickets if (ticket := self.tickets.get(each)) is not None]
+        return [f"{ticket.request.get('name', '')}={ticket.identity}" for ticket in found]
+
     def paced(self, now: float, pace: int) -> list[Action]:
         """Take in the upstream's pace, percent; tells who sends calls here if it is another one."""
         told = self._learn_pace(now, pace)
--- a/tests/adapter/target.py
+++ b/tests/adapter/target.py
@@ -38,25 +38,44 @@
         self.health_hangs = False
         self.gate: asyncio.Event | None = None
         self.calls_on: Callable[[Request], Awaitable[int]] | None = None
+        self.deadly = ""
+        self.lives_ended = 0
         self.address = ""
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen at a port that the system chooses."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        await self._listen(0)
         self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
 
+    async def revive(self, instance: str) -> None:
+        """Start again after a crash, at the same address."""
+        self.instance = instance
+        await self._listen(int(self.address.rpartition(":")[2]))
+
     def close(self) -> None:
         """Stop listening."""
         self._server.close()
 
+    async def _listen(self, port: int) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+
+    def _crash(self) -> None:
+        """End as a process does that is killed: nothing listens, every connection is reset."""
+        self.lives_ended += 1
+        self.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 await self._one(reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass  # The caller is gone, or the test is over.
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -83,6 +102,9 @@
         req = Request(method, path, headers, body)
         self.ran.append(req)
         await self._work(reader)
+        if path == self.deadly:
+            self._crash()
+            raise ConnectionResetError
         status = await self.calls_on(req) if self.calls_on is not None else self.status
         if self.cut:
             writer.write(_answer(200, attempt, b"x" * 100)[:-50])
--- a/tests/unit/test_boundaries.py
+++ b/tests/unit/test_boundaries.py
@@ -9,7 +9,7 @@
 import pytest
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-CORE = ("admission", "configlog", "delivery", "membership", "routing")
+CORE = ("admission", "configlog", "delivery", "membership", "quarantine", "routing")
 PLATFORM_NAMES = re.compile(
     r"x-attempt-id|x-deadline-ms|x-response-signature|x-expect-instance|x-server-load"
     r"|x-not-executed|x-caller-service|x-instance-id|/foldhoist/|log-append|log-newest|log-read"
