--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -36,6 +36,7 @@
 from foldhoist.observe.metrics import Metrics
 from foldhoist.observe.records import Hop, Ring
 from foldhoist.observe.spans import Spans
+from foldhoist.quarantine.table import Quarantine
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -89,9 +90,19 @@
         platform = cfg["platform"]
         self.client = PlatformClient(platform["log"], platform["stream"], platform["hosts"])
         self._bodies = HeldBytes(cfg["limits"]["held_bytes"])
-        self.owner = Owner(self.name, "", SHAPE_UNKNOWN, KEY_WINDOW_S, bodies=self._bodies)
+        quarantine = Quarantine(self.incarnation)
+        self.owner = Owner(
+            self.name,
+            "",
+            SHAPE_UNKNOWN,
+            KEY_WINDOW_S,
+            bodies=self._bodies,
+            quarantine=quarantine,
+        )
         self.owner_task = OwnerTask(self.owner, cfg, self._hello, self._local_frame, self._hop)
-        ingress = Ingress(cfg["daemon"]["data_centre"], cfg["limits"]["calls"], self.rng)
+        ingress = Ingress(
+            cfg["daemon"]["data_centre"], cfg["limits"]["calls"], self.rng, quarantine=quarantine
+        )
         self.ingress_task = IngressTask(ingress, self.ring, self.latencies, self.spans)
         events = LinkEvents(
             self.ingress_task.link_up,
--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -78,6 +78,8 @@
                 self.ingress.report(now, target, body)
             case "Goaway":
                 self.ingress.link_closing(now, target)
+            case "Crashes":
+                self._owner_task.learn_crashes(body["suspects"])
 
     def link_up(self, target: str, incarnation: str) -> None:
         """Take in a new connection to an owner."""
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -20,6 +20,7 @@
 from foldhoist.daemon.ingress_task import IngressTask
 from foldhoist.daemon.links import LinkEvents, Links
 from foldhoist.daemon.owner_task import OwnerTask
+from foldhoist.daemon.peer_messages import PeerMessages
 from foldhoist.daemon.peers_task import PeersTask
 from foldhoist.daemon.ports import load_adapter
 from foldhoist.daemon.stopping import Stopping
@@ -36,6 +37,7 @@
 from foldhoist.observe.latencies import Latencies
 from foldhoist.observe.logs import log_reread, write_event
 from foldhoist.observe.records import Ring
+from foldhoist.quarantine.table import Quarantine
 
 if TYPE_CHECKING:
     from foldhoist.configlog.versions import Version
@@ -69,6 +71,7 @@
         self.rng = rng or random.Random()
         self.stopped = asyncio.Event()
         self.addresses: dict[str, str] = {}
+        self._tellings = 0
         self._announced_service = cfg["upstream"]["service"]
         self.latencies = Latencies()
         self.adapter = load_adapter(cfg)
@@ -91,12 +94,13 @@
             self.registry,
             self.links,
             self.store,
-            self._describe,
+            self.describe,
             self._on_peers,
             self._on_rewired,
             self.upstream.store_answered,
             self.ingress_task.ingress.is_busy,
             self.owner_task.send_to,
+            self.quarantine,
             self.rng,
         )
         self.readers = Readers(self.name, cfg["platform"]["wait_ms"] / 1000 + 1.5)
@@ -183,10 +187,20 @@
 
     def _make_traffic(self) -> None:
         cfg = self.cfg
+        self.messages = PeerMessages(self)
         service = cfg["upstream"]["service"]
         queue = DueQueue(SHAPE_UNKNOWN)
         self._bodies = HeldBytes(cfg["limits"]["held_bytes"])
-        self.owner = Owner(self.name, service, SHAPE_UNKNOWN, KEY_WINDOW_S, queue, self._bodies)
+        self.quarantine = Quarantine(self.incarnation)
+        self.owner = Owner(
+            self.name,
+            service,
+            SHAPE_UNKNOWN,
+            KEY_WINDOW_S,
+            queue,
+            self._bodies,
+            self.quarantine,
+        )
         self.owner_task = OwnerTask(
             self.owner,
             cfg,
@@ -194,22 +208,26 @@
             self._local_frame,
             self._hop,
             self.adapter.dialect,
-            self._on_inbound,
+            self.messages.inbound,
         )
         platform = cfg["platform"]
         self._slack = RetrySlack(platform["retry_slack"], platform["retry_window_s"])
-        ingress = Ingress(self.data_centre, cfg["limits"]["calls"], self.rng, self._slack)
+        ingress = Ingress(
+            self.data_centre, cfg["limits"]["calls"], self.rng, self._slack, self.quarantine
+        )
         ring = Ring(cfg["observe"]["records"])
         self.ingress_task = IngressTask(ingress, ring, self.latencies, self._spans())
         events = LinkEvents(
             self._on_link_up,
             self._on_link_lost,
             self.ingress_task.link_refused,
-            self._on_outbound,
+            self.messages.outbound,
         )
         self.links = Links(self._hello, cfg["limits"]["body_bytes"] + HEADROOM, events, self.rng)
         self.ingress_task.on_ended = self._ended
         self.owner_task.on_refused = self._refused
+        self.owner_task.on_spread = self.messages.spread
+        self.owner_task.on_held = self.messages.held
         self.ingress_task.connect(self.name, self.links, self.owner_task)
 
     def _spans(self) -> Spans | None:
@@ -244,10 +262,13 @@
     def _is_ready(self) -> bool:
         return self.versions.fleet is not None and not self.stopping.begun
 
-    def _describe(self) -> Member:
+    def describe(self) -> Member:
+        """Return what peers are told of this daemon."""
+        self._tellings += 1
         return {
             "name": self.name,
             "incarnation": self.incarnation,
+            "telling": self._tellings,
             "frames": self.addresses["frames"],
             "data_centre": self.data_centre,
             "version": self.versions.version.number,
@@ -292,7 +313,7 @@
         told = self.peers.tell_near()
         for link, name in self.owner_task.ingresses():
             if name not in told:
-                self.owner_task.reply(link, "Member", self._describe())
+                self.messages.tell(link, name)
         service = self.upstream.described()["service"]
         if service != self._announced_service:
             self._announced_service = service
@@ -312,60 +333,6 @@
         now = asyncio.get_running_loop().time()
         self.events.changed(now, "link", {"peer": name, "state": state})
 
-    def _on_outbound(self, name: str, kind: str, body: Any) -> None:
-        """Take in a message on a connection that this daemon opened."""
-        self.registry.heard(asyncio.get_running_loop().time(), name)
-        match kind:
-            case "Member":
-                self.peers.told(body)
-                ended = self.registry.remembered(name)
-                if ended is not None:
-                    self.links.send(name, "Remembered", {"ended": ended})
-            case "Remembered":
-                self.upstream.remember(body["ended"])
-            case "Noted":
-                self.upstream.peer_answered(name, body["ended"])
-            case "Versioned":
-                self.versions.on_versioned(name, body)
-            case "Fresh":
-                self.versions.on_fresh(name, body)
-            case "Roster":
-                self.peers.roster(body)
-            case _:
-                self.ingress_task.message(name, kind, body)
-
-    def _on_inbound(self, link: int, kind: str, body: Any) -> None:
-        """Take in a message on a connection that a peer opened."""
-        match kind:
-            case "Member":
-                self._on_member(link, body)
-            case "Remembered":
-                self.upstream.remember(body["ended"])
-            case "Versioned":
-                self.versions.on_versioned(self.owner.peer_name(link), body)
-            case "Roster":
-                self.peers.roster(body)
-                if body["wanted"]:
-                    self.owner_task.reply(link, "Roster", self.peers.all_rows())
-            case "Fresh":
-                name = self.owner.peer_name(link)
-                if name:
-                    self.versions.on_fresh(name, body)
-
-    def _on_member(self, link: int, member: Member) -> None:
-        known = self.registry.peers.get(member["name"])
-        is_new = known is None or known.incarnation != member["incarnation"]
-        self.peers.told(member)
-        reply = self.owner_task.reply
-        ended = self.registry.remembered(member["name"])
-        if ended is not None:
-            reply(link, "Remembered", {"ended": ended})
-        if is_new or not self.links.is_up(member["name"]):
-            reply(link, "Member", self._describe())
-        reply(link, "Noted", {"ended": member["ended"]})
-        if member["version"] < self.versions.version.number:
-            reply(link, *self.versions.for_newcomer(member["name"]))
-
     def _local_frame(self, kind: str, body: Any) -> None:
         self.ingress_task.message(self.name, kind, body)
 
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -13,7 +13,16 @@
 from foldhoist.daemon.sampler import Sampler
 from foldhoist.daemon.upstream import CONNECTION_LOST, UpstreamPool
 from foldhoist.delivery.codec import HEADROOM, SCHEMA_VERSION
-from foldhoist.delivery.dispatch import Broken, CancelCall, CloseLink, SendTo, StartCall, Whole
+from foldhoist.delivery.dispatch import (
+    Broken,
+    CancelCall,
+    CloseLink,
+    Hold,
+    SendTo,
+    Spread,
+    StartCall,
+    Whole,
+)
 from foldhoist.delivery.endings import LOCAL_LINK
 from foldhoist.delivery.standing import REPLACED
 from foldhoist.routing.sampling import SamplePlan
@@ -26,7 +35,7 @@
     from foldhoist.daemon.lost_calls import LostCall
     from foldhoist.delivery.dispatch import Action, Ended, Refused, Result
     from foldhoist.delivery.owner import Owner
-    from foldhoist.schema.messages import Announced, Hello
+    from foldhoist.schema.messages import Announced, Hello, Suspect
     from foldhoist.schema.settings import Settings
 
 TICK_S = 0.05
@@ -59,6 +68,8 @@
         self.owner = owner
         self._on_peer = on_peer
         self.on_refused: Callable[[Refused], None] | None = None
+        self.on_spread: Callable[[list[Suspect]], None] | None = None
+        self.on_held: Callable[[list[str]], None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._reaching: asyncio.Task[None] | None = None
         self._hello = hello
@@ -133,6 +144,10 @@
         self.sampler.instance = upstream["instance"]
         self._carry_out(self.owner.announce(self._loop.time(), upstream))
 
+    def learn_crashes(self, suspects: list[Suspect]) -> None:
+        """Take in what another daemon knows of calls that end upstreams."""
+        self._carry_out(self.owner.learn_crashes(self._loop.time(), suspects))
+
     def heard_again(self) -> None:
         """Take in that the upstream announced itself with nothing new: it is at its address."""
         self._carry_out(self.owner.stay(REPLACED))
@@ -250,8 +265,11 @@
     def _know_lost(self, lost: list[LostCall], ended: bool) -> None:
         """Take in what became of calls whose connection ended, and perhaps the upstream."""
         if ended:
-            marks = self.owner.upstream_ended([call.ticket for call in lost])
-            logger.warning("upstream ended with {} calls at work: {}", len(lost), ", ".join(marks))
+            tickets = [call.ticket for call in lost]
+            known = ", ".join(self.owner.tickets.told(tickets))
+            logger.warning("upstream ended with {} calls at work: {}", len(lost), known)
+            self._carry_out(self.owner.upstream_ended(self._loop.time(), tickets))
+            self._look_for_upstream()
         for call in lost:
             self._take_result(call.ticket, call.result)
 
@@ -261,7 +279,7 @@
         if isinstance(result, Whole):
             self.sampler.heard(result.pace)
         self.owner.standing.watched = self.sampler.watching
-        if self.owner.standing.upstream is not None and _is_away(result):
+        if _is_away(result):
             self._look_for_upstream()
         self._carry_out(self.owner.finished(now, ticket, result))
         if hop is not None:
@@ -285,13 +303,23 @@
                     self._send(link, frame.kind, frame.body)
                 case StartCall(ticket):
                     self.pool.start(self._loop.time(), action)
-                case CancelCall(ticket):
-                    self.pool.cancel(ticket)
+                case CancelCall(ticket, reason):
+                    self.pool.cancel(ticket, reason)
+                case Spread(suspects) if self.on_spread is not None:
+                    self.on_spread(suspects)
+                case Hold(calls):
+                    self._tell_held(calls)
                 case CloseLink(link):
                     conn = self._conns.get(link)
                     if conn is not None:
                         conn.close()
 
+    def _tell_held(self, calls: list[str]) -> None:
+        for call in calls:
+            logger.warning("calls like {} are refused: upstreams have ended under them", call)
+        if self.on_held is not None:
+            self.on_held(calls)
+
     def _send(self, link: int, kind: str, body: Any) -> None:
         if link == LOCAL_LINK:
             self._loop.call_soon(self._on_local, kind, body)
@@ -301,8 +329,11 @@
             conn.send(kind, body)
 
     def _look_for_upstream(self) -> None:
-        """Take the upstream for down, and try connections until it takes one."""
-        if self._reaching is None:
+        """Take the upstream for down, and try connections until it takes one.
+
+        One that does not announce itself is watched by its health path instead.
+        """
+        if self._reaching is None and self.owner.standing.upstream is not None:
             self.set_state("down")
             self._reaching = self._loop.create_task(self._reach())
 
--- /dev/null
+++ b/foldhoist/daemon/peer_messages.py
@@ -0,0 +1,102 @@
+"""What daemons on a platform tell each other beside calls: who takes in which message."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from foldhoist.daemon.mesh import MeshDaemon
+    from foldhoist.schema.messages import Crashes, Member, Suspect
+
+
+class PeerMessages:
+    """Hands the messages of peers to the tasks that they are for, and answers them."""
+
+    def __init__(self, daemon: MeshDaemon) -> None:
+        self._daemon = daemon
+
+    def outbound(self, name: str, kind: str, body: Any) -> None:
+        """Take in a message on a connection that this daemon opened."""
+        daemon = self._daemon
+        daemon.registry.heard(asyncio.get_running_loop().time(), name)
+        match kind:
+            case "Member":
+                daemon.peers.told(body)
+                ended = daemon.registry.remembered(name)
+                if ended is not None:
+                    daemon.links.send(name, "Remembered", {"ended": ended})
+            case "Remembered":
+                daemon.upstream.remember(body["ended"])
+            case "Noted":
+                daemon.upstream.peer_answered(name, body["ended"])
+            case "Versioned":
+                daemon.versions.on_versioned(name, body)
+            case "Fresh":
+                daemon.versions.on_fresh(name, body)
+            case "Roster":
+                daemon.peers.roster(body)
+            case _:
+                daemon.ingress_task.message(name, kind, body)
+
+    def inbound(self, link: int, kind: str, body: Any) -> None:
+        """Take in a message on a connection that a peer opened."""
+        daemon = self._daemon
+        match kind:
+            case "Member":
+                self._member(link, body)
+            case "Remembered":
+                daemon.upstream.remember(body["ended"])
+            case "Versioned":
+                daemon.versions.on_versioned(daemon.owner.peer_name(link), body)
+            case "Crashes":
+                self._crashes(body)
+            case "Roster":
+                daemon.peers.roster(body)
+                if body["wanted"]:
+                    daemon.owner_task.reply(link, "Roster", daemon.peers.all_rows())
+            case "Fresh":
+                name = daemon.owner.peer_name(link)
+                if name:
+                    daemon.versions.on_fresh(name, body)
+
+    def spread(self, suspects: list[Suspect]) -> None:
+        """Have the other data centres hear of calls that end upstreams."""
+        self._daemon.peers.tell_relays("Crashes", {"suspects": suspects, "spread": True})
+
+    def held(self, calls: list[str]) -> None:
+        """Have the store keep what this daemon has seen of calls that are refused from now on."""
+        daemon = self._daemon
+        if any(daemon.quarantine.is_own(call) for call in calls):
+            daemon.peers.write_again()
+
+    def tell(self, link: int, name: str) -> None:
+        """Tell a peer what this daemon is now, on the connection that the peer opened."""
+        self._daemon.owner_task.reply(link, "Member", self._daemon.describe())
+        self._daemon.peers.note_told(name)
+
+    # Steps
+
+    def _crashes(self, message: Crashes) -> None:
+        """Take in, as a relay, what is known elsewhere of calls that end upstreams."""
+        daemon = self._daemon
+        daemon.owner_task.learn_crashes(message["suspects"])
+        if message["spread"]:
+            passed_on: Crashes = {**message, "spread": False}
+            daemon.peers.tell("Crashes", passed_on, near=True)
+
+    def _member(self, link: int, member: Member) -> None:
+        daemon = self._daemon
+        known = daemon.registry.peers.get(member["name"])
+        is_new = known is None or known.incarnation != member["incarnation"]
+        daemon.peers.told(member)
+        reply = daemon.owner_task.reply
+        ended = daemon.registry.remembered(member["name"])
+        if ended is not None:
+            reply(link, "Remembered", {"ended": ended})
+        # It may have been told on a connection of this daemon's, before something changed.
+        if is_new or not daemon.peers.is_told(member["name"]):
+            self.tell(link, member["name"])
+        reply(link, "Noted", {"ended": member["ended"]})
+        if member["version"] < daemon.versions.version.number:
+            reply(link, *daemon.versions.for_newcomer(member["name"]))
--- a/foldhoist/daemon/peers_task.py
+++ b/foldhoist/daemon/peers_task.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
-from foldhoist.membership.registry import Changed, Connect, Disconnect, Registration
+from foldhoist.membership.registry import (
+    Changed,
+    Connect,
+    Disconnect,
+    Registration,
+    held_call,
+    held_suspect,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,6 +24,7 @@
     from foldhoist.daemon.links import Links
     from foldhoist.daemon.ports import Store
     from foldhoist.membership.registry import Action, Registry
+    from foldhoist.quarantine.table import Quarantine
     from foldhoist.schema.messages import Member, Roster, Row
 
 RETRY_FIRST_S = 0.15
@@ -49,6 +58,7 @@
         on_own: Callable[[tuple[str, ...], set[str]], None],
         is_busy: Callable[[str], bool],
         send_back: Callable[[str, str, Any], None],
+        quarantine: Quarantine,
         rng: Random,
     ) -> None:
         self.registry = registry
@@ -62,6 +72,7 @@
         self._on_own = on_own
         self._is_busy = is_busy
         self._send_back = send_back
+        self._quarantine = quarantine
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._stored = asyncio.Lock()
@@ -72,6 +83,8 @@
         self._telling: asyncio.TimerHandle | None = None
         self._left_to_ask = ASKED
         self._record: Registration | None = None
+        self._change = 0
+        self._told: dict[str, int] = {}
 
     def start(self, first: bool) -> None:
         """Register and read the list; `first` says that no life of this daemon was before."""
@@ -107,7 +120,7 @@
     def linked(self, name: str) -> None:
         """Take in that a peer was reached: tell it who this is, and ask it for all it knows."""
         self.registry.linked(self._loop.time(), name, True)
-        self._links.send(name, "Member", self._describe())
+        self._tell_member(name)
         if name in self.registry.neighbours.relays():
             self._links.send(name, "Roster", self._own_news())
         if self._left_to_ask:
@@ -115,7 +128,8 @@
             self._links.send(name, "Roster", {"rows": [], "spread": False, "wanted": True})
 
     def lost(self, name: str) -> None:
-        """Take in that the connection to a peer fell."""
+        """Take in that the connection to a peer fell, perhaps with what it was told last."""
+        self._told.pop(name, None)
         self.registry.linked(self._loop.time(), name, False)
 
     def carry_out(self, actions: list[Action]) -> None:
@@ -161,16 +175,29 @@
 
         These note the leavings that it names. Where nobody is near, all connected peers do.
         """
+        self._change += 1
         names = self._links.open()
         told = {name for name in names if self.is_near(name)} or set(names)
         for name in told:
-            self._links.send(name, "Member", self._describe())
+            self._tell_member(name)
         return told
 
+    def is_told(self, name: str) -> bool:
+        """Return whether a peer was told what this daemon is now."""
+        return self._told.get(name) == self._change
+
+    def note_told(self, name: str) -> None:
+        """Take in that a peer was told it on its own connection."""
+        self._told[name] = self._change
+
     def announce(self) -> None:
         """Have every data centre told where this daemon listens and what its upstream serves."""
+        self.tell_relays("Roster", self._own_news())
+
+    def tell_relays(self, kind: str, body: Any) -> None:
+        """Write a message to the peers that pass news on in other data centres."""
         for name in self.registry.neighbours.relays():
-            self._links.send(name, "Roster", self._own_news())
+            self._links.send(name, kind, body)
 
     def ask_someone(self, kind: str, body: Any) -> None:
         """Write a message to one connected peer, drawn by lot."""
@@ -178,14 +205,25 @@
         if names:
             self._links.send(names[int(self._rng.random() * len(names))], kind, body)
 
+    def write_again(self) -> None:
+        """Write the record of this daemon to the store anew, as often as it takes."""
+        self._tasks.append(self._loop.create_task(self._until_done(self.store_ended)))
+
     async def store_ended(self) -> bool:
-        """Write the ended lives of the upstream to the store; returns whether that was done."""
+        """Write what has to outlast this life to the store; returns whether that was done.
+
+        These are the ended lives of the upstream, and the calls under which it ended.
+        """
         async with self._stored:
             answer = await self._store.register(self._registration())
         return bool(answer.is_ok())
 
     # Steps
 
+    def _tell_member(self, name: str) -> None:
+        if self._links.send(name, "Member", self._describe()):
+            self.note_told(name)
+
     async def _join(self, first: bool) -> None:
         """Write before the last read: of two that start at once, at least one sees the other.
 
@@ -205,8 +243,14 @@
         if self._record is None:
             return False
         new = self._registration()
-        same = self._record._replace(incarnation=new.incarnation, ended=new.ended) == new
-        return same and set(new.ended) <= set(self._record.ended)
+        old = self._record
+        same = old._replace(incarnation=new.incarnation, ended=new.ended, held=new.held) == new
+        held = {each.call for each in old.held}
+        return (
+            same
+            and set(new.ended) <= set(old.ended)
+            and all(each.call in held for each in new.held)
+        )
 
     async def _until_done(self, step: Callable[[], Any]) -> None:
         pause = RETRY_FIRST_S
@@ -221,14 +265,27 @@
             return False
         own = [record for record in answer.ok if record.name == self.registry.name]
         self._record = own[0] if own else None
+        self._take_held(answer.ok)
         self.carry_out(self.registry.stored(self._loop.time(), answer.ok))
         self._rewire()
         self._on_own(own[0].ended if own else (), set(self._wanted))
         self.listed.set()
         return True
 
+    def _take_held(self, records: list[Registration]) -> None:
+        """Take in which calls end upstreams, as this daemon and others have written it."""
+        now, wall_ms = self._loop.time(), int(time.time() * 1000)
+        for record in records:
+            suspects = [held_suspect(each, wall_ms) for each in record.held]
+            if record.name == self.registry.name:
+                self._quarantine.keep(now, suspects)
+            else:
+                self._quarantine.learned(now, suspects)
+
     def _registration(self) -> Registration:
         member = self._describe()
+        held = self._quarantine.rows(self._loop.time(), own=True)
+        wall_ms = int(time.time() * 1000)
         return Registration(
             member["name"],
             member["incarnation"],
@@ -236,6 +293,7 @@
             member["data_centre"],
             tuple(member["ended"]),
             member["upstream"]["service"],
+            tuple(held_call(row, wall_ms) for row in held),
         )
 
     def _own_row(self) -> Row:
--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
 from foldhoist.delivery.verdict import Answered, Headers, MayHaveRun, NotRun, Response, Verdict
+from foldhoist.quarantine.identity import identity_of
 from foldhoist.routing.routes import NO_RANK
 
 if TYPE_CHECKING:
@@ -131,6 +132,16 @@
     turned_away: int = 0
     unpaid: int = 0
 
+    def ended(self, verdict: Verdict) -> None:
+        """Count a call that got its final answer."""
+        match verdict:
+            case Answered():
+                self.answered += 1
+            case NotRun():
+                self.not_run += 1
+            case MayHaveRun():
+                self.may_have_run += 1
+
 
 class Timer(IntEnum):
     """What is to be done with a call at a set time."""
@@ -167,6 +178,7 @@
         "deadline",
         "excluded",
         "failure",
+        "identity_known",
         "live",
         "maybe",
         "objective_s",
@@ -200,6 +212,17 @@
         self.arrivals = 0
         self.maybe = ""
         self.failure: Response | None = None
+        self.identity_known = ""
+
+    @property
+    def identity(self) -> str:
+        """Return by what the call is known when it comes again; it is worked out once."""
+        if not self.identity_known:
+            req = self.req
+            self.identity_known = identity_of(
+                req.method, req.path, req.headers, req.body, req.caller
+            )
+        return self.identity_known
 
     def note(self, now: float, live: Live, result: str, waited_us: int, served_us: int) -> None:
         """Keep what became of an attempt for the record."""
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -12,14 +12,14 @@
 
 if TYPE_CHECKING:
     from foldhoist.delivery.verdict import Headers
-    from foldhoist.schema.messages import Answer, Dispatch, Refusal, Report
+    from foldhoist.schema.messages import Answer, Crashes, Dispatch, Refusal, Report, Suspect
 
 
 class Frame(NamedTuple):
     """A message to an ingress: its kind and its fields."""
 
     kind: str
-    body: Answer | Refusal | Report
+    body: Answer | Crashes | Refusal | Report
 
 
 class SendTo(NamedTuple):
@@ -48,12 +48,25 @@
 
 
 class CancelCall(NamedTuple):
-    """Stop this call at the upstream: nobody waits for it."""
+    """Stop this call at the upstream: nobody waits for it, or it would end the upstream."""
 
     ticket: int
+    reason: str = "cancelled"
 
 
-Action: TypeAlias = SendTo | CloseLink | StartCall | CancelCall
+class Spread(NamedTuple):
+    """Have daemons that are not connected with this owner hear of these."""
+
+    suspects: list[Suspect]
+
+
+class Hold(NamedTuple):
+    """Calls like these are refused from now on."""
+
+    calls: list[str]
+
+
+Action: TypeAlias = SendTo | CloseLink | StartCall | CancelCall | Spread | Hold
 
 
 class Whole(NamedTuple):
@@ -121,6 +134,7 @@
     crashes: int = 0
     dispatched: int = 0
     fenced: int = 0
+    held: int = 0
     key_denied: int = 0
     key_replayed: int = 0
     lost: int = 0
@@ -194,6 +208,10 @@
     @property
     def identity(self) -> str:
         """Return by what the call is known when it comes again."""
-        req = self.request
-        caller = req.get("caller", "")
-        return identity_of(req["method"], req["path"], req["headers"], req["body"], caller)
+        return dispatch_identity(self.request)
+
+
+def dispatch_identity(req: Dispatch) -> str:
+    """Return by what a call is known when it comes again."""
+    caller = req.get("caller", "")
+    return identity_of(req["method"], req["path"], req["headers"], req["body"], caller)
--- a/foldhoist/delivery/door.py
+++ b/foldhoist/delivery/door.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING
 
 from foldhoist.delivery.verdict import NotRun
+from foldhoist.quarantine.table import Quarantine
 
 if TYPE_CHECKING:
-    from foldhoist.delivery.call import CallerRequest
+    from foldhoist.delivery.call import Call, CallerRequest
     from foldhoist.routing.routes import Routed, RouteTable
 
 HOPS = 32
@@ -22,8 +23,9 @@
 class Door:
     """What decides whether a request gets any attempt; times are monotonic seconds."""
 
-    def __init__(self, most_calls: int) -> None:
+    def __init__(self, most_calls: int, quarantine: Quarantine | None = None) -> None:
         self.most_calls = most_calls
+        self._quarantine = quarantine if quarantine is not None else Quarantine()
         self.hops = HOPS
         self._stop_by = float("inf")
 
@@ -51,6 +53,19 @@
             return NotRun("deadline-passed", 0.0, status=504)
         return None
 
+    def held_s(self, now: float, call: Call) -> float:
+        """Return for how long a call like this is refused, seconds; 0 if it may run.
+
+        Upstreams have ended under such calls, and another one would.
+        """
+        if not self._quarantine.holding:
+            return 0.0
+        return self._quarantine.held_s(now, call.identity)
+
+    def is_suspect(self, call: Call) -> bool:
+        """Return whether an upstream has ended with a call like this at work."""
+        return self._quarantine.is_suspect(call.identity)
+
     def ends_too_late(self, now: float, usual_s: float, budget_s: float) -> bool:
         """Return whether a call may outlast this process; `usual_s` is 0 if nothing is known."""
         return now + min(budget_s, usual_s * SLOWEST) > self._stop_by
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -27,14 +27,15 @@
 from foldhoist.delivery.outgoing import dispatch_of
 from foldhoist.delivery.services import RetrySlack, Services
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response, Verdict
+from foldhoist.quarantine.table import HELD
 from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice, Picker
-from foldhoist.routing.rendezvous import home
 from foldhoist.routing.routes import Routed, RouteTable
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from random import Random
 
+    from foldhoist.quarantine.table import Quarantine
     from foldhoist.routing.picker import Member
     from foldhoist.schema.fleet import Fleet
     from foldhoist.schema.messages import Answer, Refusal, Report
@@ -47,9 +48,14 @@
     """Every call that entered at this daemon and has no final answer yet."""
 
     def __init__(
-        self, data_centre: str, most_calls: int, rng: Random, slack: RetrySlack | None = None
+        self,
+        data_centre: str,
+        most_calls: int,
+        rng: Random,
+        slack: RetrySlack | None = None,
+        quarantine: Quarantine | None = None,
     ) -> None:
-        self.door = Door(most_calls)
+        self.door = Door(most_calls, quarantine)
         self.generation = 0
         self.explain = True
         self.count = Counters()
@@ -99,11 +105,12 @@
         state = self._services.get(routed.service)
         if state is None:
             return [self._refuse_at_door(now, call_id, req, routed, NotRun("service-removed", 1.0))]
-        limit = routed.timeout_s or state.cfg["deadline_ms"] / 1000
-        budget = min(req.budget_s, limit) if req.budget_s > 0 else limit
+        budget = rules.budget_s(req, routed, state)
         if self.door.ends_too_late(now, state.picker.times.mean(routed.route), budget):
             return [self._refuse_at_door(now, call_id, req, routed, NotRun("daemon-leaving", 0.0))]
         call = Call(call_id, req, routed, now, now + budget)
+        if held_s := self.door.held_s(now, call):
+            return [self._refuse_at_door(now, call_id, req, routed, NotRun(HELD, held_s))]
         self._book.add(call)
         state.budget.call(now, req.repeat)
         self._book.remind(call.deadline, call, Timer.EXPIRE)
@@ -118,11 +125,11 @@
         if ended is None:
             return []
         call, live, picker = ended
-        failed = message["status"] >= rules.SERVER_ERROR
         if picker is not None:
             rules.tell_answer(now, picker, call, live, message)
         call.note(now, live, "answered", message["waited_us"], message["served_us"])
         response = Response(message["status"], message["headers"], message["body"])
+        failed = response.status >= rules.SERVER_ERROR
         if failed and call.repeatable and not call.req.key:
             call.failure = response
             return self._go_on(now, call, "upstream-failed", 0.0)
@@ -247,10 +254,7 @@
             return self._give_up(now, call, NO_CONNECTION, 1.0)
         self._book.park(call)
         self._book.remind(now + wait_s, call, Timer.UNPARK)
-        if call.req.key:
-            name = home(state.homes, call.req.key)
-            return [Connect((name,) if name else ())]
-        return [Connect(tuple(state.picker.tracks))]
+        return [Connect(rules.owners_for(call, state))]
 
     def _unpark(self, now: float) -> list[Action]:
         actions: list[Action] = []
@@ -310,14 +314,18 @@
     def _go_on(self, now: float, call: Call, reason: str, retry_after_s: float) -> list[Action]:
         if call.live:
             return []
+        if held_s := self.door.held_s(now, call):
+            return self._give_up(now, call, HELD, held_s)
         if not rules.may_retry(now, call, self._services.get(call.service), self.count):
             return self._give_up(now, call, reason, retry_after_s)
         self.count.retried += 1
         return self._attempt(now, call, first_reason=reason)
 
     def _hedge(self, now: float, call: Call) -> list[Action]:
-        state = self._services.get(call.service)
-        if len(call.live) != 1 or not rules.may_retry(now, call, state, self.count):
+        # Under a call that ends upstreams a hedge would end a second one at once.
+        if len(call.live) != 1 or self.door.is_suspect(call):
+            return []
+        if not rules.may_retry(now, call, self._services.get(call.service), self.count):
             return []
         self.count.hedged += 1
         return self._attempt(now, call)
@@ -343,16 +351,8 @@
             return []
         for live in call.live.values():
             call.note(now, live, "withdrawn", 0, 0)
-        match verdict:
-            case Answered():
-                self.count.answered += 1
-            case NotRun():
-                self.count.not_run += 1
-            case MayHaveRun():
-                self.count.may_have_run += 1
+        self.count.ended(verdict)
         reply = Reply(call.call_id, verdict, record_of(call, now, verdict, self.generation))
-        if not call.live:
-            return [reply]
         return [reply, *self._withdraw_all(now, call)]
 
     def _withdraw_all(self, now: float, call: Call) -> list[Action]:
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -19,6 +19,7 @@
     Counters,
     Ended,
     Frame,
+    Hold,
     Peer,
     Replaced,
     Result,
@@ -27,13 +28,15 @@
     StartCall,
     Ticket,
     Whole,
+    dispatch_identity,
 )
 from foldhoist.delivery.endings import Endings
 from foldhoist.delivery.keys import Deny, Join, KeyTable, Replay, fingerprint
 from foldhoist.delivery.peers import Peers, drop_acked, fate_without_result
 from foldhoist.delivery.standing import REPLACED, Standing
-from foldhoist.delivery.telling import Telling
+from foldhoist.delivery.telling import Telling, crashes_frame
 from foldhoist.delivery.tickets import Tickets
+from foldhoist.quarantine.table import HELD, Quarantine
 
 if TYPE_CHECKING:
     from foldhoist.admission.held import HeldBytes
@@ -44,6 +47,7 @@
         FateAsk,
         Hello,
         Load,
+        Suspect,
         Withdraw,
     )
 
@@ -51,6 +55,8 @@
 """Share of the slots that an upstream announces up to which it is taken to keep its speed."""
 QUEUE_PER_SLOT = 3
 """Calls that may wait for each slot of an upstream that announces itself."""
+SERVER_ERROR = 500
+"""Statuses from this on do not show that an upstream can run a call to its end."""
 
 
 class Owner:
@@ -64,12 +70,14 @@
         key_window_s: float,
         queue: SlotQueue | DueQueue | None = None,
         bodies: HeldBytes | None = None,
+        quarantine: Quarantine | None = None,
     ) -> None:
         self.name = name
         self.service = service
         self.queue = queue if queue is not None else SlotQueue(shape)
         self.keys = KeyTable(name, key_window_s)
         self.count = Counters()
+        self.quarantine = quarantine if quarantine is not None else Quarantine()
         self.standing = Standing()
         self._peers = Peers()
         self._telling = Telling(self.standing, self.queue, self._peers)
@@ -89,6 +97,8 @@
         if greeting.ended_link is not None:
             actions.append(CloseLink(greeting.ended_link))
         actions.append(SendTo(link, Frame("Report", {"load": self.load()})))
+        if suspects := self.quarantine.rows(now):
+            actions.append(SendTo(link, crashes_frame(suspects)))
         return actions
 
     def link_lost(self, now: float, link: int) -> None:
@@ -105,6 +115,8 @@
         refused = self._refusal_at_door(req)
         if refused is not None:
             return [self._endings.refused_at_door(peer, req, refused, 1.0)]
+        if held_s := self._held_s(now, req):
+            return [self._endings.refused_at_door(peer, req, HELD, held_s)]
         if req["key"]:
             early = self._claim(now, wall_ms, peer, req)
             if early is not None:
@@ -155,6 +167,8 @@
             case Whole():
                 self.standing.answered(result.status)
                 told = self._learn_pace(now, result.pace)
+                if result.status < SERVER_ERROR:
+                    told += self._telling.crashes(self.quarantine.answered(now, ticket.identity))
                 started = self._apply(now, self.queue.release(now, served))
                 return [*self._endings.answered(now, ticket_id, result, served), *started, *told]
             case Shed():
@@ -171,11 +185,21 @@
                 ran = "maybe" if result.sent else "no"
                 return [*self._endings.refused(ticket_id, ran, result.reason, 0.5), *started]
 
-    def upstream_ended(self, tickets: list[int]) -> list[str]:
-        """Take in that the upstream has ended with these calls at work; returns who they are."""
+    def upstream_ended(self, now: float, tickets: list[int]) -> list[Action]:
+        """Take in that the upstream has ended with these calls at work.
+
+        They are told before their refusals: an ingress that may send one of them again, or gets one
+        like it, has then counted this crash.
+        """
         self.count.crashes += 1
         found = [ticket for each in tickets if (ticket := self.tickets.get(each)) is not None]
-        return [f"{ticket.request.get('name', '')}={ticket.identity}" for ticket in found]
+        news = self.quarantine.crashed(now, {ticket.identity for ticket in found})
+        held = [row["call"] for row in news if self.quarantine.held_s(now, row["call"])]
+        return [*self._telling.crashes(news), *self._hold(held)]
+
+    def learn_crashes(self, now: float, suspects: list[Suspect]) -> list[Action]:
+        """Take in what another daemon knows of calls that end upstreams."""
+        return self._hold(self.quarantine.learned(now, suspects))
 
     def paced(self, now: float, pace: int) -> list[Action]:
         """Take in the upstream's pace, percent; tells who sends calls here if it is another one."""
@@ -262,6 +286,28 @@
 
     # Steps
 
+    def _held_s(self, now: float, req: Dispatch) -> float:
+        """Return for how long a call like this is refused, seconds; 0 if it may run."""
+        if not self.quarantine.holding:
+            return 0.0
+        return self.quarantine.held_s(now, dispatch_identity(req))
+
+    def _hold(self, calls: list[str]) -> list[Action]:
+        """Refuse waiting calls that would end the upstream, and stop those at work.
+
+        One at work that may not be repeated keeps its chance of an answer.
+        """
+        if not calls:
+            return []
+        self.count.held += len(calls)
+        actions: list[Action] = [Hold(calls)]
+        found = [each for each in self.tickets.ids() if self.tickets[each].identity in calls]
+        for ticket_id in found:
+            ticket = self.tickets[ticket_id]
+            if ticket.running and ticket.request["repeatable"]:
+                actions.append(CancelCall(ticket_id, HELD))
+        return actions + self._refuse_waiting(found, HELD)
+
     def _learn_pace(self, now: float, pace: int) -> list[Action]:
         self.standing.pace = pace
         match self.queue:
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -12,9 +12,10 @@
 if TYPE_CHECKING:
     from collections.abc import Container
 
-    from foldhoist.delivery.call import Call, Counters, Live
+    from foldhoist.delivery.call import Call, CallerRequest, Counters, Live
     from foldhoist.delivery.services import ServiceState
     from foldhoist.routing.picker import Picker
+    from foldhoist.routing.routes import Routed
     from foldhoist.schema.messages import Answer, Refusal
 
 MOST_REFUSALS = 3
@@ -32,6 +33,12 @@
 """Longest wait of a call for a first connection to an owner, seconds."""
 
 
+def budget_s(req: CallerRequest, routed: Routed, state: ServiceState) -> float:
+    """Return how long a call may take, seconds: its caller's word, within that of its route."""
+    limit = routed.timeout_s or state.cfg["deadline_ms"] / 1000
+    return min(req.budget_s, limit) if req.budget_s > 0 else limit
+
+
 def hedge_after_s(call: Call, state: ServiceState) -> float:
     """Return how long a call runs before it is sent to a second upstream, seconds; 0 for never."""
     if not call.repeatable or call.req.retried:
@@ -85,6 +92,14 @@
     return call.objective_s * (REMOTE_SHARE + REMOTE_SHARE_KB * kilobytes)
 
 
+def owners_for(call: Call, state: ServiceState) -> tuple[str, ...]:
+    """Return the owners that may take a call, connected or not."""
+    if not call.req.key:
+        return tuple(state.picker.tracks)
+    name = home(state.homes, call.req.key)
+    return (name,) if name else ()
+
+
 def home_of_key(call: Call, state: ServiceState, up: Container[str]) -> Choice | NoChoice:
     """Return the home of the call's idempotency key, if it is among the connected ones."""
     name = home(state.homes, call.req.key)
--- a/foldhoist/delivery/telling.py
+++ b/foldhoist/delivery/telling.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from foldhoist.delivery.dispatch import Frame, SendTo
+from foldhoist.delivery.dispatch import Frame, SendTo, Spread
 from foldhoist.delivery.standing import PACE_KEPT_MS
 
 if TYPE_CHECKING:
@@ -13,7 +13,7 @@
     from foldhoist.delivery.dispatch import Action
     from foldhoist.delivery.peers import Peers
     from foldhoist.delivery.standing import Standing
-    from foldhoist.schema.messages import Load
+    from foldhoist.schema.messages import Load, Suspect
 
 MOST_TOLD = 24
 """Ingresses that are told of a change of the pace, those with the newest calls first.
@@ -46,6 +46,18 @@
             return []
         return self._to(self._peers.users(now - PACE_KEPT_MS / 1000, MOST_TOLD))
 
+    def crashes(self, suspects: list[Suspect]) -> list[Action]:
+        """Tell every ingress, and have others told, what is new of calls that end upstreams."""
+        if not suspects:
+            return []
+        told = crashes_frame(suspects)
+        return [*(SendTo(link, told) for link in self._peers.links()), Spread(suspects)]
+
     def _to(self, links: list[int]) -> list[Action]:
         report = Frame("Report", {"load": self.load()})
         return [SendTo(link, report) for link in links]
+
+
+def crashes_frame(suspects: list[Suspect]) -> Frame:
+    """Return the message that tells an ingress of calls that end upstreams."""
+    return Frame("Crashes", {"suspects": suspects, "spread": False})
--- a/foldhoist/delivery/tickets.py
+++ b/foldhoist/delivery/tickets.py
@@ -81,6 +81,11 @@
                 del self._running[ticket.rank]
         return ticket
 
+    def told(self, ticket_ids: list[int]) -> list[str]:
+        """Return what the log calls these: the caller's own name, and by what it is known again."""
+        found = [ticket for each in ticket_ids if (ticket := self._by_id.get(each)) is not None]
+        return [f"{ticket.request.get('name', '')}={ticket.identity}" for ticket in found]
+
     def running(self) -> list[tuple[int, float]]:
         """Return number and deadline of the calls that are at the upstream."""
         return [(each, t.deadline) for each, t in self._by_id.items() if t.running]
--- a/foldhoist/membership/registry.py
+++ b/foldhoist/membership/registry.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from foldhoist.schema.messages import Announced, Member, Row
+    from foldhoist.schema.messages import Announced, Member, Row, Suspect
 
 SILENT_S = 60.0
 """A peer that could not be reached for this long is forgotten, seconds."""
@@ -26,6 +26,17 @@
 """
 
 
+class HeldCall(NamedTuple):
+    """A call that is refused since upstreams have ended under it, as the store keeps it.
+
+    `at_ms` is when the last of these crashes was, milliseconds of wall clock.
+    """
+
+    call: str
+    crashes: tuple[str, ...]
+    at_ms: int
+
+
 class Registration(NamedTuple):
     """Where a daemon listens, as the platform's store keeps it; `service` is of its upstream."""
 
@@ -35,6 +46,19 @@
     data_centre: str
     ended: tuple[str, ...] = ()
     service: str = ""
+    held: tuple[HeldCall, ...] = ()
+
+
+def held_call(suspect: Suspect, wall_ms: int) -> HeldCall:
+    """Return how the store keeps a call that is refused."""
+    crashes = set(suspect["crashes"]) - set(suspect["refuted"])
+    return HeldCall(suspect["call"], tuple(sorted(crashes)), wall_ms - suspect["age_ms"])
+
+
+def held_suspect(held: HeldCall, wall_ms: int) -> Suspect:
+    """Return what the store says of a call that is refused; a clock set back makes it new."""
+    age_ms = max(0, wall_ms - held.at_ms)
+    return {"call": held.call, "crashes": list(held.crashes), "refuted": [], "age_ms": age_ms}
 
 
 class Connect(NamedTuple):
@@ -64,7 +88,8 @@
 
     `upstream` is None until it has told of it; `service` is the last that is known of. `earlier`
     says that an earlier life of it was known here, by more than others' word. `missing_since` is
-    when a connection to it was wanted or fell; None while it stands or none is wanted.
+    when a connection to it was wanted or fell; None while it stands or none is wanted. `telling` is
+    the number of its last word.
     """
 
     __slots__ = (
@@ -78,6 +103,7 @@
         "missing_since",
         "name",
         "service",
+        "telling",
         "upstream",
     )
 
@@ -91,6 +117,7 @@
         self.ended: list[str] = list(known.ended)
         self.upstream: Announced | None = None
         self.earlier = False
+        self.telling = 0
         self.heard_at = now
         self.missing_since: float | None = None
 
@@ -155,15 +182,19 @@
             peer = self.peers[name]
         if peer.incarnation != known.incarnation and not peer.hearsay:
             peer.earlier = True
+        for instance in member["ended"]:
+            if instance not in peer.ended:
+                peer.ended.append(instance)
+        peer.heard_at = now
+        if peer.incarnation == known.incarnation and member["telling"] < peer.telling:
+            # Two connections join two daemons; what one brings late is older than what is known.
+            return actions
+        peer.telling = member["telling"]
         before = _identity(peer.upstream)
         peer.incarnation = known.incarnation
         peer.hearsay = False
-        peer.heard_at = now
         peer.upstream = member["upstream"]
         self._serves(peer, member["upstream"]["service"])
-        for instance in member["ended"]:
-            if instance not in peer.ended:
-                peer.ended.append(instance)
         if _identity(peer.upstream) != before:
             actions.append(Changed(name))
         return actions
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -231,6 +231,41 @@
     load: Load
 
 
+class Suspect(TypedDict):
+    """
+    A call that was at work at upstreams when they ended.
+    """
+
+    call: str
+    """
+    By what the call is known when it comes again: a digest of host, method, path, body and caller.
+    """
+    crashes: list[str]
+    """
+    Crashes with it at work, each by a name that no other has.
+    """
+    refuted: list[str]
+    """
+    Those of them that such a call was not the cause of, since one was answered later.
+    """
+    age_ms: int
+    """
+    Time since the last of them, milliseconds.
+    """
+
+
+class Crashes(TypedDict):
+    """
+    Owner to every connected ingress, and to the relays of other data centres: what is known of calls under which upstreams ended.
+    """
+
+    suspects: list[Suspect]
+    spread: bool
+    """
+    Whether the receiver is to pass it on in its data centre.
+    """
+
+
 class Outcome(TypedDict):
     """
     What became of one publish id.
@@ -404,6 +439,10 @@
     """
     Random name of this life of the daemon.
     """
+    telling: int
+    """
+    Rises with each word of one life: two connections may bring them out of order.
+    """
     frames: str
     """
     Address of its call connections.
--- a/tests/model/leaving_spec.py
+++ b/tests/model/leaving_spec.py
@@ -121,6 +121,7 @@
     return {
         "name": "d",
         "incarnation": str(world.life),
+        "telling": 1,
         "frames": "1.2.3.4:5",
         "data_centre": "one",
         "version": 0,
--- a/tests/model/membership_spec.py
+++ b/tests/model/membership_spec.py
@@ -55,6 +55,7 @@
     return {
         "name": name,
         "incarnation": name,
+        "telling": 1,
         "frames": ADDRESS[name],
         "data_centre": "one",
         "version": 0,
--- a/tests/unit/delivery/test_ingress.py
+++ b/tests/unit/delivery/test_ingress.py
@@ -9,11 +9,14 @@
 from foldhoist.admission.completion import ROOM
 from foldhoist.config.fleet import parse_fleet
 from foldhoist.delivery.call import CallerRequest, Reply, SendTo
+from foldhoist.delivery.door import Door
 from foldhoist.delivery.ingress import Ingress
 from foldhoist.delivery.rules import PARK_S
 from foldhoist.delivery.services import ANNOUNCED_S
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun
 from foldhoist.membership.view import homes, tracked
+from foldhoist.quarantine.identity import identity_of
+from foldhoist.quarantine.table import HELD, HOLD_S, Quarantine
 from foldhoist.routing.picker import Member
 
 if TYPE_CHECKING:
@@ -209,3 +212,41 @@
     (reply,) = [each for each in ended if isinstance(each, Reply)]
     told = [(attempt.target, attempt.result) for attempt in reply.record.attempts]
     assert told == [(second.target, "answered"), (first.target, "withdrawn")]
+
+
+def suspect(call: str, *crashes: str) -> Any:
+    return {"call": call, "crashes": list(crashes), "refuted": [], "age_ms": 0}
+
+
+def test_a_call_under_which_upstreams_ended_is_refused_at_once_and_told_when_to_come_back() -> None:
+    ingress = make()
+    quarantine = Quarantine("life")
+    ingress.door = Door(100, quarantine)
+    call = identity_of("GET", "/depo/x", [], b"", "")
+    quarantine.learned(1.0, [suspect(call, "a/1", "b/1")])
+    (verdict,) = replies(ingress.arrive(11.0, 1, request()))
+    assert verdict == NotRun(HELD, HOLD_S - 10.0)
+    assert sent(ingress.arrive(11.0, 2, request(path="/depo/y")))
+
+
+def test_it_is_not_sent_again_when_the_second_upstream_has_ended_under_it() -> None:
+    ingress = make()
+    quarantine = Quarantine("life")
+    ingress.door = Door(100, quarantine)
+    (first,) = sent(ingress.arrive(1.0, 1, request()))
+    call = identity_of("GET", "/depo/x", [], b"", "")
+    quarantine.learned(1.1, [suspect(call, "a/1", "b/1")])
+    ended = ingress.refusal(1.1, first.target, refusal(first.frame.body["seq"], "maybe"))
+    assert [type(each) for each in replies(ended)] == [MayHaveRun]
+
+
+def test_a_call_under_which_one_has_ended_is_not_hedged() -> None:
+    for suspected in (False, True):
+        ingress = make()
+        ingress._services.get("depo").cfg["hedge_ms"] = 20
+        quarantine = Quarantine("life")
+        ingress.door = Door(100, quarantine)
+        ingress.arrive(2.0, 1, request())
+        if suspected:
+            quarantine.learned(2.0, [suspect(identity_of("GET", "/depo/x", [], b"", ""), "a/1")])
+        assert bool(sent(ingress.tick(2.03))) is not suspected
--- a/tests/unit/delivery/test_owner.py
+++ b/tests/unit/delivery/test_owner.py
@@ -11,6 +11,7 @@
     Broken,
     CancelCall,
     CloseLink,
+    Hold,
     Replaced,
     SendTo,
     Shed,
@@ -20,10 +21,14 @@
 from foldhoist.delivery.owner import Owner
 from foldhoist.delivery.standing import PACE_KEPT_MS, REPLACED
 from foldhoist.delivery.telling import MOST_TOLD
+from foldhoist.quarantine.table import HELD
 
 if TYPE_CHECKING:
     import pytest
 
+    from foldhoist.schema.messages import Suspect
+
+EMPTY: Suspect = {"call": "", "crashes": [], "refuted": [], "age_ms": 0}
 ANSWER = Whole(200, [], b"x" * 1000)
 
 
@@ -278,3 +283,59 @@
     owner.finished(0.2, 2, Broken(True, "cancelled"))
     assert bodies.held == 0
     assert owner.calls == 0
+
+
+def kinds(actions: list[Any]) -> list[str]:
+    return [each.frame.kind for each in actions if isinstance(each, SendTo)]
+
+
+def test_who_may_send_a_call_again_hears_of_the_crash_before_its_refusal() -> None:
+    owner = make()
+    (started,) = owner.dispatch(0.0, 0, 1, dispatch(1))
+    told = owner.upstream_ended(0.1, [started.ticket])
+    told += owner.finished(0.1, started.ticket, Broken(True, "upstream-connection-lost"))
+    assert kinds(told) == ["Crashes", "Refusal"]
+    (suspect,) = told[0].frame.body["suspects"]
+    assert suspect["crashes"]
+    assert owner.count.crashes == 1
+
+
+def test_calls_that_end_upstreams_are_refused_at_the_door_while_waiting_and_at_work() -> None:
+    """Learned from another daemon while one is at work here and one waits."""
+    owner = make(slots=1)
+    (started,) = owner.dispatch(0.0, 0, 1, dispatch(1, repeatable=True))
+    assert owner.dispatch(0.0, 0, 1, dispatch(2, repeatable=True)) == []
+    call = owner.tickets[started.ticket].identity
+    row = {"call": call, "crashes": ["a/1", "b/1"], "refuted": [], "age_ms": 0}
+    actions = owner.learn_crashes(0.1, [cast("Any", row)])
+    assert Hold([call]) in actions
+    assert CancelCall(started.ticket, HELD) in actions
+    assert said(actions) == [(2, "Refusal", "no")]
+    assert said(owner.dispatch(0.2, 0, 1, dispatch(3))) == [(3, "Refusal", "no")]
+    assert said(owner.dispatch(0.2, 0, 1, dispatch(4, path="/depo/y"))) == []
+
+
+def test_a_call_at_work_that_may_not_be_repeated_keeps_its_chance_of_an_answer() -> None:
+    owner = make()
+    (started,) = owner.dispatch(0.0, 0, 1, dispatch(1))
+    call = owner.tickets[started.ticket].identity
+    row = {"call": call, "crashes": ["a/1", "b/1"], "refuted": [], "age_ms": 0}
+    assert owner.learn_crashes(0.1, [cast("Any", row)]) == [Hold([call])]
+
+
+def test_an_ingress_that_connects_is_told_which_calls_end_upstreams() -> None:
+    owner = make()
+    row = {"call": "x", "crashes": ["a/1", "b/1"], "refuted": [], "age_ms": 0}
+    owner.learn_crashes(0.1, [cast("Any", row)])
+    assert kinds(owner.hello(0.2, 2, hello("in-2", 1))) == ["Report", "Crashes"]
+
+
+def test_an_answer_with_an_error_refutes_no_crash() -> None:
+    """An upstream that gives up at the deadline has not shown that it can run the call."""
+    owner = make()
+    for seq, status in ((1, 504), (2, 200)):
+        (started,) = owner.dispatch(0.0, 0, 1, dispatch(seq))
+        call = owner.tickets[started.ticket].identity
+        owner.quarantine.learned(0.0, [{**EMPTY, "call": call, "crashes": ["a/1"]}])
+        owner.finished(0.1, started.ticket, Whole(status, [], b""))
+        assert owner.quarantine.is_suspect(call) is (status == 504)
--- a/tests/unit/membership/test_neighbours.py
+++ b/tests/unit/membership/test_neighbours.py
@@ -154,6 +154,7 @@
     row = {
         "name": moved.name,
         "incarnation": "l1",
+        "telling": 1,
         "frames": moved.frames,
         "data_centre": moved.data_centre,
         "service": "new",
--- a/tests/unit/membership/test_registry.py
+++ b/tests/unit/membership/test_registry.py
@@ -30,10 +30,17 @@
     return found
 
 
-def member(name: str, frames: str, upstream: Announced | None = None, life: str = "l1") -> Member:
+def member(
+    name: str,
+    frames: str,
+    upstream: Announced | None = None,
+    life: str = "l1",
+    telling: int = 1,
+) -> Member:
     return {
         "name": name,
         "incarnation": life,
+        "telling": telling,
         "frames": frames,
         "data_centre": "one",
         "version": 1,
@@ -130,3 +137,19 @@
     registry.told(0.1, member("c", "b:1"))
     assert registry.stored(0.2, records) == []
     assert list(registry.peers) == ["c"]
+
+
+def test_a_word_that_comes_late_on_another_connection_changes_nothing() -> None:
+    """A daemon tells that it has no upstream yet, then its upstream; the first word comes last.
+
+    Two connections join two daemons, and nothing orders what both bring. The peer was then left out
+    until its upstream changed again.
+    """
+    registry = Registry("me", "one")
+    registry.told(0.0, member("b", "b:1", announced(), telling=2))
+    late = member("b", "b:1", announced(instance="", state="gone"), telling=1)
+    late["ended"] = ["i-0"]
+    assert registry.told(0.1, late) == []
+    peer = registry.peers["b"]
+    assert peer.upstream == announced()
+    assert peer.ended == ["i-0"]
