Tell lives of an upstream by id and start, and pass over what others write

Shown first by tests on the class that keeps an upstream's words: after sequence 57, sequence 1 under the same id changed nothing; after an acknowledged leaving, the same id stayed leaving for good. Nothing read the start.

A life is an id and its start, decoded once in the adapter. A newer one ends the older; late words of an older one change nothing; a leaving binds its life and those before it under that id. Weighed: an end that names the id alone is of the life that is known, but within 5 s of a restart under the id it is answered 409, since it may be late; a start that lies behind the known one is heard once that has been silent for 5 s; a word without a start is of the life that is known.

Found by a test beside it: 0.8 s after a leaving every call for the next life at that address was refused for good.

Heartbeats with a field missing, of another type or beyond bounds, a name that is no header value, a service that no configuration names, and records of the store that name no daemon or no address are passed over, counted (upstream passed_over, store passed_over), and logged at most every 10 s. An address that is none (no port) in the store ended the task of its connection before. Property tests change good documents in one place.

--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -89,7 +89,9 @@
         self._make_traffic()
         self.store = self.adapter.store()
         self.registry = Registry(self.name, self.data_centre)
-        self.upstream = UpstreamTask(self.owner_task, self._on_upstream, cfg["upstream"]["service"])
+        self.upstream = UpstreamTask(
+            self.owner_task, self._on_upstream, cfg["upstream"]["service"], self._is_service
+        )
         self.peers = PeersTask(
             self.registry,
             self.links,
@@ -173,6 +175,8 @@
         return {
             **traffic_counters(self.ingress_task, self.owner_task, self.shared),
             "configuration": counters_of(self.versions.count),
+            "upstream": counters_of(self.upstream.count),
+            "store": {"passed_over": self.store.passed_over},
         }
 
     def gauges(self) -> dict[str, float]:
@@ -262,6 +266,11 @@
     def _is_ready(self) -> bool:
         return self.versions.fleet is not None and not self.stopping.begun
 
+    def _is_service(self, name: str) -> bool:
+        """Return whether the configuration names a service; without one, any may be."""
+        fleet = self.versions.fleet
+        return fleet is None or name in fleet["services"]
+
     def describe(self) -> Member:
         """Return what peers are told of this daemon."""
         self._tellings += 1
@@ -273,7 +282,7 @@
             "data_centre": self.data_centre,
             "version": self.versions.version.number,
             "upstream": self.upstream.described(),
-            "ended": list(self.upstream.known.ended),
+            "ended": self.upstream.known.ended.rows(),
         }
 
     def _on_adopt(self, version: Version, fleet: Fleet) -> None:
--- a/foldhoist/daemon/peer_messages.py
+++ b/foldhoist/daemon/peer_messages.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from foldhoist.membership.lives import from_rows
+
 if TYPE_CHECKING:
     from foldhoist.daemon.mesh import MeshDaemon
     from foldhoist.schema.messages import Crashes, Member, Suspect
@@ -27,9 +29,9 @@
                 if ended is not None:
                     daemon.links.send(name, "Remembered", {"ended": ended})
             case "Remembered":
-                daemon.upstream.remember(body["ended"])
+                daemon.upstream.remember(from_rows(body["ended"]))
             case "Noted":
-                daemon.upstream.peer_answered(name, body["ended"])
+                daemon.upstream.peer_answered(name, from_rows(body["ended"]))
             case "Versioned":
                 daemon.versions.on_versioned(name, body)
             case "Fresh":
@@ -46,7 +48,7 @@
             case "Member":
                 self._member(link, body)
             case "Remembered":
-                daemon.upstream.remember(body["ended"])
+                daemon.upstream.remember(from_rows(body["ended"]))
             case "Versioned":
                 daemon.versions.on_versioned(daemon.owner.peer_name(link), body)
             case "Crashes":
--- a/foldhoist/daemon/peers_task.py
+++ b/foldhoist/daemon/peers_task.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from foldhoist.membership.lives import from_rows
 from foldhoist.membership.registry import (
     Changed,
     Connect,
@@ -23,6 +24,7 @@
 
     from foldhoist.daemon.links import Links
     from foldhoist.daemon.ports import Store
+    from foldhoist.membership.lives import Life
     from foldhoist.membership.registry import Action, Registry
     from foldhoist.quarantine.table import Quarantine
     from foldhoist.schema.messages import Member, Roster, Row
@@ -55,7 +57,7 @@
         describe: Callable[[], Member],
         on_change: Callable[[list[str]], None],
         on_rewired: Callable[[], None],
-        on_own: Callable[[tuple[str, ...], set[str]], None],
+        on_own: Callable[[tuple[Life, ...], set[str]], None],
         is_busy: Callable[[str], bool],
         send_back: Callable[[str, str, Any], None],
         quarantine: Quarantine,
@@ -83,11 +85,13 @@
         self._telling: asyncio.TimerHandle | None = None
         self._left_to_ask = ASKED
         self._record: Registration | None = None
+        self._may_write = False
         self._change = 0
         self._told: dict[str, int] = {}
 
     def start(self, first: bool) -> None:
         """Register and read the list; `first` says that no life of this daemon was before."""
+        self._may_write = first
         create = self._loop.create_task
         self._tasks = [create(self._join(first)), create(self._look()), create(self._expire())]
 
@@ -212,8 +216,11 @@
     async def store_ended(self) -> bool:
         """Write what has to outlast this life to the store; returns whether that was done.
 
-        These are the ended lives of the upstream, and the calls under which it ended.
+        These are the ended lives of the upstream, and the calls under which it ended. The record of
+        an earlier life is read before it is replaced: else a leaving that it keeps is forgotten.
         """
+        if not self._may_write:
+            return False
         async with self._stored:
             answer = await self._store.register(self._registration())
         return bool(answer.is_ok())
@@ -265,6 +272,7 @@
             return False
         own = [record for record in answer.ok if record.name == self.registry.name]
         self._record = own[0] if own else None
+        self._may_write = True
         self._take_held(answer.ok)
         self.carry_out(self.registry.stored(self._loop.time(), answer.ok))
         self._rewire()
@@ -291,7 +299,7 @@
             member["incarnation"],
             member["frames"],
             member["data_centre"],
-            tuple(member["ended"]),
+            tuple(from_rows(member["ended"])),
             member["upstream"]["service"],
             tuple(held_call(row, wall_ms) for row in held),
         )
--- a/foldhoist/daemon/ports.py
+++ b/foldhoist/daemon/ports.py
@@ -47,8 +47,11 @@
     async def register(self, registration: Registration) -> Result[None, StoreFault]:
         """Write where this daemon listens; the newest record of a name counts."""
 
+    passed_over: int
+    """Records that name no daemon, read until now."""
+
     async def registrations(self) -> Result[list[Registration], StoreFault]:
-        """Return where all daemons listen."""
+        """Return where all daemons listen; a record that names no daemon is passed over."""
 
     def close(self) -> None:
         """Close every connection."""
@@ -57,11 +60,17 @@
 class Announcements(Protocol):
     """What endpoints hand on; an answer may be given when the call returns."""
 
-    async def heard(self, announced: Announced) -> None:
-        """Take in what the upstream says of itself."""
+    async def heard(self, announced: Announced) -> bool:
+        """Take in what the upstream says of itself; returns whether that names an upstream."""
+
+    async def left(self, instance: str, born_ms: int) -> bool:
+        """Take in that a life of the upstream is over; returns whether that is acknowledged.
+
+        `born_ms` is its start, milliseconds of wall clock, 0 if it names its id alone.
+        """
 
-    async def left(self, instance: str) -> None:
-        """Take in that a life of the upstream is over."""
+    def passed_over(self, fault: str) -> None:
+        """Count a word that names no upstream, and log it if there are not too many."""
 
 
 class Endpoints(Protocol):
--- a/foldhoist/daemon/upstream_task.py
+++ b/foldhoist/daemon/upstream_task.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
 
 from loguru import logger
 
+from foldhoist.admission.bucket import TokenBucket
+from foldhoist.membership.lives import Life, life_of
 from foldhoist.membership.settling import Settling
 from foldhoist.membership.upstream import Heard, OwnUpstream
 
@@ -32,23 +36,51 @@
 """First pause after the store did not note a leaving, seconds; it doubles each time."""
 WRITE_LONGEST_S = 3.0
 """Longest such pause, seconds."""
+PASSED_OVER_PER_S = 0.1
+"""Log lines a second of words that are passed over: who writes them does so every few seconds."""
+PASSED_OVER_AT_ONCE = 5.0
+"""Such lines that may be written at once."""
+LONGEST_FAULT = 300
+"""Longest part of a fault that is logged, characters."""
+
+
+@dataclass(slots=True)
+class Counters:
+    """What was said of the upstream since this daemon started."""
+
+    heard: int = 0
+    passed_over: int = 0
+
+
+class _Binding(NamedTuple):
+    """A leaving that is being noted elsewhere, of a life with this start."""
+
+    born_ms: int
+    done: asyncio.Event
 
 
 class UpstreamTask:
     """Owns what is known of the upstream beside this daemon."""
 
     def __init__(
-        self, owner_task: OwnerTask, on_change: Callable[[bool], None], service: str
+        self,
+        owner_task: OwnerTask,
+        on_change: Callable[[bool], None],
+        service: str,
+        is_service: Callable[[str], bool] = lambda service: True,
     ) -> None:
+        self.count = Counters()
         self.known = OwnUpstream()
+        self._is_service = is_service
         self._owner_task = owner_task
         self._on_change = on_change
         self._service = service
         self._settling = Settling(first=False)
         self._settled = False
         self._began = 0.0
-        self._noted: dict[str, asyncio.Event] = {}
+        self._noted: dict[str, _Binding] = {}
         self._loop = asyncio.get_running_loop()
+        self._lines = TokenBucket(PASSED_OVER_PER_S, PASSED_OVER_AT_ONCE, self._loop.time())
         self._stores: set[asyncio.Task[None]] = set()
 
     def start(self, peers: PeersTask, first: bool) -> None:
@@ -75,17 +107,25 @@
             "slots": 0,
             "state": "gone",
             "sequence": 0,
+            "born_ms": 0,
             "cold_ms": 0,
         }
 
-    async def heard(self, announced: Announced) -> None:
-        """Take in an announcement; returns when a leaving may be acknowledged."""
+    async def heard(self, announced: Announced) -> bool:
+        """Take in an announcement; returns when a leaving may be acknowledged.
+
+        Returns False if it names no upstream: no configuration knows the service. Who leaves is
+        heard all the same.
+        """
+        if announced["state"] == "ready" and not self._is_service(announced["service"]):
+            return False
+        self.count.heard += 1
         before = self.known.current
-        heard = self.known.heard(announced)
+        heard = self.known.heard(announced, self._loop.time())
         if heard is not Heard.NOTHING:
             logger.info(
                 "upstream {} of {}: {}, sequence {}",
-                announced["instance"],
+                _told(life_of(announced)),
                 announced["service"],
                 announced["state"],
                 announced["sequence"],
@@ -94,45 +134,61 @@
         elif self.known.current is announced:
             self._owner_task.heard_again()
         if heard is Heard.LEAVING:
-            await self._bind(announced["instance"])
+            await self._bind(life_of(announced))
         elif announced["state"] != "ready":
             await self._until_noted(announced["instance"])
+        return True
+
+    def passed_over(self, fault: str) -> None:
+        """Count a word that names no upstream, and log it if there are not too many."""
+        self.count.passed_over += 1
+        if self._lines.take(self._loop.time()):
+            logger.warning("a word on the upstream is passed over: {}", fault[:LONGEST_FAULT])
 
-    async def left(self, instance: str) -> None:
-        """Take in that a life of the upstream is over; returns when that may be acknowledged."""
+    async def left(self, instance: str, born_ms: int) -> bool:
+        """Take in that a life of the upstream is over; returns when that may be acknowledged.
+
+        Returns False if it is not acknowledged: it may be a late word of the life before.
+        """
         before = self.known.current
-        if self.known.left(instance) is Heard.NOTHING:
-            await self._until_noted(instance)
-            return
+        wall_ms = int(time.time() * 1000)
+        match self.known.left(instance, self._loop.time(), wall_ms, born_ms):
+            case Heard.UNSURE:
+                logger.info("upstream {} is said to be gone, perhaps its life before", instance)
+                return False
+            case Heard.NOTHING:
+                await self._until_noted(instance)
+                return True
         logger.info("upstream {} is gone, by its own word", instance)
         self._changed(before)
-        await self._bind(instance)
+        await self._bind(Life(instance, born_ms))
+        return True
 
-    def peer_answered(self, name: str, noted: Iterable[str]) -> None:
+    def peer_answered(self, name: str, noted: Iterable[Life]) -> None:
         """Take in that a peer has read what this daemon is; it has noted these lives as ended."""
-        for instance in noted:
-            event = self._noted.get(instance)
-            if event is not None:
-                event.set()
+        for life in noted:
+            binding = self._noted.get(life.instance)
+            if binding is not None and binding.born_ms <= life.born_ms:
+                binding.done.set()
         self._settling.peer_answered(name)
         self._settle()
 
-    def store_answered(self, ended: Iterable[str], peers: AbstractSet[str]) -> None:
+    def store_answered(self, ended: Iterable[Life], peers: AbstractSet[str]) -> None:
         """Take in what the store knows of this daemon's earlier lives, and which peers it names."""
         self._settling.store_answered(peers)
         self._loop.call_later(PEERS_S, self._waited)
         self._take_ended(ended)
 
-    def remember(self, ended: Iterable[str]) -> None:
+    def remember(self, ended: Iterable[Life]) -> None:
         """Take in what a peer knows of this daemon's earlier lives."""
         self._settling.peer_remembered()
         self._take_ended(ended)
 
     # Steps
 
-    def _take_ended(self, ended: Iterable[str]) -> None:
+    def _take_ended(self, ended: Iterable[Life]) -> None:
         before = self.known.current
-        if self.known.remember(list(ended)):
+        if self.known.remember(ended):
             logger.info("upstream was leaving before this daemon started")
             self._changed(before)
         self._settle()
@@ -160,27 +216,29 @@
         if current is None or not self._settled:
             return
         self._owner_task.announce(current)
-        replaced = before is None or before["instance"] != current["instance"]
+        replaced = before is None or not life_of(before).is_same(life_of(current))
         self._on_change(replaced)
 
-    async def _bind(self, instance: str) -> None:
+    async def _bind(self, life: Life) -> None:
         """Wait until a peer or the store has noted the leaving, so that it outlasts this life."""
-        event = self._noted.setdefault(instance, asyncio.Event())
-        task = self._loop.create_task(self._store(event))
+        binding = _Binding(life.born_ms, asyncio.Event())
+        self._noted[life.instance] = binding
+        task = self._loop.create_task(self._store(binding.done))
         self._stores.add(task)
         task.add_done_callback(self._stores.discard)
-        if not await self._until_noted(instance):
-            logger.warning("no peer and no store noted that {} leaves", instance)
-        self._noted.pop(instance, None)
+        if not await self._until_noted(life.instance):
+            logger.warning("no peer and no store noted that {} leaves", life.instance)
+        if self._noted.get(life.instance) is binding:
+            del self._noted[life.instance]
 
     async def _until_noted(self, instance: str) -> bool:
         """Wait while a leaving is being noted; returns whether that was done in time."""
-        event = self._noted.get(instance)
-        if event is None:
+        binding = self._noted.get(instance)
+        if binding is None:
             return True
         try:
             async with asyncio.timeout(BIND_S):
-                await event.wait()
+                await binding.done.wait()
         except TimeoutError:
             return False
         return True
@@ -192,3 +250,8 @@
             await asyncio.sleep(pause)
             pause = min(WRITE_LONGEST_S, pause * 2)
         event.set()
+
+
+def _told(life: Life) -> str:
+    """Return what the log calls a life."""
+    return f"{life.instance} (started {life.born_ms})" if life.born_ms else life.instance
--- a/foldhoist/delivery/standing.py
+++ b/foldhoist/delivery/standing.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from foldhoist.membership.lives import life_of
 from foldhoist.routing.sampling import is_change
 
 if TYPE_CHECKING:
@@ -55,7 +56,10 @@
 
     @property
     def instance(self) -> str:
-        """Return the name of its life, empty if it has none."""
+        """Return the name by which the upstream is called, empty if it has none.
+
+        Another life may have the same; only what it announces tells them apart.
+        """
         return self.upstream["instance"] if self.upstream is not None else ""
 
     def set_state(self, state: str) -> bool:
@@ -71,12 +75,14 @@
         """Take in what it says of itself; returns whether it runs another service than before."""
         before = self.upstream
         self.upstream = upstream
-        if before is None or before["instance"] != upstream["instance"]:
+        if before is None or not life_of(before).is_same(life_of(upstream)):
             self.state = "warm"
             self.pace = 0
             self.errors = 0.0
             self.leaving_why.pop("upstream", None)
             self.leaving_why.pop(REPLACED, None)
+            # The leaving of the life before binds that life alone.
+            self.stop_at = float("inf")
         if upstream["state"] != "ready":
             self.stop_at = min(self.stop_at, now + LEAVING_QUEUE_S)
         return before is not None and before["service"] != upstream["service"]
--- a/foldhoist/membership/registry.py
+++ b/foldhoist/membership/registry.py
@@ -9,13 +9,14 @@
 
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
+from foldhoist.membership.lives import EndedLives, Life, from_rows, life_of
 from foldhoist.membership.neighbours import Neighbours
 from foldhoist.routing.picker import Member as Tracked
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from foldhoist.schema.messages import Announced, Member, Row, Suspect
+    from foldhoist.schema.messages import Announced, EndedLife, Member, Row, Suspect
 
 SILENT_S = 60.0
 """A peer that could not be reached for this long is forgotten, seconds."""
@@ -44,7 +45,7 @@
     incarnation: str
     frames: str
     data_centre: str
-    ended: tuple[str, ...] = ()
+    ended: tuple[Life, ...] = ()
     service: str = ""
     held: tuple[HeldCall, ...] = ()
 
@@ -114,7 +115,7 @@
         self.data_centre = known.data_centre
         self.service = known.service
         self.hearsay = hearsay
-        self.ended: list[str] = list(known.ended)
+        self.ended = EndedLives(known.ended)
         self.upstream: Announced | None = None
         self.earlier = False
         self.telling = 0
@@ -182,9 +183,8 @@
             peer = self.peers[name]
         if peer.incarnation != known.incarnation and not peer.hearsay:
             peer.earlier = True
-        for instance in member["ended"]:
-            if instance not in peer.ended:
-                peer.ended.append(instance)
+        for life in from_rows(member["ended"]):
+            peer.ended.add(life)
         peer.heard_at = now
         if peer.incarnation == known.incarnation and member["telling"] < peer.telling:
             # Two connections join two daemons; what one brings late is older than what is known.
@@ -235,13 +235,13 @@
                 actions += [Disconnect(name), Changed(name)]
         return actions
 
-    def remembered(self, name: str) -> list[str] | None:
+    def remembered(self, name: str) -> list[EndedLife] | None:
         """Return the ended lives of a peer's upstreams for its present life.
 
         None if no earlier life of it was known here.
         """
         peer = self.peers.get(name)
-        return list(peer.ended) if peer is not None and peer.earlier else None
+        return peer.ended.rows() if peer is not None and peer.earlier else None
 
     def rows(self) -> list[Row]:
         """Return what is known of every peer, to be passed on."""
@@ -307,7 +307,7 @@
             actions += [Disconnect(holder), Changed(holder)]
         before = self.peers.get(peer.name)
         if before is not None:
-            peer.ended = [*before.ended, *(e for e in peer.ended if e not in before.ended)]
+            peer.ended = EndedLives((*before.ended.lives(), *peer.ended.lives()))
             is_other_life = before.incarnation != peer.incarnation and not before.hearsay
             peer.earlier = before.earlier or is_other_life
             peer.service = peer.service or before.service
@@ -336,11 +336,11 @@
         self.neighbours.add(peer.name, peer.data_centre, service)
 
 
-def _identity(upstream: Announced | None) -> tuple[str, str, int, bool] | None:
+def _identity(upstream: Announced | None) -> tuple[Life, str, int, bool] | None:
     if upstream is None:
         return None
     gone = upstream["state"] != "ready"
-    return upstream["instance"], upstream["service"], upstream["slots"], gone
+    return life_of(upstream), upstream["service"], upstream["slots"], gone
 
 
 def _stands(upstream: Announced) -> bool:
--- a/foldhoist/membership/upstream.py
+++ b/foldhoist/membership/upstream.py
@@ -2,6 +2,7 @@
 
 Announcements may come late and out of order, also from a life of the upstream that has ended.
 A leaving that was acknowledged binds: that life gets no more calls, whatever it says later.
+`now` is in seconds, monotonic.
 """
 
 from __future__ import annotations
@@ -9,13 +10,25 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from foldhoist.membership.lives import ENDED_KEPT, EndedLives, Life, life_of
+
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from foldhoist.schema.messages import Announced
 
-ENDED_KEPT = 16
-"""Lives of upstreams that are remembered as ended."""
 RETURNS = 2
 """Announcements by which a life that another one had replaced shows that it is there."""
+SILENT_S = 5.0
+"""A life that started before the one known is heard once that has been silent so long, seconds.
+
+Its host's clock was set back. Upstreams announce themselves about every 1.5 s where it is known.
+"""
+LATE_S = 5.0
+"""A word of the life before may come this long after another one has begun, seconds.
+
+Words were seen to come some seconds late, and an upstream takes seconds to start again.
+"""
 
 
 class Heard(Enum):
@@ -24,75 +37,113 @@
     NOTHING = "nothing"
     STATE = "state"
     LEAVING = "leaving"
+    UNSURE = "unsure"
+    """Nothing, since it may be of the life before; to be said again."""
 
 
 class OwnUpstream:
     """The upstream beside this daemon, and the lives of it that have ended."""
 
-    def __init__(self) -> None:
+    def __init__(self, ended: Iterable[Life] = ()) -> None:
         self.current: Announced | None = None
-        self.ended: list[str] = []
-        self._replaced: dict[str, int] = {}
+        self.ended = EndedLives(ended)
+        self._replaced: dict[Life, int] = {}
+        self._behind: dict[Life, int] = {}
+        self._heard_at = 0.0
+        self._again_at = float("-inf")
 
-    def heard(self, announced: Announced) -> Heard:
+    def heard(self, announced: Announced, now: float = 0.0) -> Heard:
         """Take in an announcement; a late one changes nothing."""
-        instance = announced["instance"]
+        life = life_of(announced)
         current = self.current
-        if instance in self.ended:
+        known = life_of(current) if current is not None else None
+        if life in self.ended:
             return Heard.NOTHING
-        if current is not None and instance == current["instance"]:
+        if current is not None and known is not None and life.is_same(known):
             if announced["sequence"] <= current["sequence"]:
                 return Heard.NOTHING
-        elif not self._may_replace(announced):
+            life = max(life, known)
+            if life.born_ms != announced["born_ms"]:
+                announced = {**announced, "born_ms": life.born_ms}
+        elif not self._may_replace(life, known, now):
             return Heard.NOTHING
+        self._heard_at = now
         if announced["state"] != "ready":
-            self._end(instance)
-            if current is not None and current["instance"] != instance:
-                return Heard.LEAVING
-            self.current = announced
+            self.ended.add(life)
+            # A life that leaves before any other word of it was heard has ended the one known.
+            if known is None or life.is_same(known) or known.is_before(life):
+                self.current = announced
             return Heard.LEAVING
-        if current is not None and current["instance"] != instance:
-            self._replaced[current["instance"]] = 0
-        before, self.current = current, announced
-        return Heard.NOTHING if _alike(before, announced) else Heard.STATE
-
-    def left(self, instance: str) -> Heard:
-        """Take in that a life says that it is gone."""
-        if instance in self.ended:
+        if known is not None and not life.is_same(known):
+            self._replaced[known] = 0
+            _bound(self._replaced)
+            if life.instance == known.instance:
+                self._again_at = now
+        self.current = announced
+        return Heard.NOTHING if _alike(current, announced) else Heard.STATE
+
+    def left(self, instance: str, now: float, wall_ms: int, born_ms: int = 0) -> Heard:
+        """Take in that a life says that it is gone; `born_ms` is 0 if it names its id alone.
+
+        It then is the life that is known, or any that has started until `wall_ms`, the wall clock.
+        """
+        known = life_of(self.current) if self.current is not None else None
+        life = Life(instance, born_ms)
+        is_known = known is not None and life.is_same(known)
+        if not born_ms:
+            if is_known and now - self._again_at < LATE_S:
+                return Heard.UNSURE
+            if not is_known and life in self.ended:
+                return Heard.NOTHING
+            life = known if is_known and known is not None else Life(instance, wall_ms)
+        if not self.ended.add(life):
             return Heard.NOTHING
-        self._end(instance)
-        if self.current is not None and self.current["instance"] == instance:
+        if known is not None and life.is_before(known):
+            return Heard.NOTHING
+        if self.current is not None and known is not None and known in self.ended:
             self.current = {**self.current, "state": "gone"}
         return Heard.LEAVING
 
-    def remember(self, ended: list[str]) -> bool:
+    def remember(self, ended: Iterable[Life]) -> bool:
         """Take in lives that an earlier life of this daemon acknowledged; whether one was new."""
-        fresh = [instance for instance in ended if instance not in self.ended]
-        for instance in fresh:
-            self._end(instance)
+        fresh = [life for life in ended if self.ended.add(life)]
         current = self.current
-        if current is None or current["instance"] not in fresh:
+        if not fresh or current is None or life_of(current) not in self.ended:
+            return False
+        if current["state"] != "ready":
             return False
         self.current = {**current, "state": "leaving"}
         return True
 
-    def _may_replace(self, announced: Announced) -> bool:
-        instance = announced["instance"]
-        if instance not in self._replaced:
+    def _may_replace(self, life: Life, known: Life | None, now: float) -> bool:
+        if known is not None and life.is_before(known):
+            return self._is_known_silent(life, now)
+        if life not in self._replaced:
             return True
-        self._replaced[instance] += 1
-        if self._replaced[instance] < RETURNS:
+        self._replaced[life] += 1
+        if self._replaced[life] < RETURNS:
+            return False
+        del self._replaced[life]
+        return True
+
+    def _is_known_silent(self, life: Life, now: float) -> bool:
+        """Return whether a life that started first is there, and the one known is not."""
+        self._behind[life] = self._behind.get(life, 0) + 1
+        _bound(self._behind)
+        if self._behind[life] < RETURNS or now - self._heard_at < SILENT_S:
             return False
-        del self._replaced[instance]
+        self._behind.clear()
         return True
 
-    def _end(self, instance: str) -> None:
-        self.ended.append(instance)
-        del self.ended[:-ENDED_KEPT]
+
+def _bound(words: dict[Life, int]) -> None:
+    """Forget the life noted first where there are too many: others may write here, too."""
+    if len(words) > ENDED_KEPT:
+        del words[next(iter(words))]
 
 
 def _alike(before: Announced | None, after: Announced) -> bool:
-    if before is None or before["instance"] != after["instance"]:
+    if before is None or not life_of(before).is_same(life_of(after)):
         return False
     keys = ("service", "slots", "state")
     return all(before[key] == after[key] for key in keys)  # type: ignore[literal-required]
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -423,12 +423,28 @@
     """
     Rises with each announcement of one life, so that a late one is known.
     """
+    born_ms: int
+    """
+    When that life started, milliseconds of wall clock; 0 if it does not say.
+    """
     cold_ms: int
     """
     How much longer it is slow from its start, milliseconds.
     """
 
 
+class EndedLife(TypedDict):
+    """
+    Lives of an upstream that have ended: all of this name that started until then.
+    """
+
+    instance: str
+    born_ms: int
+    """
+    Start of the last of them, milliseconds of wall clock; 0 if it did not say.
+    """
+
+
 class Member(TypedDict):
     """
     What a daemon tells every peer of itself: once on each new connection, and when it changes.
@@ -453,7 +469,7 @@
     Version of the configuration that it holds; 0 for none.
     """
     upstream: Announced
-    ended: list[str]
+    ended: list[EndedLife]
     """
     Lives of its upstreams whose leaving it has acknowledged, oldest first.
     """
@@ -501,7 +517,7 @@
     To a daemon that has just started: what a peer knows of its earlier lives.
     """
 
-    ended: list[str]
+    ended: list[EndedLife]
     """
     Lives of upstreams whose leaving the daemon has acknowledged.
     """
@@ -520,7 +536,7 @@
     A peer has taken in a Member.
     """
 
-    ended: list[str]
+    ended: list[EndedLife]
     """
     The lives that it named as ended.
     """
--- /dev/null
+++ b/tests/adapter/test_others_write.py
@@ -0,0 +1,197 @@
+"""Targets that start again under their id, and what writers of other kinds send and store."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foldhoist.configlog.versions import Version
+from foldhoist_adapter.configuration import translate
+from foldhoist_adapter.endpoints import _BEATS, _announced
+from foldhoist_adapter.store import Item, _registration
+from tests.adapter.cluster import Cluster, call, played, two, until
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+BEAT: dict[str, Any] = {
+    "address": "127.0.0.1:80",
+    "born": 1_800_000_000_000,
+    "info": {"service": "shop", "version": "v1", "zone": "one", "slots": 4},
+    "status": {"state": "ready", "sequence": 3, "cold_remaining_s": 0.5},
+}
+RECORD = ["a", "l1", "127.0.0.1:80", "one", [["i-1", 5]], "shop", [["x", ["l/1", "k/1"], 7]]]
+CONFIGURATION: dict[str, Any] = {
+    "version": "0000000c",
+    "services": [{"name": "shop", "health_path": "/health"}],
+    "limits": {"max_body_bytes": 1000},
+    "virtual_hosts": [
+        {
+            "host": "shop.example",
+            "route_paths": [
+                {"path_prefix": "/a/", "route_type": "safe", "timeout_s": 1.5, "service": "shop"}
+            ],
+        }
+    ],
+}
+ODD = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.sampled_from([-1, 2**63, 2**70, -0.5, 1e308, float("nan"), float("inf"), "", "x" * 5000]),
+    st.text(max_size=5),
+    st.lists(st.integers(), max_size=2),
+    st.dictionaries(st.text(max_size=3), st.integers(), max_size=2),
+)
+"""What may stand in any place: other types, numbers beyond bounds, very long texts."""
+
+
+def places(value: Any, path: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
+    """Yield the way to each part of a document."""
+    yield path
+    match value:
+        case dict():
+            for key, each in value.items():
+                yield from places(each, (*path, key))
+        case list():
+            for at, each in enumerate(value):
+                yield from places(each, (*path, at))
+
+
+def changed(value: Any, path: tuple[Any, ...], odd: Any, drop: bool) -> Any:
+    """Return a document with another part in one place, or without it."""
+    if not path:
+        return odd
+    copy = dict(value) if isinstance(value, dict) else list(value)
+    if drop and len(path) == 1:
+        del copy[path[0]]
+        return copy
+    copy[path[0]] = changed(value[path[0]], path[1:], odd, drop)
+    return copy
+
+
+def odd_ones(document: Any) -> st.SearchStrategy[bytes]:
+    """Return good documents that were changed in one place, and bytes that cannot be read."""
+    texts = st.builds(
+        lambda path, odd, drop: json.dumps(changed(document, path, odd, drop)).encode(),
+        st.sampled_from(list(places(document))),
+        ODD,
+        st.booleans(),
+    )
+    return st.one_of(texts, st.binary(max_size=40))
+
+
+def is_whole(value: Any) -> bool:
+    return isinstance(value, int) and 0 <= value <= 2**53
+
+
+@given(odd_ones(BEAT))
+def test_a_heartbeat_is_taken_whole_or_refused(body: bytes) -> None:
+    try:
+        announced = _announced("i-1", _BEATS.decode(body))
+    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError):
+        return
+    assert announced["state"] in ("ready", "leaving")
+    assert 0 < len(announced["service"]) <= 200
+    assert 0 < announced["slots"] <= 100_000
+    for field in ("sequence", "born_ms", "cold_ms"):
+        assert is_whole(announced[field])  # type: ignore[literal-required]
+
+
+@given(odd_ones(RECORD))
+def test_a_record_names_a_daemon_or_none(value: bytes) -> None:
+    found = _registration(Item(key="a", value=value))
+    if found is None:
+        return
+    assert found.name == "a"
+    assert 0 < int(found.frames.rpartition(":")[2]) < 65536
+
+
+@given(odd_ones(CONFIGURATION))
+def test_a_configuration_is_taken_whole_or_refused(content: bytes) -> None:
+    translate(Version(1, content))
+
+
+@pytest.mark.parametrize("name", ["i-1%0d%0aX-Evil:%201", "i%201", "i" * 201, "%ff"])
+@pytest.mark.parametrize("method", ["PUT", "DELETE"])
+def test_a_name_that_is_none_is_refused(name: str, method: str) -> None:
+    @played
+    async def test(cluster: Cluster) -> None:
+        await cluster.add("a")
+        daemon = cluster.daemons["a"]
+        path = f"/foldhoist/instances/{name}"
+        body = json.dumps(BEAT).encode() if method == "PUT" else b""
+        answer = await call(daemon.addresses["control"], method, path, body=body)
+        assert answer.status == 400
+        assert daemon.upstream.known.current is not None
+        assert daemon.upstream.known.current["instance"] == "i-a"
+
+    test()
+
+
+@played
+async def test_what_others_send_leaves_the_upstream_in_its_place(cluster: Cluster) -> None:
+    await two(cluster)
+    daemon = cluster.daemons["a"]
+    faults = (
+        {"info": {"service": "shop", "slots": "many"}, "status": BEAT["status"]},
+        {**BEAT, "born": "yesterday"},
+        {**BEAT, "status": {**BEAT["status"], "state": "resting"}},
+        {**BEAT, "info": {**BEAT["info"], "service": "bakery"}},
+    )
+    names = ("info.slots", "born", "status.state", "info.service")
+    for fault, name in zip(faults, names, strict=True):
+        body = json.dumps(fault).encode()
+        address = daemon.addresses["control"]
+        answer = await call(address, "PUT", "/foldhoist/instances/i-other", body=body)
+        assert answer.status == 400
+        assert name in answer.body.decode()
+    assert daemon.upstream.count.passed_over == len(faults)
+    assert (await cluster.ask("a")).status == 200
+
+
+@played
+async def test_records_of_others_name_no_daemon(cluster: Cluster) -> None:
+    await two(cluster)
+    for key, value in (
+        ("z", b"\xff\xfe"),
+        ("y", b'["x","l","x:1","one"]'),
+        ("w", b'["w","l","?"]'),
+    ):
+        await cluster.log.put("keyed.daemons", key, value)
+    await cluster.daemons["a"].stop()
+    daemon = await cluster.start_daemon("a")
+    await until(lambda: daemon.store.passed_over == 3)
+    assert set(daemon.registry.peers) == {"b"}
+
+
+@played
+async def test_a_target_that_starts_again_under_its_id_serves_again(cluster: Cluster) -> None:
+    await two(cluster)
+    for born, state in ((1000, "ready"), (1000, "draining")):
+        await beat(cluster, born, state, sequence=50 + (state == "draining"))
+    await until(lambda: state_at_b(cluster) == "leaving")
+    await beat(cluster, 9000, "ready", sequence=1)
+    await until(lambda: state_at_b(cluster) == "ready")
+    cluster.targets["b"].full = True
+    assert (await cluster.ask("b")).status == 200
+    assert cluster.targets["a"].ran
+
+
+def state_at_b(cluster: Cluster) -> str:
+    """Return what daemon b has heard of the upstream beside a."""
+    upstream = cluster.daemons["b"].registry.peers["a"].upstream
+    return upstream["state"] if upstream is not None else ""
+
+
+async def beat(cluster: Cluster, born: int, state: str, sequence: int) -> None:
+    """Send a heartbeat of target a, with its start."""
+    status = {"state": state, "sequence": sequence, "cold_remaining_s": 0}
+    body = {"info": {"service": "shop", "slots": 4}, "status": status, "born": born}
+    address = cluster.daemons["a"].addresses["control"]
+    content = json.dumps(body).encode()
+    assert (await call(address, "PUT", "/foldhoist/instances/i-a", body=content)).status == 200
--- a/tests/model/checking.py
+++ b/tests/model/checking.py
@@ -48,12 +48,12 @@
     return all(each["holds"] is True for each in found)
 
 
-def violated(model: Protocol) -> list[str]:
+def violated(model: Protocol, most_states: int = MUTANT_STATES) -> list[str]:
     """Return the labels of the shortest way to a violation, or nothing.
 
     A violation that is found in a search cut short is a violation all the same.
     """
-    for found in explore(model, MUTANT_STATES)["properties"].values():
+    for found in explore(model, most_states)["properties"].values():
         if found["holds"] is False:
             return [str(step.get("label", step)) for step in found["counterexample"]]
     return []
--- a/tests/model/leaving_spec.py
+++ b/tests/model/leaving_spec.py
@@ -13,6 +13,7 @@
 
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from foldhoist.membership.lives import EndedLives, Life, from_rows
 from foldhoist.membership.registry import Peer, Registration, Registry
 from foldhoist.membership.settling import Settling
 from foldhoist.membership.upstream import Heard, OwnUpstream
@@ -21,16 +22,25 @@
 if TYPE_CHECKING:
     from minicheck import Protocol
 
-LIFE = "i-1"
-"""The life of the upstream that leaves."""
+NAME = "i-1"
+"""The name of both lives of the upstream."""
 MOST_BEATS = 3
 """Announcements of the upstream in a run."""
-MOST_LIVES = 3
-"""Lives of the daemon in a run."""
-MOST_CUTS = 1
-"""Times that the peer is cut off."""
-MOST_OUTAGES = 1
-"""Times that the store goes away."""
+
+
+class Bounds(NamedTuple):
+    """How much may happen in a run."""
+
+    upstream_lives: int = 1
+    daemon_lives: int = 3
+    cuts: int = 1
+    outages: int = 1
+
+
+ONE_LIFE = Bounds()
+"""One life of the upstream, all that surrounds it at its worst."""
+TWO_LIVES = Bounds(upstream_lives=2, daemon_lives=2, outages=0)
+"""The upstream starts again under its name; the daemon and its peer fail once."""
 
 
 class Rules(NamedTuple):
@@ -41,36 +51,42 @@
     ask_before_serving: bool = True
     hear_store_and_peer: bool = True
     keep_ended: bool = True
+    tell_start: bool = True
+    read_before_write: bool = True
 
 
 class World(NamedTuple):
-    """All there is; `beats` are announcements on their way: state and sequence.
+    """All there is; `beats` are announcements on their way: state, sequence and start.
 
     `current`, `ended`: the daemon's knowledge. `store` and `peer` hold the ended lives noted there,
-    None before the daemon was known. `binding`: a leaving waits for its acknowledgement.
+    None before the daemon was known. A life is told by its start, 1 or 2: both have one name.
+    `binding`: the life whose leaving waits for its acknowledgement, 0 for none; `left`: the last
+    that has said that it leaves; `acked`: the last that this was acknowledged to.
     """
 
     says: str = "ready"
     sequence: int = 0
-    beats: tuple[tuple[str, int], ...] = ()
+    born: int = 1
+    left: int = 0
+    beats: tuple[tuple[str, int, int], ...] = ()
     life: int = 1
     up: bool = True
-    current: tuple[str, int] | None = None
-    ended: tuple[str, ...] = ()
+    current: tuple[str, int, int] | None = None
+    ended: tuple[int, ...] = ()
     settled: bool = True
     asked_store: bool = True
     asked_peer: bool = True
-    binding: bool = False
+    binding: int = 0
     noted: bool = False
     wrote: bool = False
-    store: tuple[str, ...] | None = ()
+    store: tuple[int, ...] | None = ()
     store_up: bool = True
     outages: int = 0
-    peer: tuple[str, ...] | None = ()
+    peer: tuple[int, ...] | None = ()
     peer_life: int = 1
     linked: bool = True
     cuts: int = 0
-    acked: bool = False
+    acked: int = 0
     served_after: bool = False
 
 
@@ -79,30 +95,39 @@
 
 def own_of(world: World) -> OwnUpstream:
     """Return the daemon's real knowledge of its upstream."""
-    own = OwnUpstream()
-    own.ended = list(world.ended)
+    own = OwnUpstream(lives_of(world.ended))
     if world.current is not None:
-        state, sequence = world.current
-        own.current = announced(state, sequence)
+        own.current = announced(*world.current)
     return own
 
 
+def lives_of(starts: tuple[int, ...]) -> list[Life]:
+    """Return ended lives by their starts."""
+    return [Life(NAME, start) for start in starts]
+
+
+def starts_of(lives: EndedLives) -> tuple[int, ...]:
+    """Return the starts of ended lives."""
+    return tuple(life.born_ms for life in lives.lives())
+
+
 def with_own(world: World, own: OwnUpstream) -> World:
     """Return the world with what the daemon knows now."""
     current = None
     if own.current is not None:
-        current = (own.current["state"], own.current["sequence"])
-    return world._replace(current=current, ended=tuple(own.ended))
+        current = (own.current["state"], own.current["sequence"], own.current["born_ms"])
+    return world._replace(current=current, ended=starts_of(own.ended))
 
 
-def announced(state: str, sequence: int) -> Any:
+def announced(state: str, sequence: int, born: int) -> Any:
     """Return what the upstream announces."""
     return {
-        "instance": LIFE,
+        "instance": NAME,
         "service": "s",
         "slots": 1,
         "state": state,
         "sequence": sequence,
+        "born_ms": born,
         "cold_ms": 0,
     }
 
@@ -111,7 +136,8 @@
     """Return the peer's real list, with the daemon as it is known there."""
     registry = Registry("p", "one")
     if world.peer is not None:
-        known = Registration("d", str(world.peer_life), "1.2.3.4:5", "one", world.peer)
+        ended = tuple(lives_of(world.peer))
+        known = Registration("d", str(world.peer_life), "1.2.3.4:5", "one", ended)
         registry.add(Peer(known, 0.0))
     return registry
 
@@ -125,16 +151,17 @@
         "frames": "1.2.3.4:5",
         "data_centre": "one",
         "version": 0,
-        "upstream": announced("ready", 0),
-        "ended": list(world.ended),
+        "upstream": announced("ready", 0, 0),
+        "ended": EndedLives(lives_of(world.ended)).rows(),
     }
 
 
 class Spec:
     """The transitions under some rules."""
 
-    def __init__(self, rules: Rules) -> None:
+    def __init__(self, rules: Rules, bounds: Bounds) -> None:
         self.rules = rules
+        self.bounds = bounds
 
     def transitions(self, flat: tuple[Any, ...]) -> list[tuple[str, tuple[Any, ...]]]:
         """Return every step that may come next."""
@@ -147,27 +174,33 @@
     def of_upstream(self, world: World) -> list[Step]:
         """The upstream announces itself; it goes on with its old word for a while or not."""
         steps: list[Step] = []
-        if world.sequence < MOST_BEATS:
+        if world.sequence < MOST_BEATS - (world.born - 1):
             for state in {world.says, "leaving"}:
                 sequence = world.sequence + 1
-                beats = (*world.beats, (state, sequence))
+                start = world.born if self.rules.tell_start else 0
+                beats = (*world.beats, (state, sequence, start))
                 after = world._replace(says=state, sequence=sequence, beats=beats)
-                steps.append((f"upstream says {state} ({sequence})", after))
+                if state == "leaving":
+                    after = after._replace(left=world.born)
+                steps.append((f"upstream says {state} ({sequence}, life {world.born})", after))
+        if world.born < self.bounds.upstream_lives and world.sequence:
+            after = world._replace(born=world.born + 1, says="ready", sequence=0)
+            steps.append(("upstream starts again under its name", after))
         return steps
 
     def of_surroundings(self, world: World) -> list[Step]:
         """The daemon dies and comes back; the store and the peer go and come back."""
         steps: list[Step] = []
-        if world.up and world.life < MOST_LIVES:
+        if world.up and world.life < self.bounds.daemon_lives:
             steps.append(("daemon dies", self.dies(world)))
         if not world.up:
             steps.append(("daemon starts again", self.starts(world)))
-        if world.store_up and world.outages < MOST_OUTAGES:
+        if world.store_up and world.outages < self.bounds.outages:
             gone = world._replace(store_up=False, outages=world.outages + 1)
             steps.append(("store goes away", gone))
         if not world.store_up:
             steps.append(("store is back", world._replace(store_up=True)))
-        if world.linked and world.cuts < MOST_CUTS:
+        if world.linked and world.cuts < self.bounds.cuts:
             steps.append(("peer is cut off", world._replace(linked=False, cuts=world.cuts + 1)))
         return steps
 
@@ -180,7 +213,7 @@
             settled=False,
             asked_store=False,
             asked_peer=False,
-            binding=False,
+            binding=0,
             noted=False,
             wrote=False,
             linked=False,
@@ -194,37 +227,40 @@
     def of_daemon(self, world: World) -> list[Step]:
         """The daemon hears announcements, binds a leaving, acknowledges it, and serves."""
         steps = [self.hears(world, at) for at in range(len(world.beats))]
-        if world.binding and world.store_up and not world.wrote:
+        may_write = world.asked_store or not self.rules.read_before_write
+        if world.binding and world.store_up and not world.wrote and may_write:
             steps.append(("store notes", world._replace(store=world.ended, wrote=True)))
         if world.binding and world.linked and not world.noted:
             steps.append(("peer notes", self.told(world)._replace(noted=True)))
         if world.binding and (world.noted or world.wrote or not self.rules.bind_before_ack):
-            steps.append(("daemon acknowledges", world._replace(binding=False, acked=True)))
-        is_ready = world.current is not None and world.current[0] == "ready"
-        if world.settled and is_ready and world.acked:
+            acked = max(world.acked, world.binding)
+            steps.append(("daemon acknowledges", world._replace(binding=0, acked=acked)))
+        current = world.current
+        is_ready = current is not None and current[0] == "ready"
+        if world.settled and is_ready and current is not None and current[2] <= world.acked:
             steps.append(("daemon serves", world._replace(served_after=True)))
         return steps
 
     def hears(self, world: World, at: int) -> Step:
         """One announcement arrives, whichever was sent first."""
-        state, sequence = world.beats[at]
+        state, sequence, born = world.beats[at]
         rest = world._replace(beats=world.beats[:at] + world.beats[at + 1 :])
         own = own_of(rest)
-        is_known = LIFE in own.ended
-        heard = own.heard(announced(state, sequence))
+        is_known = Life(NAME, born) in own.ended
+        heard = own.heard(announced(state, sequence, born))
         after = with_own(rest, own)
         if heard is Heard.LEAVING:
-            after = after._replace(binding=True)
+            after = after._replace(binding=born, noted=False, wrote=False)
         elif state == "leaving" and is_known and not self.rules.repeats_wait:
-            after = after._replace(acked=True, binding=False)
-        return f"daemon hears {state} ({sequence})", after
+            after = after._replace(acked=max(world.acked, born), binding=0)
+        return f"daemon hears {state} ({sequence}, life {born})", after
 
     def told(self, world: World) -> World:
         """The peer takes in what the daemon tells of itself."""
         registry = registry_of(world)
         registry.told(0.0, member(world))
         peer = registry.peers["d"]
-        ended = tuple(peer.ended) if self.rules.keep_ended else world.ended
+        ended = starts_of(peer.ended) if self.rules.keep_ended else world.ended
         return world._replace(peer=ended, peer_life=world.life)
 
     def of_settling(self, world: World) -> list[Step]:
@@ -239,14 +275,14 @@
             known = registry.remembered("d")
             after = self.told(world)._replace(linked=True, asked_peer=True)
             if known is not None:
-                after = self.remembers(after, tuple(known))
+                after = self.remembers(after, starts_of(EndedLives(from_rows(known))))
             steps.append(("peer connects", self.settles(after)))
         return steps
 
-    def remembers(self, world: World, ended: tuple[str, ...]) -> World:
+    def remembers(self, world: World, ended: tuple[int, ...]) -> World:
         """The daemon takes in lives that have ended."""
         own = own_of(world)
-        own.remember(list(ended))
+        own.remember(lives_of(ended))
         return with_own(world, own)
 
     def settles(self, world: World) -> World:
@@ -262,13 +298,17 @@
         return world._replace(settled=enough)
 
 
-def specification(name: str, rules: Rules) -> Protocol:
-    """Return the specification under some rules."""
+def specification(name: str, rules: Rules, bounds: Bounds = ONE_LIFE) -> Protocol:
+    """Return the specification under some rules, within some bounds."""
     return protocol(
         name,
         World(),
-        Spec(rules).transitions,
+        Spec(rules, bounds).transitions,
         {
             "an acknowledged leaving gets no more calls": lambda w: not w["served_after"],
+            "a life that never said that it leaves has not ended": lambda w: (
+                all(start <= w["left"] for start in w["ended"])
+                and (w["born"] == 1 or w["left"] == 2 or 0 not in w["ended"])
+            ),
         },
     )
--- a/tests/model/membership_spec.py
+++ b/tests/model/membership_spec.py
@@ -59,7 +59,7 @@
         "frames": ADDRESS[name],
         "data_centre": "one",
         "version": 0,
-        "upstream": {**upstream, "cold_ms": 0},
+        "upstream": {**upstream, "born_ms": 0, "cold_ms": 0},
         "ended": [],
     }
 
--- a/tests/unit/daemon/test_upstream_task.py
+++ b/tests/unit/daemon/test_upstream_task.py
@@ -9,6 +9,7 @@
 
 from foldhoist.daemon import upstream_task
 from foldhoist.daemon.upstream_task import UpstreamTask
+from foldhoist.membership.lives import Life
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -85,6 +86,7 @@
         "slots": 4,
         "state": state,
         "sequence": sequence,
+        "born_ms": 0,
         "cold_ms": 0,
     }
 
@@ -102,7 +104,7 @@
     first = asyncio.ensure_future(around.task.heard(announced("leaving", 2)))
     await turns()
     again = asyncio.ensure_future(around.task.heard(announced("leaving", 3)))
-    deleted = asyncio.ensure_future(around.task.left("i-1"))
+    deleted = asyncio.ensure_future(around.task.left("i-1", 0))
     await turns()
     assert not first.done()
     assert not again.done()
@@ -129,7 +131,7 @@
     around.task.store_answered((), {"b"})
     assert around.owner.told == []
     assert around.task.described()["instance"] == ""
-    around.task.remember(["i-1"])
+    around.task.remember([Life("i-1")])
     assert around.owner.told == ["leaving"]
 
 
--- a/tests/unit/delivery/test_owner.py
+++ b/tests/unit/delivery/test_owner.py
@@ -262,6 +262,7 @@
         "slots": 4,
         "state": "ready",
         "sequence": 1,
+        "born_ms": 0,
         "cold_ms": 0,
     }
     return {**plain, **fields}
@@ -285,6 +286,16 @@
     assert owner.calls == 0
 
 
+def test_a_leaving_binds_no_later_life_at_the_address() -> None:
+    """Calls were refused for good 0.8 s after the leaving, whatever began there later."""
+    owner = make()
+    upstream = {"instance": "i-1", "service": "depo", "slots": 4, "sequence": 1, "cold_ms": 0}
+    for now, born_ms, state in ((0.0, 1000, "ready"), (1.0, 1000, "leaving"), (9.0, 9000, "ready")):
+        announced = {**upstream, "born_ms": born_ms, "state": state}
+        owner.announce(now, cast("Any", announced))
+    assert [type(each) for each in owner.dispatch(10.0, 0, 1, dispatch(1))] == [StartCall]
+
+
 def kinds(actions: list[Any]) -> list[str]:
     return [each.frame.kind for each in actions if isinstance(each, SendTo)]
 
--- a/tests/unit/membership/test_registry.py
+++ b/tests/unit/membership/test_registry.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from foldhoist.membership.lives import Life
 from foldhoist.membership.neighbours import FAR, NEAR
 from foldhoist.membership.registry import (
     SILENT_S,
@@ -15,7 +16,7 @@
 )
 
 if TYPE_CHECKING:
-    from foldhoist.schema.messages import Announced, Member
+    from foldhoist.schema.messages import Announced, EndedLife, Member
 
 
 def announced(instance: str = "i-1", service: str = "shop", state: str = "ready") -> Announced:
@@ -25,6 +26,7 @@
         "slots": 4,
         "state": state,
         "sequence": 1,
+        "born_ms": 0,
         "cold_ms": 0,
     }
     return found
@@ -94,10 +96,11 @@
 
 def test_ended_lives_are_remembered_for_the_next_life_of_a_peer() -> None:
     registry = Registry("me", "one")
-    registry.told(0.0, {**member("b", "b:1"), "ended": ["i-1"]})
+    rows: list[EndedLife] = [{"instance": "i-1", "born_ms": 5}]
+    registry.told(0.0, {**member("b", "b:1"), "ended": rows})
     assert registry.remembered("b") is None
     registry.told(1.0, member("b", "b:1", life="l2"))
-    assert registry.remembered("b") == ["i-1"]
+    assert registry.remembered("b") == rows
     assert registry.remembered("nobody") is None
 
 
@@ -148,8 +151,8 @@
     registry = Registry("me", "one")
     registry.told(0.0, member("b", "b:1", announced(), telling=2))
     late = member("b", "b:1", announced(instance="", state="gone"), telling=1)
-    late["ended"] = ["i-0"]
+    late["ended"] = [{"instance": "i-0", "born_ms": 0}]
     assert registry.told(0.1, late) == []
     peer = registry.peers["b"]
     assert peer.upstream == announced()
-    assert peer.ended == ["i-0"]
+    assert Life("i-0") in peer.ended
--- a/tests/unit/membership/test_upstream.py
+++ b/tests/unit/membership/test_upstream.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from foldhoist.membership.lives import Life
 from foldhoist.membership.upstream import Heard, OwnUpstream
 from tests.unit.membership.test_registry import announced
 
@@ -33,11 +34,11 @@
 def test_an_end_that_an_earlier_daemon_acknowledged_binds() -> None:
     own = OwnUpstream()
     own.heard(beat("i-1", 1))  # type: ignore[arg-type]
-    assert own.remember(["i-1"])
+    assert own.remember([Life("i-1")])
     assert own.current is not None
     assert own.current["state"] == "leaving"
     early = OwnUpstream()
-    early.remember(["i-1"])
+    early.remember([Life("i-1")])
     assert early.heard(beat("i-1", 1)) is Heard.NOTHING  # type: ignore[arg-type]
     assert early.current is None
 
@@ -63,7 +64,7 @@
 
 def test_a_leaving_that_is_said_first_of_all_binds() -> None:
     own = OwnUpstream()
-    assert own.left("i-1") is Heard.LEAVING
+    assert own.left("i-1", 0.0, 0) is Heard.LEAVING
     assert own.heard(beat("i-1", 3)) is Heard.NOTHING  # type: ignore[arg-type]
 
 
@@ -82,10 +83,10 @@
     for instance, sequence, state in words:
         match state:
             case "gone":
-                own.left(instance)
+                own.left(instance, 0.0, 0)
                 ended.add(instance)
             case "remembered":
-                own.remember([instance])
+                own.remember([Life(instance)])
                 ended.add(instance)
             case _:
                 heard = own.heard(beat(instance, sequence, state))  # type: ignore[arg-type]
