--- a/tests/unit/daemon/test_peer_messages.py
+++ b/tests/unit/daemon/test_peer_messages.py
@@ -35,7 +35,7 @@
 
     A daemon opens its connection to a peer and tells that it has no upstream yet; it may be served
     some milliseconds later, and tells all that have a connection to it; then the peer connects.
-    The peer was taken for one that had been told, since the daemon's own connection to it stood: 4
+    The peer was taken for one that had been told, since the daemon's own connection to it stood: 10
     of 40 starts of four daemons left one out, until its upstream changed again.
     """
     daemon: Any = Told()
