--- a/tests/adapter/cluster.py
+++ b/tests/adapter/cluster.py
@@ -109,17 +109,23 @@
         self.daemons[name] = daemon
         return daemon
 
-    async def configure(self, version: int, routes: list[dict[str, Any]]) -> None:
-        """Write a configuration as the operator does."""
+    async def configure(
+        self, version: int, routes: list[dict[str, Any]], **of_services: Any
+    ) -> None:
+        """Write a configuration as the operator does; `of_services` stands at each service."""
         services = sorted({target.service for target in self.targets.values()})
         body = {
             "version": f"{version:08x}",
-            "services": [{"name": service} for service in services],
+            "services": [{"name": service, **of_services} for service in services],
             "limits": {"max_body_bytes": 1000, "idle_timeout_s": 15, "header_timeout_s": 3},
             "virtual_hosts": [{"host": "shop.example", "route_paths": routes}],
         }
         await self.log.put("keyed.op", "config", json.dumps(body).encode())
 
+    async def evacuate(self, data_centre: str, value: bytes = b"{}") -> None:
+        """Ask to send nothing more to a data centre; an empty value takes that back."""
+        await self.log.put("keyed.op", f"evacuate/{data_centre}", value)
+
     async def settle(self, version: int) -> None:
         """Wait until all daemons know each other, their upstreams, and this version."""
         count = len(self.daemons)
--- a/tests/adapter/target.py
+++ b/tests/adapter/target.py
@@ -39,6 +39,9 @@
         self.gate: asyncio.Event | None = None
         self.calls_on: Callable[[Request], Awaitable[int]] | None = None
         self.deadly = ""
+        self.arrivals: list[float] = []
+        self.cold_until = 0.0
+        self.bears_in_a_second = 0
         self.lives_ended = 0
         self.address = ""
         self._writers: set[asyncio.StreamWriter] = set()
@@ -93,8 +96,12 @@
             self.sampled += 1
             if self.health_hangs:
                 await asyncio.Event().wait()
-            writer.write(_answer(200, "", b"", signed=False, more=self._load()))
+            writer.write(_answer(200, "", b"", signed=False, more=self._health()))
             return
+        self.arrivals.append(asyncio.get_running_loop().time())
+        if self._is_overloaded():
+            self._crash()
+            raise ConnectionResetError
         if self.full:
             self.turned_away += 1
             writer.write(_answer(503, attempt, b"", signed=False, more="X-Not-Executed: 1\r\n"))
@@ -116,6 +123,28 @@
         body = f"ran {path}".encode()
         writer.write(_answer(status, attempt, body, signed=self.signed, more=more))
 
+    def turn_cold(self, for_s: float) -> None:
+        """Be cold from now on: more calls than it bears in a second end this life."""
+        self.arrivals.clear()
+        self.cold_until = asyncio.get_running_loop().time() + for_s
+
+    def most_in_a_second(self) -> int:
+        """Return the calls that arrived in the worst second, wherever that begins."""
+        return max((self._arrived_within(at) for at in self.arrivals), default=0)
+
+    def _arrived_within(self, until: float) -> int:
+        return sum(1 for at in self.arrivals if until - 1.0 < at <= until)
+
+    def _is_overloaded(self) -> bool:
+        now = self.arrivals[-1]
+        if now >= self.cold_until or not self.bears_in_a_second:
+            return False
+        return self._arrived_within(now) > self.bears_in_a_second
+
+    def _health(self) -> str:
+        left_s = max(0.0, self.cold_until - asyncio.get_running_loop().time())
+        return f"{self._load()}X-Cold-Ms: {left_s * 1000:.0f}\r\n"
+
     def _load(self) -> str:
         pace = f",{self.pace}" if self.pace else ""
         return f"X-Server-Load: 1,0,4{pace}\r\n"
