--- /dev/null
+++ b/foldhoist/admission/cold.py
@@ -0,0 +1,116 @@
+"""How many calls an upstream is given while it is cold; no I/O, no clock.
+
+An upstream that has just started, or that was given nothing for a while, bears few calls a second
+and ends under more. All its calls pass through one owner, which therefore counts for all senders.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import NamedTuple
+
+WINDOW_S = 1.0
+"""What an upstream bears is counted in any span of this length, seconds: it is told as a rate."""
+
+
+class ColdRate(NamedTuple):
+    """What a cold upstream of a service bears, as the configuration says.
+
+    `per_s` is calls a second, 0 if nothing is known; `period_s` is for how long it is cold.
+    """
+
+    per_s: float = 0.0
+    period_s: float = 0.0
+
+
+class ColdStart:
+    """The starts of calls at one upstream, and until when it is cold; times are monotonic seconds.
+
+    A window slides over the starts: what it holds is never more than the upstream bears, wherever
+    it begins. A bucket of as many tokens lets nearly twice as many through in the second in which
+    it was full.
+    """
+
+    def __init__(self) -> None:
+        self.rate = ColdRate()
+        self._until = float("-inf")
+        self._starts: deque[float] = deque()
+
+    def bound(self, now: float, rate: ColdRate) -> None:
+        """Take over what the configuration says.
+
+        The first time, an earlier life of this daemon may just have sent all that is borne.
+        """
+        if not self.rate.per_s and rate.per_s:
+            self._starts.extend([now] * _most(rate.per_s))
+        self.rate = rate
+
+    def replaced(self) -> None:
+        """Take in that another life of the upstream stands there: the word of the old one ends."""
+        self._until = float("-inf")
+
+    def told(self, now: float, left_s: float) -> None:
+        """Take in for how long it is cold, by its own word.
+
+        The word may have come late, and it may have turned cold since: a shorter time than the one
+        that is known changes nothing.
+        """
+        if left_s > 0.0:
+            self._until = max(self._until, now + left_s)
+
+    def seen(self, now: float, left_s: float) -> None:
+        """Take in for how long it is cold, as it has answered just now."""
+        self._until = now + left_s
+
+    def assume(self, now: float) -> None:
+        """Take it for cold until it says otherwise: it may have turned cold unseen."""
+        self.told(now, self.rate.period_s)
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether it is cold, and what it bears is known."""
+        return now < self._until and self.rate.per_s > 0.0
+
+    def started(self, now: float) -> None:
+        """Count a call that is sent to the upstream."""
+        if not self.rate.per_s:
+            return
+        self._starts.append(now)
+        self._forget(now)
+
+    def may_start(self, now: float) -> bool:
+        """Return whether it bears another call now."""
+        return self.ready_at(now) <= now
+
+    def ready_at(self, now: float, ahead: int = 0) -> float:
+        """Return from when on it bears a call that goes behind `ahead` others."""
+        if not self.is_cold(now):
+            return now
+        self._forget(now)
+        most = _most(self.rate.per_s)
+        over = ahead + len(self._starts) - most
+        if over < 0:
+            return now
+        turns, place = divmod(over, most)
+        before = self._starts[place] if place < len(self._starts) else now
+        return min(self._until, before + (turns + 1) * self._window_s)
+
+    def is_overloaded(self, now: float) -> bool:
+        """Return whether it is cold and got more than it bears, as when it turned cold unseen."""
+        if not self.is_cold(now):
+            return False
+        self._forget(now)
+        return len(self._starts) > _most(self.rate.per_s)
+
+    @property
+    def _window_s(self) -> float:
+        """Return the span in which a whole number of calls is borne, seconds."""
+        return max(WINDOW_S, _most(self.rate.per_s) / self.rate.per_s)
+
+    def _forget(self, now: float) -> None:
+        while self._starts and self._starts[0] + self._window_s <= now:
+            self._starts.popleft()
+
+
+def _most(per_s: float) -> int:
+    """Return the calls that are borne in a window."""
+    return max(1, int(per_s * WINDOW_S))
--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -10,6 +10,7 @@
 from heapq import heappop, heappush
 from typing import TYPE_CHECKING, NamedTuple
 
+from foldhoist.admission.cold import ColdStart
 from foldhoist.admission.completion import latest_start
 from foldhoist.admission.nested import CallersOfRoutes
 from foldhoist.admission.pace import PaceWatch
@@ -54,6 +55,7 @@
         self.busy = 0
         self.service_s = DEFAULT_SERVICE_S
         self.pace = PaceWatch()
+        self.cold = ColdStart()
         self._callers = CallersOfRoutes()
         self._waiting: dict[int, Wish] = {}
         self._shares = Shares()
@@ -96,9 +98,9 @@
         """
         if now >= wish.deadline:
             return self._refused(now, ticket, wish, "deadline-passed", 0.0)
-        if self.busy < self.shape.slots and self._may_start(now, wish):
+        if self._has_room(now) and self._may_start(now, wish):
             return self._started(now, ticket, wish)
-        expected = self.expected_wait(wish)
+        expected = self.expected_wait(now, wish)
         if len(self._waiting) >= self.shape.queue:
             return self._refused(now, ticket, wish, "queue-full", expected)
         if now + expected > wish.start_by:
@@ -107,10 +109,12 @@
         heappush(self._timely, (wish.order, ticket))
         return Wait(ticket)
 
-    def expected_wait(self, wish: Wish) -> float:
-        """Return the seconds until a new call gets a slot, by the work that goes before it."""
-        ahead = sum(other.expect_s for other in self._waiting.values() if other.order <= wish.order)
-        return (ahead + self.service_s) / self.shape.slots
+    def expected_wait(self, now: float, wish: Wish) -> float:
+        """Return the seconds until a new call gets a slot, by what goes before it."""
+        ahead = [other for other in self._waiting.values() if other.order <= wish.order]
+        work_s = sum(other.expect_s for other in ahead)
+        slot_s = (work_s + self.service_s) / self.shape.slots
+        return max(slot_s, self.cold.ready_at(now, len(ahead)) - now)
 
     def withdraw(self, ticket: int) -> None:
         """Take a waiting call out of the queue."""
@@ -126,7 +130,7 @@
     def advance(self, now: float) -> list[Decision]:
         """Start what can be started and refuse what has waited too long."""
         decisions: list[Decision] = []
-        while self.busy < self.shape.slots:
+        while self._has_room(now):
             ticket = self._next(now)
             if ticket is None:
                 return decisions
@@ -147,12 +151,20 @@
             for ticket in late
         ]
 
-    def next_at(self) -> float | None:
-        """Return when the first waiting call may not start any more, None if none waits."""
-        return min((wish.start_by for wish in self._waiting.values()), default=None)
+    def next_at(self, now: float) -> float | None:
+        """Return when a waiting call may not start any more, or may start; None if none waits."""
+        if not self._waiting:
+            return None
+        late_at = min(wish.start_by for wish in self._waiting.values())
+        ready_at = self.cold.ready_at(now)
+        return min(late_at, ready_at) if ready_at > now else late_at
+
+    def _has_room(self, now: float) -> bool:
+        return self.busy < self.shape.slots and self.cold.may_start(now)
 
     def _started(self, now: float, ticket: int, wish: Wish) -> Start:
         self.busy += 1
+        self.cold.started(now)
         self._shares.decided(now, wish.rank, refused=False)
         return Start(ticket)
 
--- a/foldhoist/config/fleet.py
+++ b/foldhoist/config/fleet.py
@@ -10,7 +10,9 @@
 from foldhoist.routing.routes import parse_split
 
 if TYPE_CHECKING:
-    from foldhoist.schema.fleet import Fleet, Service, Target
+    from collections.abc import Iterable
+
+    from foldhoist.schema.fleet import Fleet, FleetSection, Service, Target
 
 KINDS = {"service": "Service", "route": "Route", "target": "Target"}
 """Kinds of sections that carry a name, with their entry in the schema."""
@@ -125,6 +127,18 @@
     return [part.strip() for part in fleet["fleet"]["data_centres"].split(",") if part.strip()]
 
 
+def evacuated(fleet: Fleet) -> frozenset[str]:
+    """Return the names of the data centres whose upstreams get no calls."""
+    names = fleet["fleet"]["evacuated"].split(",")
+    return frozenset(name.strip() for name in names if name.strip())
+
+
+def with_evacuated(fleet: Fleet, names: Iterable[str]) -> Fleet:
+    """Return the configuration with these data centres evacuated."""
+    section: FleetSection = {**fleet["fleet"], "evacuated": ", ".join(sorted(names))}
+    return {**fleet, "fleet": section}
+
+
 def _read_text(text: str, schema: dict[str, Any], file: str) -> Section:
     parser, faults = read_sections(text, file)
     if faults:
@@ -159,6 +173,10 @@
             mend = close_to(part.service, services) if services else "add a [service NAME] section"
             where = f"route {name}"
             faults.append(Fault(file, where, "split", part.service, "is no service", mend))
+    for centre in sorted(evacuated(fleet)):
+        if centre not in centres:
+            mend = close_to(centre, centres)
+            faults.append(Fault(file, "fleet", "evacuated", centre, "is no data centre", mend))
     for name, target in fleet["targets"].items():
         centre = target["data_centre"]
         if centre in centres:
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -11,8 +11,10 @@
 
 from loguru import logger
 
+from foldhoist.admission.cold import ColdRate
 from foldhoist.admission.held import HeldBytes
 from foldhoist.admission.slots import Shape
+from foldhoist.config.fleet import evacuated
 from foldhoist.config.reread import LIMITS, reread
 from foldhoist.daemon.callers import CallerConnection, Shared
 from foldhoist.daemon.configuration import ConfigurationTask
@@ -121,7 +123,7 @@
         self.handover = HandoverTask(self.owner, self.control)
         self.prober = Prober(cfg, self.client, self.owner_task.set_state, self._on_host)
         self.operators = Operators(self)
-        self.addresses["operators"] = self.operators.listen(cfg["listen"]["operators"])
+        self.addresses["operators"] = self.operators.address
         for task in (self.configuration, self.handover, self.prober, self.owner_task):
             task.start()
         self._late_task = asyncio.get_running_loop().create_task(self.shared.close_late())
@@ -239,6 +241,9 @@
             Shape(target["slots"], service["queue"], service["urgent_slots"], service["urgent_run"])
         )
         self.owner_task.pool.most = target["connections"]
+        rate = ColdRate(service["cold_per_s"], service["cold_ms"] / 1000)
+        self.owner_task.bound_cold(rate)
+        self.owner_task.set_evacuated(target["data_centre"] in evacuated(fleet))
         if target["state"] == "serving":
             self.owner_task.stay("configuration")
         else:
--- a/foldhoist/daemon/dialect.py
+++ b/foldhoist/daemon/dialect.py
@@ -23,7 +23,7 @@
     HeadRules,
 )
 from foldhoist.daemon.request import BadRequest, read_request
-from foldhoist.delivery.dispatch import Result, Shed, StartCall, Whole
+from foldhoist.delivery.dispatch import Result, Sample, Shed, StartCall, Whole
 from foldhoist.delivery.verdict import Answered, Headers, MayHaveRun, NotRun, Verdict, verdict_name
 
 if TYPE_CHECKING:
@@ -57,8 +57,8 @@
     def sample_headers(self, instance: str, address: bytes) -> Headers:
         """Return the headers of a question to the health path of this life of the upstream."""
 
-    def sampled_pace(self, status: int, head: HeadReader) -> int:
-        """Return the pace that an answer of the health path tells, percent; 0 for none."""
+    def sample(self, status: int, head: HeadReader) -> Sample:
+        """Return what an answer of the health path tells."""
 
     def leaves(self, head: HeadReader) -> bool:
         """Return whether an answer says that the upstream is leaving."""
@@ -122,9 +122,9 @@
         """Return the headers of a question to the health path."""
         return [[b"Host", address]]
 
-    def sampled_pace(self, status: int, head: HeadReader) -> int:
-        """Return 0: upstreams that speak the product's own headers tell no pace."""
-        return 0
+    def sample(self, status: int, head: HeadReader) -> Sample:
+        """Return nothing: upstreams that speak the product's own headers tell no pace."""
+        return Sample(0)
 
     def leaves(self, head: HeadReader) -> bool:
         """Return whether an answer says that the upstream is leaving."""
--- /dev/null
+++ b/foldhoist/daemon/handlers.py
@@ -0,0 +1,57 @@
+"""What every daemon answers to those who watch it, on tornado: readiness and metrics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+"""Content type of the metrics."""
+
+
+class ReadyHandler(RequestHandler):
+    """Answers 200 while the daemon takes callers, else 503."""
+
+    def initialize(self, is_ready: Callable[[], bool]) -> None:
+        """Take what knows it."""
+        self.is_ready = is_ready
+
+    def get(self) -> None:
+        """Answer."""
+        self.set_status(200 if self.is_ready() else 503)
+        self.finish()
+
+
+class MetricsHandler(RequestHandler):
+    """Answers with counters, gauges and histograms as text."""
+
+    def initialize(self, metrics: Callable[[], bytes]) -> None:
+        """Take what writes them."""
+        self.metrics = metrics
+
+    def get(self) -> None:
+        """Answer."""
+        self.set_header("Content-Type", METRICS_TYPE)
+        self.finish(self.metrics())
+
+
+class Listening(NamedTuple):
+    """A server with the address at which it listens, with the port that the system chose."""
+
+    server: HTTPServer
+    address: str
+
+
+def listen(app: Application, address: str) -> Listening:
+    """Serve an application at an address, IP:port."""
+    host, _, port = address.rpartition(":")
+    sockets = bind_sockets(int(port), host.strip("[]"))
+    server = HTTPServer(app)
+    server.add_sockets(sockets)
+    return Listening(server, "{}:{}".format(*sockets[0].getsockname()[:2]))
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -10,9 +10,11 @@
 
 from loguru import logger
 
+from foldhoist.admission.cold import ColdRate
 from foldhoist.admission.due import DueQueue
 from foldhoist.admission.held import HeldBytes
 from foldhoist.admission.slots import Shape
+from foldhoist.config.fleet import evacuated
 from foldhoist.config.reread import LIMITS, reread
 from foldhoist.configlog.versions import Readers
 from foldhoist.daemon.callers import CallerConnection, Shared
@@ -72,6 +74,7 @@
         self.stopped = asyncio.Event()
         self.addresses: dict[str, str] = {}
         self._tellings = 0
+        self._unknown_evacuated: frozenset[str] = frozenset()
         self._announced_service = cfg["upstream"]["service"]
         self.latencies = Latencies()
         self.adapter = load_adapter(cfg)
@@ -184,6 +187,7 @@
         return {
             **traffic_gauges(self.ingress_task, self.owner_task, self.shared, self.links),
             "version": self.versions.version.number,
+            "evacuated": len(self.versions.evacuations.data_centres),
             "peers": len(self.registry.peers),
         }
 
@@ -281,6 +285,7 @@
             "frames": self.addresses["frames"],
             "data_centre": self.data_centre,
             "version": self.versions.version.number,
+            "evacuated_at": self.versions.evacuations.at,
             "upstream": self.upstream.described(),
             "ended": self.upstream.known.ended.rows(),
         }
@@ -290,12 +295,28 @@
         own = fleet["services"].get(self.owner.service)
         if own is not None and own["health_path"]:
             self.owner_task.sampler.path = own["health_path"]
+        self._bound_cold(fleet)
+        self._set_evacuated(evacuated(fleet))
         daemons = len(self.registry.peers) + 1
         self.ingress_task.adopt(version.number, fleet, self._tracked(), {}, daemons)
 
+    def _bound_cold(self, fleet: Fleet) -> None:
+        own = fleet["services"].get(self.owner.service)
+        if own is not None:
+            self.owner_task.bound_cold(ColdRate(own["cold_per_s"], own["cold_ms"] / 1000))
+
+    def _set_evacuated(self, names: frozenset[str]) -> None:
+        centres = {peer.data_centre for peer in self.registry.peers.values()} | {self.data_centre}
+        for name in sorted(names - centres - self._unknown_evacuated):
+            logger.warning("data centre {} is evacuated, and no host there is known", name)
+        self._unknown_evacuated = names - centres
+        self.owner_task.set_evacuated(self.data_centre in names)
+
     def _on_upstream(self, replaced: bool) -> None:
         """Take in that the upstream beside this daemon has changed."""
         now = asyncio.get_running_loop().time()
+        if self.versions.fleet is not None:
+            self._bound_cold(self.versions.fleet)
         if replaced:
             self.ingress_task.ingress.replaced(now, self.name)
         self._track()
--- a/foldhoist/daemon/operators.py
+++ b/foldhoist/daemon/operators.py
@@ -5,22 +5,18 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
-from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
 from foldhoist import __version__
 from foldhoist.configlog.fold import to_snapshot
 from foldhoist.daemon.configuration import describe
+from foldhoist.daemon.handlers import MetricsHandler, listen
 from foldhoist.observe.records import record_report
 
 if TYPE_CHECKING:
     from foldhoist.daemon.daemon import Daemon
 
-METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-"""Content type of the metrics."""
-
 
 class _Handler(RequestHandler):
     def initialize(self, daemon: Daemon) -> None:
@@ -36,12 +32,6 @@
         self.give(status_of(self.daemon))
 
 
-class _Metrics(_Handler):
-    def get(self) -> None:
-        self.set_header("Content-Type", METRICS_TYPE)
-        self.finish(self.daemon.metrics.text())
-
-
 class _Configuration(_Handler):
     def get(self) -> None:
         self.give(to_snapshot(self.daemon.configuration.state))
@@ -78,7 +68,7 @@
         app = Application(
             [
                 (r"/status", _Status, shared),
-                (r"/metrics", _Metrics, shared),
+                (r"/metrics", MetricsHandler, {"metrics": daemon.metrics.text}),
                 (r"/configuration", _Configuration, shared),
                 (r"/records", _Records, shared),
                 (r"/explain/([0-9a-f]{32})", _Explain, shared),
@@ -86,18 +76,12 @@
             ],
             log_function=lambda handler: None,
         )
-        self._server = HTTPServer(app)
-
-    def listen(self, address: str) -> str:
-        """Listen; returns the address with the port that the system chose."""
-        host, _, port = address.rpartition(":")
-        sockets = bind_sockets(int(port), host.strip("[]"))
-        self._server.add_sockets(sockets)
-        return "{}:{}".format(*sockets[0].getsockname()[:2])
+        self._listening = listen(app, daemon.cfg["listen"]["operators"])
+        self.address = self._listening.address
 
     def close(self) -> None:
         """Stop listening."""
-        self._server.stop()
+        self._listening.server.stop()
 
 
 def status_of(daemon: Daemon) -> dict[str, Any]:
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -24,17 +24,18 @@
     Whole,
 )
 from foldhoist.delivery.endings import LOCAL_LINK
-from foldhoist.delivery.standing import REPLACED
+from foldhoist.delivery.standing import EVACUATED
 from foldhoist.membership.lives import life_of
 from foldhoist.routing.sampling import SamplePlan
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from foldhoist.admission.cold import ColdRate
     from foldhoist.admission.slots import Shape
     from foldhoist.daemon.dialect import Dialect
     from foldhoist.daemon.lost_calls import LostCall
-    from foldhoist.delivery.dispatch import Action, Ended, Refused, Result
+    from foldhoist.delivery.dispatch import Action, Ended, Refused, Result, Sample
     from foldhoist.delivery.owner import Owner
     from foldhoist.schema.messages import Announced, Hello, Suspect
     from foldhoist.schema.settings import Settings
@@ -96,7 +97,7 @@
             SamplePlan(cfg["measuring"]["sample_cost"]),
             (host, int(port)),
             self.pool.dialect,
-            self._paced,
+            self._sampled,
         )
         self.sampler.path = cfg["upstream"]["health_path"]
         self._task: asyncio.Task[None] | None = None
@@ -149,9 +150,29 @@
         """Take in what another daemon knows of calls that end upstreams."""
         self._carry_out(self.owner.learn_crashes(self._loop.time(), suspects))
 
-    def heard_again(self) -> None:
-        """Take in that the upstream announced itself with nothing new: it is at its address."""
-        self._carry_out(self.owner.stay(REPLACED))
+    def heard_again(self, cold_s: float) -> None:
+        """Take in that the upstream is at its address; it says that it is cold for `cold_s` yet."""
+        self._carry_out(self.owner.heard_again(self._loop.time(), cold_s))
+
+    def bound_cold(self, rate: ColdRate) -> None:
+        """Take over what the upstream bears while it is cold."""
+        self._carry_out(self.owner.bound_cold(self._loop.time(), rate))
+
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Take no new work while this data centre is evacuated.
+
+        Afterwards the upstream gets what it bears if it has turned cold, until it says that it has
+        not.
+        """
+        if evacuated == (EVACUATED in self.owner.standing.leaving_why):
+            return
+        before = self.owner.load()["state"]
+        if evacuated:
+            self._carry_out(self.owner.leave(EVACUATED))
+        else:
+            self._carry_out(self.owner.end_evacuation(self._loop.time()))
+            self.sampler.ask()
+        self._log_change(before)
 
     def reshape(self, shape: Shape) -> None:
         """Take over the sizes of the queue."""
@@ -286,9 +307,9 @@
         if hop is not None:
             self._on_hop(hop)
 
-    def _paced(self, pace: int) -> None:
-        self.owner.standing.watched = True
-        self._carry_out(self.owner.paced(self._loop.time(), pace))
+    def _sampled(self, sample: Sample) -> None:
+        self.owner.standing.watched = self.sampler.watching
+        self._carry_out(self.owner.sampled(self._loop.time(), sample))
 
     def _tell_refusals(self) -> None:
         for refused in self.owner.refusals.take():
@@ -348,7 +369,7 @@
 
     def _set_timer(self) -> None:
         """Refuse a waiting call on time: its ingress can still try another owner."""
-        at = self.owner.next_at()
+        at = self.owner.next_at(self._loop.time())
         if at is None or (self._timer is not None and self._timer.when() <= at):
             return
         if self._timer is not None:
--- a/foldhoist/daemon/peer_messages.py
+++ b/foldhoist/daemon/peer_messages.py
@@ -100,5 +100,5 @@
         if is_new or not daemon.peers.is_told(member["name"]):
             self.tell(link, member["name"])
         reply(link, "Noted", {"ended": member["ended"]})
-        if member["version"] < daemon.versions.version.number:
-            reply(link, *daemon.versions.for_newcomer(member["name"]))
+        if daemon.versions.is_behind(member):
+            reply(link, *daemon.versions.for_newcomer(member["name"], member["version"]))
--- a/foldhoist/daemon/ports.py
+++ b/foldhoist/daemon/ports.py
@@ -14,6 +14,7 @@
 
     from expression import Result
 
+    from foldhoist.configlog.evacuations import Told
     from foldhoist.configlog.versions import Version
     from foldhoist.daemon.dialect import Dialect
     from foldhoist.membership.registry import Registration
@@ -29,17 +30,24 @@
     sent: bool
 
 
+class News(NamedTuple):
+    """What the operator has written: a newer configuration, if any, and evacuations."""
+
+    version: Version | None
+    evacuations: Told
+
+
 class Store(Protocol):
     """The platform's store; every call costs, and may fail, hang or be done unanswered."""
 
-    async def newest(self, answer_s: float) -> Result[Version | None, StoreFault]:
-        """Return the newest configuration, or None if there is none yet.
+    async def newest(self, answer_s: float) -> Result[News, StoreFault]:
+        """Return the newest configuration, None if there is none yet, and all evacuations.
 
         `answer_s` is the longest wait for an answer, seconds.
         """
 
-    async def news(self, wait_ms: int, answer_s: float) -> Result[Version | None, StoreFault]:
-        """Wait for a configuration newer than the last one returned; None if none came.
+    async def news(self, wait_ms: int, answer_s: float) -> Result[News, StoreFault]:
+        """Wait for what is newer than what was returned last, if anything comes.
 
         `answer_s` is the longest wait for an answer beyond `wait_ms`, seconds.
         """
--- a/foldhoist/daemon/sampler.py
+++ b/foldhoist/daemon/sampler.py
@@ -1,4 +1,4 @@
-"""Asks the upstream beside this daemon how long work takes there now, on its health path.
+"""Asks the upstream beside this daemon how it is now, on its health path: its pace, and if cold.
 
 Nothing else is taken from the health endpoint: whether an upstream is well is judged by what it
 does with calls.
@@ -19,6 +19,7 @@
     from collections.abc import Callable
 
     from foldhoist.daemon.dialect import Dialect
+    from foldhoist.delivery.dispatch import Sample
     from foldhoist.routing.sampling import SamplePlan
 
 ANSWER_S = 0.1
@@ -39,7 +40,7 @@
     def __init__(self, dialect: Dialect) -> None:
         self._dialect = dialect
         self._transport: asyncio.Transport | None = None
-        self._answer: asyncio.Future[int] | None = None
+        self._answer: asyncio.Future[Sample] | None = None
 
     @property
     def usable(self) -> bool:
@@ -56,8 +57,8 @@
         self._transport = None
         self._fail("health connection lost")
 
-    async def ask(self, data: bytes) -> int:
-        """Return the pace that the answer tells, percent; 0 if it tells none."""
+    async def ask(self, data: bytes) -> Sample:
+        """Return what the answer tells."""
         if self._transport is None:
             raise ConnectionError("health connection lost")
         self._head = HeadReader(self._dialect.upstream_rules)
@@ -90,10 +91,10 @@
         self._head.add(name, value)
 
     def on_message_complete(self) -> None:
-        """Tell the pace, whatever the status says of health."""
+        """Tell what it says, whatever the status says of health."""
         if self._answer is not None and not self._answer.done():
             status = self._parser.get_status_code()
-            self._answer.set_result(self._dialect.sampled_pace(status, self._head))
+            self._answer.set_result(self._dialect.sample(status, self._head))
         if not self._parser.should_keep_alive():
             self.close()
 
@@ -110,7 +111,7 @@
         plan: SamplePlan,
         address: tuple[str, int],
         dialect: Dialect,
-        on_pace: Callable[[int], None],
+        on_sample: Callable[[Sample], None],
     ) -> None:
         self.count = Counters()
         self.path = "/health"
@@ -118,7 +119,8 @@
         self._plan = plan
         self._address = address
         self._dialect = dialect
-        self._on_pace = on_pace
+        self._on_sample = on_sample
+        self._asked = False
         self._conn: _SampleConnection | None = None
         self._wanted = asyncio.Event()
         self._loop = asyncio.get_running_loop()
@@ -142,6 +144,11 @@
         if not self._wanted.is_set() and self._plan.next_at(now) is not None:
             self._wanted.set()
 
+    def ask(self) -> None:
+        """Take a sample soon, whatever calls there are: the upstream may have turned cold."""
+        self._asked = True
+        self._wanted.set()
+
     def heard(self, pace: int) -> None:
         """Take in the pace that came with an answer."""
         self._plan.heard(self._loop.time(), pace)
@@ -155,7 +162,10 @@
         while True:
             now = self._loop.time()
             at = self._plan.next_at(now)
-            if at is None:
+            if self._asked:
+                self._asked = False
+                await self._sample()
+            elif at is None:
                 self._wanted.clear()
                 self._drop()
                 await self._wanted.wait()
@@ -167,7 +177,7 @@
     async def _sample(self) -> None:
         self.count.samples += 1
         try:
-            pace = await self._ask()
+            sample = await self._ask()
         except (OSError, TimeoutError) as exc:
             self.count.failed += 1
             self._drop()
@@ -176,16 +186,17 @@
                 logger.info("pace of the upstream cannot be sampled: {!r}", exc)
             self._failing = True
             return
-        if not pace:
+        if sample.pace or sample.cold_s is not None:
+            self._on_sample(sample)
+        if not sample.pace:
             self._plan.failed(self._loop.time())
             return
         if self._failing:
             logger.info("pace of the upstream is sampled again")
         self._failing = False
-        self._plan.heard(self._loop.time(), pace)
-        self._on_pace(pace)
+        self._plan.heard(self._loop.time(), sample.pace)
 
-    async def _ask(self) -> int:
+    async def _ask(self) -> Sample:
         if self._conn is None or not self._conn.usable:
             async with asyncio.timeout(ANSWER_S):
                 _, self._conn = await self._loop.create_connection(
--- a/foldhoist/daemon/versions_task.py
+++ b/foldhoist/daemon/versions_task.py
@@ -9,6 +9,8 @@
 
 from loguru import logger
 
+from foldhoist.config.fleet import with_evacuated
+from foldhoist.configlog.evacuations import Evacuations
 from foldhoist.configlog.versions import NEVER_MS, TELL_S, Held, Readers, Reply, Version
 
 if TYPE_CHECKING:
@@ -18,7 +20,7 @@
     from foldhoist.daemon.peers_task import PeersTask
     from foldhoist.daemon.ports import Adapter, Store, StoreFault
     from foldhoist.schema.fleet import Fleet
-    from foldhoist.schema.messages import Fresh, Versioned
+    from foldhoist.schema.messages import Evacuated, Fresh, Member, Versioned
 
 RETRY_FIRST_S = 0.1
 """First time from one call to a store that has failed to the next, seconds; it doubles."""
@@ -54,6 +56,7 @@
 
     adopted: int = 0
     asked: int = 0
+    evacuations: int = 0
     passed_on: int = 0
     refused: int = 0
     store_errors: int = 0
@@ -61,7 +64,10 @@
 
 
 class VersionsTask:
-    """Owns the version in force; `on_adopt(version, fleet)` is called for each new one."""
+    """Owns what the operator has ordered: the version in force, and evacuations.
+
+    `on_adopt(version, fleet)` is called when either has changed.
+    """
 
     def __init__(
         self,
@@ -74,6 +80,7 @@
     ) -> None:
         self.count = Counters()
         self.held = Held()
+        self.evacuations = Evacuations()
         self.fleet: Fleet | None = None
         self.store_ok = False
         self._adapter = adapter
@@ -113,13 +120,18 @@
 
         What came from another data centre is told in this one: its own readers may lack it.
         """
+        evacuated = message.get("evacuated")
+        heard = evacuated is not None and self._hear(evacuated)
         taken = self._take(Version(message["version"], message["content"]))
-        if taken and not self._peers.is_near(name):
+        if (taken or heard) and not self._peers.is_near(name):
             self._peers.tell("Fresh", self._fresh(wanted=False), near=True)
 
     def on_fresh(self, name: str, message: Fresh) -> None:
         """Take in what a peer holds, and how recently the store answered it."""
         self._readers.told(self._loop.time(), name, message["age_ms"] / 1000)
+        evacuated = message.get("evacuated")
+        if evacuated is not None and self._hear(evacuated) and not self._peers.is_near(name):
+            self._peers.tell("Fresh", self._fresh(wanted=False), near=True)
         match self.held.reply(message["version"], message["wanted"]):
             case Reply.CONTENT:
                 self._peers.send(name, "Versioned", self.as_message())
@@ -127,20 +139,31 @@
                 self._request(name)
             case Reply.NUMBER:
                 self._peers.send(name, "Fresh", self._fresh(wanted=False))
+            case Reply.NOTHING if evacuated is not None and evacuated["at"] < self.evacuations.at:
+                self._peers.send(name, "Fresh", self._fresh(wanted=False))
 
-    def for_newcomer(self, name: str) -> tuple[str, Versioned | Fresh]:
-        """Return what a peer with an older version is told, as a kind of message and its body.
+    def is_behind(self, member: Member) -> bool:
+        """Return whether a peer lacks what the operator has ordered."""
+        lacks_version = member["version"] < self.version.number
+        return lacks_version or member.get("evacuated_at", 0) < self.evacuations.at
+
+    def for_newcomer(self, name: str, version: int) -> tuple[str, Versioned | Fresh]:
+        """Return what a peer that is behind is told, as a kind of message and its body.
 
         Content crosses to another data centre only if it is asked for: a restarted daemon would
         else get it from each of its peers.
         """
-        if self._peers.is_near(name):
+        if version < self.version.number and self._peers.is_near(name):
             return "Versioned", self.as_message()
         return "Fresh", self._fresh(wanted=False)
 
     def as_message(self) -> Versioned:
         """Return the version in force for a peer."""
-        return {"version": self.version.number, "content": self.version.content}
+        return {
+            "version": self.version.number,
+            "content": self.version.content,
+            "evacuated": self.evacuations.as_message(),
+        }
 
     # Steps
 
@@ -190,10 +213,14 @@
         self._answer_s = ANSWER_FIRST_S
         self._answered_at = self._loop.time()
         self._store_is(True)
-        version = answer.ok
-        if version is None:
+        news = answer.ok
+        if self.evacuations.read(news.evacuations):
+            self._evacuated()
+            self._peers.tell("Fresh", self._fresh(wanted=False), near=True)
+            self._pass_across()
+        if news.version is None:
             return self.fleet is not None
-        if self._take(version):
+        if self._take(news.version):
             self._pass_on()
         return True
 
@@ -222,6 +249,21 @@
         if not ok:
             self._peers.tell("Fresh", self._fresh(wanted=False), near=True)
 
+    def _hear(self, evacuated: Evacuated) -> bool:
+        """Take in what a peer holds; returns whether other data centres are evacuated now."""
+        if not self.evacuations.heard(evacuated):
+            return False
+        self._evacuated()
+        return True
+
+    def _evacuated(self) -> None:
+        self.count.evacuations += 1
+        names = ", ".join(sorted(self.evacuations.data_centres)) or "none"
+        logger.info("data centres evacuated: {}", names)
+        if self.fleet is not None:
+            self.fleet = with_evacuated(self.fleet, self.evacuations.data_centres)
+            self._on_adopt(self.version, self.fleet)
+
     def _take(self, version: Version) -> bool:
         if not self.held.wants(version.number):
             return False
@@ -233,16 +275,19 @@
             return False
         before = self.version.number
         self.held.adopt(version)
-        self.fleet = translated.ok
+        self.fleet = with_evacuated(translated.ok, self.evacuations.data_centres)
         self.count.adopted += 1
         logger.info("version {} in force, was {}", version.number, before)
-        self._on_adopt(version, translated.ok)
+        self._on_adopt(version, self.fleet)
         return True
 
     def _pass_on(self) -> None:
         """Give the data centre the content, and the others word of it: they ask if they lack it."""
         self.count.passed_on += 1
         self._peers.tell("Versioned", self.as_message(), near=True)
+        self._pass_across()
+
+    def _pass_across(self) -> None:
         if self._across is None:
             self._across = self._loop.call_later(ACROSS_S, self._tell_across)
 
@@ -269,4 +314,9 @@
         age_ms = NEVER_MS
         if self.store_ok:
             age_ms = min(NEVER_MS, int((self._loop.time() - self._answered_at) * 1000))
-        return {"version": self.version.number, "age_ms": age_ms, "wanted": wanted}
+        return {
+            "version": self.version.number,
+            "age_ms": age_ms,
+            "wanted": wanted,
+            "evacuated": self.evacuations.as_message(),
+        }
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -78,6 +78,17 @@
     pace: int = 0
 
 
+class Sample(NamedTuple):
+    """What the upstream says of itself beside calls.
+
+    `pace` is how long work takes there in percent, 0 if unsaid; `cold_s` how long it is cold yet,
+    seconds, None if unsaid.
+    """
+
+    pace: int
+    cold_s: float | None = None
+
+
 class Shed(NamedTuple):
     """The upstream says that it did not run the call."""
 
@@ -138,6 +149,7 @@
     key_denied: int = 0
     key_replayed: int = 0
     lost: int = 0
+    overloaded: int = 0
     refused: int = 0
     repeats: int = 0
     turned_away: int = 0
--- a/foldhoist/delivery/endings.py
+++ b/foldhoist/delivery/endings.py
@@ -7,6 +7,7 @@
 from foldhoist.delivery import replies
 from foldhoist.delivery.dispatch import Frame, SendTo
 from foldhoist.delivery.joined import Joined
+from foldhoist.delivery.peers import fate_without_result
 from foldhoist.delivery.refusal_notes import RefusalNotes
 from foldhoist.delivery.verdict import Response
 
@@ -80,6 +81,19 @@
             peer, req["seq"], replies.refusal_frame(req["seq"], "no", reason, retry_after_s, load)
         )
 
+    def fates(self, peer: Peer, seqs: list[int]) -> list[Frame]:
+        """Return what became of calls that have ended here, or never came."""
+        frames: list[Frame] = []
+        for seq in seqs:
+            if seq in peer.live or self.joined.holds(peer.incarnation, seq):
+                continue
+            frame = peer.kept.get(seq)
+            if frame is None:
+                ran, reason = fate_without_result(peer, seq)
+                frame = replies.refusal_frame(seq, ran, reason, 0.0, self._telling.load())
+            frames.append(frame)
+        return frames
+
     def send(self, peer: Peer, seq: int, frame: Frame) -> Action:
         """Send the end of a call, and keep it until its ingress says that it has it."""
         if peer.link == LOCAL_LINK:
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING
 
+from foldhoist.admission.cold import ColdStart
 from foldhoist.admission.due import DueQueue
 from foldhoist.admission.slots import Refuse, Shape, SlotQueue, Start
 from foldhoist.delivery import replies
@@ -19,7 +20,6 @@
     Counters,
     Ended,
     Frame,
-    Hold,
     Peer,
     Replaced,
     Result,
@@ -28,19 +28,22 @@
     StartCall,
     Ticket,
     Whole,
-    dispatch_identity,
 )
 from foldhoist.delivery.endings import Endings
+from foldhoist.delivery.holding import Holding
 from foldhoist.delivery.keys import Deny, Join, KeyTable, Replay, fingerprint
-from foldhoist.delivery.peers import Peers, drop_acked, fate_without_result
-from foldhoist.delivery.standing import REPLACED, Standing
+from foldhoist.delivery.peers import Peers, drop_acked
+from foldhoist.delivery.standing import EVACUATED, REPLACED, Standing
 from foldhoist.delivery.telling import Telling, crashes_frame
 from foldhoist.delivery.tickets import Tickets
+from foldhoist.delivery.waiting import Waiting
 from foldhoist.quarantine.table import HELD, Quarantine
 
 if TYPE_CHECKING:
+    from foldhoist.admission.cold import ColdRate
     from foldhoist.admission.held import HeldBytes
     from foldhoist.admission.slots import Decision
+    from foldhoist.delivery.dispatch import Sample
     from foldhoist.schema.messages import (
         Announced,
         Dispatch,
@@ -79,11 +82,16 @@
         self.count = Counters()
         self.quarantine = quarantine if quarantine is not None else Quarantine()
         self.standing = Standing()
+        self._cold = self.queue.cold if isinstance(self.queue, DueQueue) else ColdStart()
         self._peers = Peers()
         self._telling = Telling(self.standing, self.queue, self._peers)
         self.tickets = Tickets(bodies)
         self._endings = Endings(self.tickets, self.keys, self._peers, self._telling, self.count)
         self.refusals = self._endings.refusals
+        self._waiting = Waiting(self.queue, self.tickets, self._endings)
+        self._holding = Holding(
+            self.quarantine, self.tickets, self._telling, self._waiting, self.count
+        )
 
     # What the tasks tell it
 
@@ -115,7 +123,7 @@
         refused = self._refusal_at_door(req)
         if refused is not None:
             return [self._endings.refused_at_door(peer, req, refused, 1.0)]
-        if held_s := self._held_s(now, req):
+        if held_s := self._holding.held_s(now, req):
             return [self._endings.refused_at_door(peer, req, HELD, held_s)]
         if req["key"]:
             early = self._claim(now, wall_ms, peer, req)
@@ -146,16 +154,7 @@
         peer = self._peers.at(link)
         if peer is None:
             return []
-        actions: list[Action] = []
-        for seq in message["seqs"]:
-            if seq in peer.live or self._endings.joined.holds(peer.incarnation, seq):
-                continue
-            frame = peer.kept.get(seq)
-            if frame is None:
-                ran, reason = fate_without_result(peer, seq)
-                frame = replies.refusal_frame(seq, ran, reason, 0.0, self.load())
-            actions.append(SendTo(link, frame))
-        return actions
+        return [SendTo(link, frame) for frame in self._endings.fates(peer, message["seqs"])]
 
     def finished(self, now: float, ticket_id: int, result: Result) -> list[Action]:
         """Take in what the upstream made of a call."""
@@ -176,7 +175,7 @@
                 return self._turned_away(now, ticket_id, "upstream-shed", result.retry_after_s)
             case Replaced():
                 told = self.leave(REPLACED)
-                waiting = self._refuse_waiting(self.tickets.ids(), REPLACED)
+                waiting = self._waiting.refuse(self.tickets.ids(), REPLACED)
                 return [*told, *waiting, *self._turned_away(now, ticket_id, REPLACED, 0.0)]
             case Broken():
                 self.count.lost += 1
@@ -188,29 +187,54 @@
     def upstream_ended(self, now: float, tickets: list[int]) -> list[Action]:
         """Take in that the upstream has ended with these calls at work.
 
-        They are told before their refusals: an ingress that may send one of them again, or gets one
-        like it, has then counted this crash.
+        One that got more than it bears ended by that: it is no evidence against these calls.
         """
         self.count.crashes += 1
-        found = [ticket for each in tickets if (ticket := self.tickets.get(each)) is not None]
-        news = self.quarantine.crashed(now, {ticket.identity for ticket in found})
-        held = [row["call"] for row in news if self.quarantine.held_s(now, row["call"])]
-        return [*self._telling.crashes(news), *self._hold(held)]
+        if self._cold.is_overloaded(now):
+            self.count.overloaded += 1
+            return []
+        return self._holding.upstream_ended(now, tickets)
 
     def learn_crashes(self, now: float, suspects: list[Suspect]) -> list[Action]:
         """Take in what another daemon knows of calls that end upstreams."""
-        return self._hold(self.quarantine.learned(now, suspects))
+        return self._holding.learned(now, suspects)
+
+    def sampled(self, now: float, sample: Sample) -> list[Action]:
+        """Take in what the upstream says of itself at this moment.
 
-    def paced(self, now: float, pace: int) -> list[Action]:
-        """Take in the upstream's pace, percent; tells who sends calls here if it is another one."""
-        told = self._learn_pace(now, pace)
+        Who sends calls here is told if its pace is another one, or if it has turned cold or warm.
+        """
+        if sample.cold_s is not None:
+            self._cold.seen(now, sample.cold_s)
+        told = self._note_cold(now)
+        if sample.pace:
+            told += self._learn_pace(now, sample.pace)
         return [*told, *self._apply(now, self.queue.advance(now))]
 
+    def bound_cold(self, now: float, rate: ColdRate) -> list[Action]:
+        """Take over what the upstream bears while it is cold."""
+        self._cold.bound(now, rate)
+        return self._note_cold(now)
+
+    def heard_again(self, now: float, cold_s: float) -> list[Action]:
+        """Take in that the upstream announced itself with nothing new but how long it is cold."""
+        self._cold.told(now, cold_s)
+        return [*self._note_cold(now), *self.stay(REPLACED)]
+
+    def end_evacuation(self, now: float) -> list[Action]:
+        """Take work again; the upstream, which had none for a while, may have turned cold."""
+        self._cold.assume(now)
+        return [*self._note_cold(now), *self.stay(EVACUATED)]
+
     def announce(self, now: float, upstream: Announced) -> list[Action]:
         """Take in what the upstream says of itself; "gone" is said when none is known."""
         actions: list[Action] = []
+        if self.standing.is_another(upstream):
+            self._cold.replaced()
         if self.standing.announce(now, upstream):
-            actions += self._refuse_waiting(self.tickets.ids(), REPLACED)
+            actions += self._waiting.refuse(self.tickets.ids(), REPLACED)
+        self._cold.told(now, upstream["cold_ms"] / 1000)
+        actions += self._note_cold(now)
         self.service = upstream["service"]
         slots = max(1, int(upstream["slots"] * STEADY_SHARE))
         queue = slots * QUEUE_PER_SLOT
@@ -240,10 +264,11 @@
 
     def tick(self, now: float) -> list[Action]:
         """Refuse what has waited too long, drop what nobody will ask for, forget old peers."""
-        actions = self._apply(now, self.queue.expire(now))
+        actions = self._note_cold(now)
+        actions += self._apply(now, self.queue.expire(now))
         actions += self._apply(now, self.queue.advance(now))
         for peer in self._peers.orphaned(now):
-            dropped = self._refuse_waiting(list(peer.live.values()), "ingress-gone")
+            dropped = self._waiting.refuse(list(peer.live.values()), "ingress-gone")
             self.count.withdrawn += len(dropped)
         self._peers.forget_old(now)
         self.keys.expire(now)
@@ -261,11 +286,11 @@
         """Return the calls that wait or run here."""
         return len(self.tickets)
 
-    def next_at(self) -> float | None:
-        """Return when `tick` has a waiting call to refuse, monotonic seconds; None for never."""
+    def next_at(self, now: float) -> float | None:
+        """Return when `tick` has something to do for a waiting call; None for never."""
         match self.queue:
             case DueQueue() as queue:
-                return queue.next_at()
+                return queue.next_at(now)
         return None
 
     def peer_name(self, link: int) -> str:
@@ -286,27 +311,13 @@
 
     # Steps
 
-    def _held_s(self, now: float, req: Dispatch) -> float:
-        """Return for how long a call like this is refused, seconds; 0 if it may run."""
-        if not self.quarantine.holding:
-            return 0.0
-        return self.quarantine.held_s(now, dispatch_identity(req))
-
-    def _hold(self, calls: list[str]) -> list[Action]:
-        """Refuse waiting calls that would end the upstream, and stop those at work.
-
-        One at work that may not be repeated keeps its chance of an answer.
-        """
-        if not calls:
+    def _note_cold(self, now: float) -> list[Action]:
+        """Tell every ingress if the upstream has turned cold or warm."""
+        cold = self._cold.is_cold(now)
+        if cold == self.standing.cold:
             return []
-        self.count.held += len(calls)
-        actions: list[Action] = [Hold(calls)]
-        found = [each for each in self.tickets.ids() if self.tickets[each].identity in calls]
-        for ticket_id in found:
-            ticket = self.tickets[ticket_id]
-            if ticket.running and ticket.request["repeatable"]:
-                actions.append(CancelCall(ticket_id, HELD))
-        return actions + self._refuse_waiting(found, HELD)
+        self.standing.cold = cold
+        return self._telling.all()
 
     def _learn_pace(self, now: float, pace: int) -> list[Action]:
         self.standing.pace = pace
@@ -387,12 +398,3 @@
             *self._endings.refused(ticket_id, "no", reason, retry_after_s, reached=True),
             *started,
         ]
-
-    def _refuse_waiting(self, tickets: list[int], reason: str) -> list[Action]:
-        actions: list[Action] = []
-        for ticket_id in tickets:
-            if self.tickets[ticket_id].running:
-                continue
-            self.queue.withdraw(ticket_id)
-            actions += self._endings.refused(ticket_id, "no", reason, 0.0)
-        return actions
--- a/foldhoist/delivery/services.py
+++ b/foldhoist/delivery/services.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from foldhoist.admission.retries import RetryBudget, SlackPart
+from foldhoist.config.fleet import evacuated
 from foldhoist.routing.picker import Picker
 from foldhoist.routing.policies import make_policy
 from foldhoist.routing.split import Split
@@ -92,6 +93,8 @@
         services: dict[str, ServiceState] = {}
         for name, cfg in fleet["services"].items():
             state = self._state(name, cfg)
+            state.picker.evacuated = evacuated(fleet)
+            state.picker.cold_s = 1.0 / cfg["cold_per_s"] if cfg["cold_per_s"] else 0.0
             state.homes = homes.get(name, ())
             services[name] = state
         self._by_name = services
--- a/foldhoist/delivery/standing.py
+++ b/foldhoist/delivery/standing.py
@@ -26,6 +26,8 @@
 
 None that is offered there will run, but each is an arrival, which the retry budget pays for.
 """
+EVACUATED = "data-centre-evacuated"
+"""Why calls are refused while an operator has the data centre evacuated."""
 LEAVING_QUEUE_S = 0.8
 """Calls that wait when the upstream begins to leave may still start for this long, seconds."""
 
@@ -41,6 +43,7 @@
         self.leaving_why: dict[str, bool] = {}
         self.stop_at = float("inf")
         self.watched = False
+        self.cold = False
         self._told_pace = 0
         self._answered_any = False
 
@@ -52,7 +55,10 @@
     @property
     def refusal(self) -> str:
         """Return why an upstream that takes no new work is not offered a call."""
-        return REPLACED if REPLACED in self.leaving_why else "upstream-leaving"
+        for reason in (REPLACED, EVACUATED):
+            if reason in self.leaving_why:
+                return reason
+        return "upstream-leaving"
 
     @property
     def instance(self) -> str:
@@ -71,11 +77,17 @@
         before, self.state = self.state, state
         return before != state
 
+    def is_another(self, upstream: Announced) -> bool:
+        """Return whether this is another life than the one known."""
+        before = self.upstream
+        return before is None or not life_of(before).is_same(life_of(upstream))
+
     def announce(self, now: float, upstream: Announced) -> bool:
         """Take in what it says of itself; returns whether it runs another service than before."""
         before = self.upstream
+        another = self.is_another(upstream)
         self.upstream = upstream
-        if before is None or not life_of(before).is_same(life_of(upstream)):
+        if another:
             self.state = "warm"
             self.pace = 0
             self.errors = 0.0
@@ -131,10 +143,15 @@
             "slots": queue.shape.slots,
             "service_us": int(queue.service_s * 1e6) if self._answered_any else 0,
             "errors": round(self.errors, 3),
-            "state": "leaving" if self.leaving else self.state,  # type: ignore[typeddict-item]
+            "state": self._shown_state(),  # type: ignore[typeddict-item]
         }
         if self.pace:
             load["pace"] = self.pace
             if self.watched:
                 load["pace_kept_ms"] = PACE_KEPT_MS
         return load
+
+    def _shown_state(self) -> str:
+        if self.leaving:
+            return "leaving"
+        return "cold" if self.cold and self.state == "warm" else self.state
--- /dev/null
+++ b/foldhoist/delivery/waiting.py
@@ -0,0 +1,31 @@
+"""Refuses calls that wait at an owner and will not start any more; no I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from foldhoist.admission.due import DueQueue
+    from foldhoist.admission.slots import SlotQueue
+    from foldhoist.delivery.dispatch import Action
+    from foldhoist.delivery.endings import Endings
+    from foldhoist.delivery.tickets import Tickets
+
+
+class Waiting:
+    """The calls of one owner that have no slot yet."""
+
+    def __init__(self, queue: SlotQueue | DueQueue, tickets: Tickets, endings: Endings) -> None:
+        self._queue = queue
+        self._tickets = tickets
+        self._endings = endings
+
+    def refuse(self, ticket_ids: list[int], reason: str) -> list[Action]:
+        """Refuse those of these calls that wait."""
+        actions: list[Action] = []
+        for ticket_id in ticket_ids:
+            if self._tickets[ticket_id].running:
+                continue
+            self._queue.withdraw(ticket_id)
+            actions += self._endings.refused(ticket_id, "no", reason, 0.0)
+        return actions
--- a/foldhoist/membership/registry.py
+++ b/foldhoist/membership/registry.py
@@ -49,6 +49,13 @@
     service: str = ""
     held: tuple[HeldCall, ...] = ()
 
+    @property
+    def has_address(self) -> bool:
+        """Return whether a connection may be opened where it says that it listens."""
+        host, _, port = self.frames.rpartition(":")
+        is_port = port.isascii() and port.isdigit() and 0 < int(port[:6]) < 65536
+        return bool(host) and is_port
+
 
 def held_call(suspect: Suspect, wall_ms: int) -> HeldCall:
     """Return how the store keeps a call that is refused."""
--- a/foldhoist/routing/picker.py
+++ b/foldhoist/routing/picker.py
@@ -26,6 +26,10 @@
 
 NO_CONNECTION = "no-upstream-connected"
 """Reason of a refusal for want of any connection."""
+ALL_EVACUATED = "all-data-centres-evacuated"
+"""Reason of a refusal where every upstream that is connected is in an evacuated data centre."""
+EVACUATED_RETRY_S = 1.0
+"""When to ask again then, seconds: an evacuation stands for seconds at least."""
 EJECT_ERRORS = 0.5
 """Share of recent errors from which on an upstream is ejected."""
 EJECT_RESULTS = 3
@@ -84,6 +88,8 @@
         self.data_centre = data_centre
         self.eject_share = eject_share
         self.rng = rng
+        self.evacuated: frozenset[str] = frozenset()
+        self.cold_s = 0.0
         self.tracks: dict[str, Track] = {}
         self.times = RouteTimes()
         self._started = False
@@ -118,6 +124,8 @@
         for track in self.tracks.values():
             if not track.linked or not track.standing or track.name in excluded:
                 continue
+            if track.data_centre in self.evacuated:
+                continue
             if track.backoff_until > now:
                 continue
             if track.ejected_until > now:
@@ -142,14 +150,18 @@
             reason = "only-one-open" if reason == "least-cost" else reason
         else:
             scaled_s = remote_s * self.times.scale(route)
-            track, scores = choose(self.policy, open_ones, now, self.rng, scaled_s)
+            track, scores = choose(self.policy, open_ones, now, self.rng, scaled_s, self.cold_s)
         return self._chosen(track, reason, open_ones, now, explain, scores)
 
     def _on_trial(self, excluded: Container[str]) -> list[Track]:
         return [
             track
             for track in self.tracks.values()
-            if track.trial_left and track.linked and track.standing and track.name not in excluded
+            if track.trial_left
+            and track.linked
+            and track.standing
+            and track.name not in excluded
+            and track.data_centre not in self.evacuated
         ]
 
     def _chosen(
@@ -326,6 +338,9 @@
         ]
         if waits:
             return NoChoice("all-upstreams-full", min(waits))
+        linked = [track for track in self.tracks.values() if track.linked]
+        if linked and all(track.data_centre in self.evacuated for track in linked):
+            return NoChoice(ALL_EVACUATED, EVACUATED_RETRY_S)
         if any(track.linked and track.name in excluded for track in self.tracks.values()):
             return NoChoice("no-other-upstream", 0.1)
         if any(track.linked for track in self.tracks.values()):
--- a/foldhoist/routing/policies.py
+++ b/foldhoist/routing/policies.py
@@ -108,6 +108,7 @@
     now: float,
     rng: Random,
     remote_s: float = REMOTE_COST_S,
+    cold_s: float = 0.0,
 ) -> tuple[Track, list[float] | None]:
     """Return the upstream that the policy picks, and expected times if it needed those.
 
@@ -115,7 +116,7 @@
     """
     if isinstance(policy, Mixed):
         scores = expected_s(
-            among, policy.data_centre, now, policy.trust.weight, policy.paces, remote_s
+            among, policy.data_centre, now, policy.trust.weight, policy.paces, remote_s, cold_s
         )
         return _least(among, scores, rng), scores
     return _choose_plainly(policy, among, now, rng), None
@@ -142,10 +143,12 @@
     trust: float = 1.0,
     paces: Paces | None = None,
     remote_s: float = REMOTE_COST_S,
+    cold_s: float = 0.0,
 ) -> list[float]:
     """Return the expected time of one more call at each, seconds, errors and distance included.
 
-    `remote_s` is what another data centre costs beside the time of the call.
+    `remote_s` is what another data centre costs beside the time of the call, `cold_s` the time
+    between two calls that a cold upstream bears.
 
     Upstreams whose answers take about as long as those of the fastest are taken for equally fast:
     what is left of the difference is chance, and calls would flock to the luckiest.
@@ -168,6 +171,8 @@
             cost *= paces.factor(track.pace, now - track.load_at - track.pace_kept_s)
         if track.data_centre != data_centre:
             cost += remote_s
+        if track.load is not None and track.load["state"] == "cold":
+            cost += cold_s
         costs.append(cost)
     return costs
 
--- a/foldhoist/schema/fleet.py
+++ b/foldhoist/schema/fleet.py
@@ -38,6 +38,10 @@
     """
     A caller connection without a request is closed after this, milliseconds; 0 for what the daemon's settings say.
     """
+    evacuated: str
+    """
+    Data centres whose upstreams get no calls, separated by commas.
+    """
 
 
 class Service(TypedDict):
@@ -99,6 +103,14 @@
     """
     Upstreams of the service that one daemon knows and chooses from.
     """
+    cold_per_s: float
+    """
+    Calls a second that an upstream bears while it is cold; 0 if that is not known.
+    """
+    cold_ms: int
+    """
+    How long an upstream is cold after its start, milliseconds.
+    """
 
 
 class Route(TypedDict):
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -468,6 +468,10 @@
     """
     Version of the configuration that it holds; 0 for none.
     """
+    evacuated_at: NotRequired[int]
+    """
+    Offset of the operator's log up to which it knows evacuations; absent for none.
+    """
     upstream: Announced
     ended: list[EndedLife]
     """
@@ -542,13 +546,16 @@
     """
 
 
-class Versioned(TypedDict):
+class Evacuated(TypedDict):
     """
-    A whole configuration as the platform keeps it.
+    Data centres whose upstreams get no calls by an operator's order.
     """
 
-    version: int
-    content: bytes
+    at: int
+    """
+    Offset of the operator's log below which every record counts.
+    """
+    data_centres: list[str]
 
 
 class Fresh(TypedDict):
@@ -565,6 +572,7 @@
     """
     Whether the sender asks for an answer of the same kind.
     """
+    evacuated: NotRequired[Evacuated]
 
 
 class Handed(TypedDict):
@@ -583,3 +591,13 @@
     Wall clock in milliseconds from which on the former home knows every key of its own.
     """
     keys: list[KeyState]
+
+
+class Versioned(TypedDict):
+    """
+    A whole configuration as the platform keeps it.
+    """
+
+    version: int
+    content: bytes
+    evacuated: NotRequired[Evacuated]
--- a/tests/adapter/test_numbers.py
+++ b/tests/adapter/test_numbers.py
@@ -137,4 +137,4 @@
 def test_the_pace_may_have_a_fraction() -> None:
     dialect = PlatformDialect("kasa")
     head = head_of(dialect.upstream_rules, {b"X-Server-Load": b"1,0,12,112.5"})
-    assert dialect.sampled_pace(200, head) == 112
+    assert dialect.sample(200, head).pace == 112
--- a/tests/unit/admission/test_due.py
+++ b/tests/unit/admission/test_due.py
@@ -62,7 +62,7 @@
     slots = queue()
     slots.submit(0.0, 1, wish(9.0))
     slots.submit(0.0, 2, wish(5.0, start_by=0.2))
-    assert slots.next_at() == 0.2
+    assert slots.next_at(0.0) == 0.2
     assert slots.expire(0.1) == []
     assert [type(each) for each in slots.expire(0.2)] == [Refuse]
     assert slots.release(0.3, 0.3) == []
--- a/tests/unit/daemon/test_peer_messages.py
+++ b/tests/unit/daemon/test_peer_messages.py
@@ -17,7 +17,7 @@
         known = SimpleNamespace(incarnation="l1")
         self.registry = SimpleNamespace(peers={"b": known}, remembered=lambda name: None)
         self.links = SimpleNamespace(is_up=lambda name: True)
-        self.versions = SimpleNamespace(version=SimpleNamespace(number=0))
+        self.versions = SimpleNamespace(is_behind=lambda member: False)
         self.owner_task = SimpleNamespace(reply=lambda link, kind, body: self.replies.append(kind))
         self.peers = SimpleNamespace(
             told=lambda member: None,
--- a/tests/unit/daemon/test_versions_task.py
+++ b/tests/unit/daemon/test_versions_task.py
@@ -9,15 +9,18 @@
 import pytest
 from expression import Error, Ok
 
+from foldhoist.configlog.evacuations import Told
 from foldhoist.configlog.versions import Readers, Version
 from foldhoist.daemon import versions_task
-from foldhoist.daemon.ports import StoreFault
+from foldhoist.daemon.ports import News, StoreFault
 from foldhoist.daemon.versions_task import ANSWER_FIRST_S, ANSWER_LONGEST_S, VersionsTask
 
 if TYPE_CHECKING:
     from expression import Result
 
 WAIT_MS = 5000
+NOTHING = News(None, Told(0, whole=False, records=()))
+FIRST = News(Version(1, b""), Told(1, whole=True, records=()))
 SILENT = StoreFault("did not answer", True)
 ASKED = 40
 """Calls after which a scripted store says nothing more."""
@@ -34,26 +37,26 @@
 class ScriptedStore:
     """Answers by a list; after its end it answers every call at once, up to a number of calls."""
 
-    def __init__(self, answers: list[Result[Version | None, StoreFault]]) -> None:
+    def __init__(self, answers: list[Result[News, StoreFault]]) -> None:
         self.answers = answers
         self.calls: list[Call] = []
         self.ended = asyncio.Event()
 
-    async def newest(self, answer_s: float) -> Result[Version | None, StoreFault]:
+    async def newest(self, answer_s: float) -> Result[News, StoreFault]:
         """Return the next answer."""
         return await self._answer(Call("newest", 0, answer_s))
 
-    async def news(self, wait_ms: int, answer_s: float) -> Result[Version | None, StoreFault]:
+    async def news(self, wait_ms: int, answer_s: float) -> Result[News, StoreFault]:
         """Return the next answer."""
         return await self._answer(Call("news", wait_ms, answer_s))
 
-    async def _answer(self, call: Call) -> Result[Version | None, StoreFault]:
+    async def _answer(self, call: Call) -> Result[News, StoreFault]:
         if len(self.calls) >= ASKED:
             self.ended.set()
             await asyncio.Event().wait()
         self.calls.append(call)
         await asyncio.sleep(0)
-        return self.answers.pop(0) if self.answers else Ok(None)
+        return self.answers.pop(0) if self.answers else Ok(NOTHING)
 
 
 class FakeAdapter:
@@ -61,7 +64,7 @@
 
     def translate(self, version: Version) -> Result[Any, str]:
         """Return something that stands for a configuration."""
-        return Ok({"number": version.number})
+        return Ok({"number": version.number, "fleet": {}})
 
 
 class NoPeers:
@@ -78,7 +81,7 @@
         """Ask nobody."""
 
 
-def calls_with(answers: list[Result[Version | None, StoreFault]]) -> list[Call]:
+def calls_with(answers: list[Result[News, StoreFault]]) -> list[Call]:
     """Return the calls that a task makes to a store with these answers."""
 
     async def run() -> list[Call]:
@@ -105,7 +108,7 @@
     monkeypatch.setattr(versions_task, "LOOK_S", 0.001)
 
     async def run() -> list[Call]:
-        store: Any = ScriptedStore([Ok(Version(1, b""))])
+        store: Any = ScriptedStore([Ok(FIRST)])
         adapter: Any = FakeAdapter()
         peers: Any = NoPeers()
         readers = Readers("a", 6.0)
@@ -125,7 +128,7 @@
 
 def test_readers_do_not_wait_in_step() -> None:
     """A call that hangs when the store falls silent ends at another time at each reader."""
-    waits = [call.wait_ms for call in calls_with([Ok(Version(1, b""))]) if call.kind == "news"]
+    waits = [call.wait_ms for call in calls_with([Ok(FIRST)]) if call.kind == "news"]
     assert max(waits) <= WAIT_MS
     assert min(waits) >= 0.4 * WAIT_MS
     assert len(set(waits)) > ASKED // 2
@@ -133,7 +136,7 @@
 
 def test_a_store_that_has_failed_is_asked_without_waiting_for_news() -> None:
     """What hangs in a silent store must not hang on when the store is back."""
-    calls = calls_with([Ok(Version(1, b"")), Error(SILENT), Error(SILENT), Error(SILENT)])
+    calls = calls_with([Ok(FIRST), Error(SILENT), Error(SILENT), Error(SILENT)])
     assert [call.kind for call in calls[:2]] == ["newest", "news"]
     after = calls[2:5]
     assert [call.wait_ms for call in after] == [0, 0, 0]
@@ -144,7 +147,7 @@
 
 
 def test_a_start_beside_a_silent_store_asks_again_and_again() -> None:
-    calls = calls_with([Error(SILENT)] * 3 + [Ok(Version(1, b""))])
+    calls = calls_with([Error(SILENT)] * 3 + [Ok(FIRST)])
     assert [call.kind for call in calls[:4]] == ["newest"] * 4
     assert calls[0].answer_s == ANSWER_FIRST_S
     assert calls[3].answer_s == ANSWER_LONGEST_S
--- a/tests/unit/delivery/test_owner.py
+++ b/tests/unit/delivery/test_owner.py
@@ -13,6 +13,7 @@
     CloseLink,
     Hold,
     Replaced,
+    Sample,
     SendTo,
     Shed,
     StartCall,
@@ -249,10 +250,10 @@
         (start,) = owner.dispatch(link / 100, 0, link, dispatch(1))
         assert isinstance(start, StartCall)
         owner.finished(link / 100, start.ticket, Whole(200, [], b"", 100))
-    told = [action.link for action in owner.paced(1.0, 500) if isinstance(action, SendTo)]
+    told = [action.link for action in owner.sampled(1.0, Sample(500)) if isinstance(action, SendTo)]
     assert told == list(range(MOST_TOLD + 9, 9, -1))
-    assert owner.paced(1.1, 510) == []
-    assert owner.paced(1.0 + PACE_KEPT_MS / 1000, 100) == []
+    assert owner.sampled(1.1, Sample(510)) == []
+    assert owner.sampled(1.0 + PACE_KEPT_MS / 1000, Sample(100)) == []
 
 
 def announced(**fields: Any) -> Any:
