--- a/foldhoist/admission/cold.py
+++ b/foldhoist/admission/cold.py
@@ -9,6 +9,8 @@
 from collections import deque
 from typing import NamedTuple
 
+from foldhoist.admission.ramp import Ramp
+
 WINDOW_S = 1.0
 """What an upstream bears is counted in any span of this length, seconds: it is told as a rate."""
 
@@ -35,6 +37,7 @@
         self.rate = ColdRate()
         self._until = float("-inf")
         self._starts: deque[float] = deque()
+        self._ramp = Ramp()
 
     def bound(self, now: float, rate: ColdRate) -> None:
         """Take over what the configuration says.
@@ -48,6 +51,15 @@
     def replaced(self) -> None:
         """Take in that another life of the upstream stands there: the word of the old one ends."""
         self._until = float("-inf")
+        self._ramp.begin()
+
+    def answered(self) -> None:
+        """Take in that the upstream has answered a call."""
+        self._ramp.answered()
+
+    def room(self, slots: int) -> int:
+        """Return the calls that it may have at once, of its slots."""
+        return self._ramp.room(slots)
 
     def told(self, now: float, left_s: float) -> None:
         """Take in for how long it is cold, by its own word.
--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -160,7 +160,7 @@
         return min(late_at, ready_at) if ready_at > now else late_at
 
     def _has_room(self, now: float) -> bool:
-        return self.busy < self.shape.slots and self.cold.may_start(now)
+        return self.busy < self.cold.room(self.shape.slots) and self.cold.may_start(now)
 
     def _started(self, now: float, ticket: int, wish: Wish) -> Start:
         self.busy += 1
--- a/foldhoist/commands/all.py
+++ b/foldhoist/commands/all.py
@@ -9,12 +9,13 @@
 from foldhoist.commands.config import config
 from foldhoist.commands.daemon import daemon
 from foldhoist.commands.drain import drain
+from foldhoist.commands.evacuate import evacuate
 from foldhoist.commands.explain import explain
 from foldhoist.commands.status import status
 from foldhoist.commands.version import version
 from foldhoist.commands.watch import watch
 
-COMMANDS = [daemon, check, apply, status, config, watch, explain, drain, version]
+COMMANDS = [daemon, check, apply, status, config, watch, explain, drain, evacuate, version]
 """Commands in the order in which help lists them."""
 
 
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -167,6 +167,7 @@
                 self.standing.answered(result.status)
                 told = self._learn_pace(now, result.pace)
                 if result.status < SERVER_ERROR:
+                    self._cold.answered()
                     told += self._telling.crashes(self.quarantine.answered(now, ticket.identity))
                 started = self._apply(now, self.queue.release(now, served))
                 return [*self._endings.answered(now, ticket_id, result, served), *started, *told]
@@ -200,10 +201,7 @@
         return self._holding.learned(now, suspects)
 
     def sampled(self, now: float, sample: Sample) -> list[Action]:
-        """Take in what the upstream says of itself at this moment.
-
-        Who sends calls here is told if its pace is another one, or if it has turned cold or warm.
-        """
+        """Take in what the upstream says of itself now; tells ingresses what is news."""
         if sample.cold_s is not None:
             self._cold.seen(now, sample.cold_s)
         told = self._note_cold(now)
@@ -229,7 +227,7 @@
     def announce(self, now: float, upstream: Announced) -> list[Action]:
         """Take in what the upstream says of itself; "gone" is said when none is known."""
         actions: list[Action] = []
-        if self.standing.is_another(upstream):
+        if self.standing.upstream is not None and self.standing.is_another(upstream):
             self._cold.replaced()
         if self.standing.announce(now, upstream):
             actions += self._waiting.refuse(self.tickets.ids(), REPLACED)
--- a/tests/adapter/test_evacuation.py
+++ b/tests/adapter/test_evacuation.py
@@ -124,6 +124,29 @@
     assert sum(len(target.ran) for target in cluster.targets.values()) == ran
 
 
+@played
+async def test_a_part_of_a_split_route_that_is_evacuated_is_refused_and_not_moved(
+    cluster: Cluster,
+) -> None:
+    """The share of a part holds also while it has no room: the other part gets no more calls."""
+    await cluster.add("a")
+    await cluster.add("b", service="parcels", data_centre="two")
+    parts = [{"service": "shop", "weight": 50}, {"service": "parcels", "weight": 50}]
+    await cluster.configure(3, [route(weighted_clusters=parts)])
+    await cluster.settle(3)
+    await cluster.evacuate("two")
+    answers: list[Answer] = []
+    async with asyncio.timeout(WAIT_S):
+        while not any(answer.status == 503 for answer in answers):
+            answers = await asked(cluster)
+    ran = len(cluster.targets["b"].ran)
+    answers = [answer for _ in range(ROUNDS) for answer in await asked(cluster)]
+    served = sum(answer.status == 200 for answer in answers)
+    assert {answer.status for answer in answers} == {200, 503}
+    assert abs(served / len(answers) - 0.5) <= 0.2
+    assert len(cluster.targets["b"].ran) == ran
+
+
 @played
 async def test_upstreams_that_are_back_are_cold_until_they_say_otherwise(cluster: Cluster) -> None:
     """No announcement comes between the end of the evacuation and the first calls."""
--- a/tests/integration/test_commands.py
+++ b/tests/integration/test_commands.py
@@ -53,6 +53,20 @@
     assert "apply `state = retired`, then remove the section" in done.stderr
 
 
+def test_a_data_centre_is_evacuated_and_taken_back() -> None:
+    with make_fleet() as fleet:
+        fleet.start()
+        name = str(fleet.status("depo-1")["upstreams"][0]["data_centre"])
+        log, daemon = fleet.platform_address, operators(fleet)
+        more = ("--daemon", daemon, "--log", log)
+        assert "is no data centre" in fleet.command("evacuate", "nowhere", *more).stdout
+        assert fleet.command("evacuate", name, *more).returncode == 0
+        assert f"evacuated = {name}" in fleet.command("config", daemon).stdout
+        assert "nothing changes" in fleet.command("evacuate", name, *more).stdout
+        assert fleet.command("evacuate", name, *more, "--end").returncode == 0
+        assert "evacuated" not in fleet.command("config", daemon).stdout
+
+
 def test_a_file_of_an_older_generation_does_not_undo_a_colleagues_change() -> None:
     with make_fleet() as fleet:
         fleet.start()
--- a/tests/model/evacuations_spec.py
+++ b/tests/model/evacuations_spec.py
@@ -64,7 +64,12 @@
 
     def transitions(fields: tuple[object, ...]) -> list[tuple[str, tuple[object, ...]]]:
         world = World(*fields)  # type: ignore[arg-type]
-        steps = [*_writes(world), *_reads(world, rules), *_told(world, rules), *_restarts(world, rules)]
+        steps = [
+            *_writes(world),
+            *_reads(world, rules),
+            *_told(world, rules),
+            *_restarts(world, rules),
+        ]
         return [(label, tuple(after)) for label, after in steps]
 
     return protocol("evacuations", World(), transitions, INVARIANTS)
