Let the told rate alone bound a cold upstream where it is known

Cause: the ramp gave a cold upstream one call at a time at first, also where the configuration says that it bears eight a second; with calls of 350 ms that keeps most of it unused. Change: a new life is ramped only where no rate is known. Test; tests that compared a decision with another by equality compare its type now, since decisions of one ticket are equal tuples whatever they decide.

--- a/foldhoist/admission/cold.py
+++ b/foldhoist/admission/cold.py
@@ -51,7 +51,9 @@
     def replaced(self) -> None:
         """Take in that another life of the upstream stands there: the word of the old one ends."""
         self._until = float("-inf")
-        self._ramp.begin()
+        if not self.rate.per_s:
+            # Where it is told what is borne, a call at a time would keep that from slow calls.
+            self._ramp.begin()
 
     def answered(self) -> None:
         """Take in that the upstream has answered a call."""
--- a/tests/unit/admission/test_cold.py
+++ b/tests/unit/admission/test_cold.py
@@ -134,13 +134,15 @@
     queue.cold.bound(-100.0, ColdRate(2.0, 3.0))
     queue.cold.told(0.0, 60.0)
     urgent, usual = Wish(2.0, 1.8, 0.1, 3.0), Wish(2.5, 2.0, 0.1, 3.0, rank=1)
-    assert queue.submit(0.0, 1, usual) == Start(1)
-    assert queue.submit(0.0, 2, usual) == Start(2)
-    assert queue.submit(0.1, 3, usual) == Wait(3)
-    assert queue.submit(0.2, 4, urgent) == Wait(4)
+    assert type(queue.submit(0.0, 1, usual)) is Start
+    assert type(queue.submit(0.0, 2, usual)) is Start
+    assert type(queue.submit(0.1, 3, usual)) is Wait
+    assert type(queue.submit(0.2, 4, urgent)) is Wait
     assert queue.next_at(0.2) == 1.0
     assert queue.advance(0.9) == []
-    assert queue.advance(1.0) == [Start(4), Start(3)]
+    started = queue.advance(1.0)
+    assert [type(each) for each in started] == [Start, Start]
+    assert [each.ticket for each in started] == [4, 3]
     late = queue.submit(1.1, 5, Wish(1.5, 1.4, 0.1, 2.0))
     assert isinstance(late, Refuse)
     assert late.retry_after_s > 0.8
--- a/tests/unit/admission/test_ramp.py
+++ b/tests/unit/admission/test_ramp.py
@@ -10,9 +10,10 @@
 
 import simpy
 
+from foldhoist.admission.cold import ColdRate
 from foldhoist.admission.due import DueQueue, Wish
 from foldhoist.admission.ramp import Ramp
-from foldhoist.admission.slots import Shape, Start
+from foldhoist.admission.slots import Shape, Start, Wait
 
 SLOTS = 6
 """Slots of each upstream."""
@@ -88,6 +89,16 @@
     assert ramped.answered > 10 * at_once.answered
 
 
+def test_where_it_is_told_what_is_borne_that_alone_counts() -> None:
+    queue = DueQueue(Shape(SLOTS, 100, 0, 8))
+    queue.cold.bound(-10.0, ColdRate(4.0, 3.0))
+    queue.cold.replaced()
+    queue.cold.told(0.0, 3.0)
+    wish = Wish(9.0, 8.0, WORK_S, 10.0)
+    started = [type(queue.submit(0.0, ticket, wish)) for ticket in range(6)]
+    assert started == [Start] * 4 + [Wait] * 2
+
+
 def test_room_grows_with_answers_to_all_slots() -> None:
     ramp = Ramp()
     assert ramp.room(3) == 3
