--- a/tests/adapter/cluster.py
+++ b/tests/adapter/cluster.py
@@ -62,6 +62,7 @@
         self.targets: dict[str, FakeTarget] = {}
         self.daemons: dict[str, MeshDaemon] = {}
         self.places: dict[str, str] = {}
+        self.customers: list[dict[str, Any]] = []
         self.sequence = 0
 
     async def __aenter__(self) -> Cluster:
@@ -120,6 +121,8 @@
             "limits": {"max_body_bytes": 1000, "idle_timeout_s": 15, "header_timeout_s": 3},
             "virtual_hosts": [{"host": "shop.example", "route_paths": routes}],
         }
+        if self.customers:
+            body["tenants"] = self.customers
         await self.log.put("keyed.op", "config", json.dumps(body).encode())
 
     async def evacuate(self, data_centre: str, value: bytes = b"{}") -> None:
