Give cold upstreams what the deployment says they bear, and count an earlier life's calls from this one's start

Used is the multiple and a quarter of the rest, where the settings hold them; what an earlier life may have sent counts from when this process began.

--- a/foldhoist/__main__.py
+++ b/foldhoist/__main__.py
@@ -4,6 +4,7 @@
 
 import sys
 
+from foldhoist.commands.began import BEGAN
 from foldhoist.commands.output import EXIT_FAULTS, EXIT_UNREACHABLE
 from foldhoist.exceptions import FoldhoistError, UsageError
 
@@ -28,9 +29,9 @@
     """
     args = sys.argv[1:]
     if len(args) == 2 and args[0] == "daemon" and not args[1].startswith("-"):
-        from foldhoist.commands.daemon import daemon
+        from foldhoist.commands.daemon import run_daemon
 
-        return daemon(args[1])
+        return run_daemon(args[1], BEGAN)
     from foldhoist.commands.all import run_command
 
     return run_command()
--- a/foldhoist/admission/cold.py
+++ b/foldhoist/admission/cold.py
@@ -15,6 +15,20 @@
 """What an upstream bears is counted in any span of this length, seconds: it is told as a rate."""
 
 
+SLACK_USED = 0.25
+"""Share of the slack that is given to a cold upstream.
+
+The rest is for what an earlier life of the daemon had on its way.
+"""
+
+
+class Tolerance(NamedTuple):
+    """What a cold upstream bears: `overage` times its rate, and `slack` calls a second more."""
+
+    overage: float = 1.0
+    slack: float = 0.0
+
+
 class ColdRate(NamedTuple):
     """What a cold upstream of a service bears, as the configuration says.
 
@@ -24,6 +38,13 @@
     per_s: float = 0.0
     period_s: float = 0.0
 
+    def with_tolerance(self, tolerance: Tolerance) -> ColdRate:
+        """Return the rate that is used where this much more is borne."""
+        if not self.per_s:
+            return self
+        more = tolerance.slack * SLACK_USED
+        return self._replace(per_s=self.per_s * tolerance.overage + more)
+
 
 class ColdStart:
     """The starts of calls at one upstream, and until when it is cold; times are monotonic seconds.
@@ -39,13 +60,15 @@
         self._starts: deque[float] = deque()
         self._ramp = Ramp()
 
-    def bound(self, now: float, rate: ColdRate) -> None:
+    def bound(self, now: float, rate: ColdRate, began: float | None = None) -> None:
         """Take over what the configuration says.
 
-        The first time, an earlier life of this daemon may just have sent all that is borne.
+        The first time, an earlier life of this daemon may have sent all that is borne just before
+        this one `began`.
         """
         if not self.rate.per_s and rate.per_s:
-            self._starts.extend([now] * _most(rate.per_s))
+            at = now if began is None else min(now, began)
+            self._starts.extendleft([at] * _most(rate.per_s))
         self.rate = rate
 
     def replaced(self) -> None:
--- /dev/null
+++ b/foldhoist/commands/began.py
@@ -0,0 +1,8 @@
+"""When this process began: to be imported before what takes long to load."""
+
+from __future__ import annotations
+
+import time
+
+BEGAN = time.monotonic()
+"""Monotonic seconds."""
--- a/foldhoist/commands/daemon.py
+++ b/foldhoist/commands/daemon.py
@@ -10,6 +10,7 @@
 import msgspec
 from loguru import logger
 
+from foldhoist.commands.began import BEGAN
 from foldhoist.commands.output import EXIT_FAULTS, EXIT_OK, EXIT_UNREACHABLE, print_faults
 from foldhoist.config.faults import show
 from foldhoist.config.settings import load_settings
@@ -28,17 +29,22 @@
 
     :param settings: Path of the daemon's settings file.
     """
+    return run_daemon(settings, BEGAN)
+
+
+def run_daemon(settings: str, began: float) -> int:
+    """Run one daemon whose process `began` then, monotonic seconds; returns the exit code."""
     loaded = load_settings(settings)
     if loaded.is_error():
         print_faults(loaded.error, as_json=False)
         return EXIT_FAULTS
     cfg = loaded.ok
     set_up_logs(cfg["observe"], cfg["daemon"]["name"])
-    return asyncio.run(_run(cfg, settings))
+    return asyncio.run(_run(cfg, settings, began))
 
 
-async def _run(cfg: Settings, path: str) -> int:
-    running = _make(cfg)
+async def _run(cfg: Settings, path: str, began: float) -> int:
+    running = _make(cfg, began)
     try:
         await running.start()
     except OSError as exc:
@@ -66,12 +72,12 @@
     running.reload(loaded.ok)
 
 
-def _make(cfg: Settings) -> Daemon | MeshDaemon:
+def _make(cfg: Settings, began: float) -> Daemon | MeshDaemon:
     """Return the kind of daemon that the settings ask for; only its libraries are loaded."""
     if cfg["platform"]["adapter"]:
         from foldhoist.daemon.mesh import MeshDaemon
 
-        return MeshDaemon(cfg)
+        return MeshDaemon(cfg, began=began)
     from foldhoist.daemon.daemon import Daemon
 
     return Daemon(cfg)
--- a/foldhoist/config/fleet.py
+++ b/foldhoist/config/fleet.py
@@ -14,6 +14,7 @@
     from collections.abc import Iterable
 
     from foldhoist.schema.fleet import Fleet, FleetSection, Service, Target
+    from foldhoist.schema.settings import Limits
 
 KINDS = {"service": "Service", "route": "Route", "customer": "Customer", "target": "Target"}
 """Kinds of sections that carry a name, with their entry in the schema."""
@@ -141,6 +142,17 @@
     return {**fleet, "fleet": section}
 
 
+def limits_of(own: Limits, fleet: Fleet) -> Limits:
+    """Return what callers may send: the daemon's own limits, and what the configuration says."""
+    said = fleet["fleet"]
+    limits: Limits = {**own}
+    limits["header_bytes"] = said["header_bytes"] or own["header_bytes"]
+    limits["body_bytes"] = said["body_bytes"] or own["body_bytes"]
+    limits["request_ms"] = said["request_ms"] or own["request_ms"]
+    limits["idle_ms"] = said["idle_ms"] or own["idle_ms"]
+    return limits
+
+
 def _read_text(text: str, schema: dict[str, Any], file: str) -> Section:
     parser, faults = read_sections(text, file)
     if faults:
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -10,11 +10,11 @@
 
 from loguru import logger
 
-from foldhoist.admission.cold import ColdRate
+from foldhoist.admission.cold import ColdRate, Tolerance
 from foldhoist.admission.due import DueQueue
 from foldhoist.admission.held import HeldBytes
 from foldhoist.admission.slots import Shape
-from foldhoist.config.fleet import evacuated
+from foldhoist.config.fleet import evacuated, limits_of
 from foldhoist.config.reread import LIMITS, reread
 from foldhoist.configlog.versions import Readers
 from foldhoist.daemon.callers import CallerConnection, Shared
@@ -50,7 +50,7 @@
     from foldhoist.routing.picker import Member as Tracked
     from foldhoist.schema.fleet import Fleet
     from foldhoist.schema.messages import Hello, Member
-    from foldhoist.schema.settings import Limits, Settings
+    from foldhoist.schema.settings import Settings
 
 SHAPE_UNKNOWN = Shape(slots=1, queue=0, urgent_slots=0, urgent_run=8)
 """Shape of the owner before its upstream has announced itself."""
@@ -67,8 +67,11 @@
 class MeshDaemon:
     """Everything of one daemon process whose platform is reached through an adapter."""
 
-    def __init__(self, cfg: Settings, rng: random.Random | None = None) -> None:
+    def __init__(
+        self, cfg: Settings, rng: random.Random | None = None, began: float | None = None
+    ) -> None:
         self.cfg = cfg
+        self._began = began
         self.name = cfg["daemon"]["name"]
         self.data_centre = cfg["daemon"]["data_centre"]
         self.incarnation = secrets.token_hex(8)
@@ -156,7 +159,7 @@
         self.quotas.keeper.slack = platform["quota_slack"]
         self._track()
         if self.versions.fleet is not None:
-            self.shared.adopt(_limits(limits, self.versions.fleet))
+            self.shared.adopt(limits_of(limits, self.versions.fleet))
 
     async def stop(self) -> None:
         """Close every socket and end every task."""
@@ -225,6 +228,8 @@
             self.adapter.dialect,
             self.messages.inbound,
         )
+        if self._began is not None:
+            self.owner_task.began = self._began
         platform = cfg["platform"]
         self._slack = RetrySlack(platform["retry_slack"], platform["retry_window_s"])
         ingress = Ingress(
@@ -300,7 +305,7 @@
         }
 
     def _on_adopt(self, version: Version, fleet: Fleet) -> None:
-        self.shared.adopt(_limits(self.cfg["limits"], fleet))
+        self.shared.adopt(limits_of(self.cfg["limits"], fleet))
         own = fleet["services"].get(self.owner.service)
         if own is not None and own["health_path"]:
             self.owner_task.sampler.path = own["health_path"]
@@ -313,7 +318,10 @@
     def _bound_cold(self, fleet: Fleet) -> None:
         own = fleet["services"].get(self.owner.service)
         if own is not None:
-            self.owner_task.bound_cold(ColdRate(own["cold_per_s"], own["cold_ms"] / 1000))
+            rate = ColdRate(own["cold_per_s"], own["cold_ms"] / 1000)
+            upstream = self.cfg["upstream"]
+            tolerance = Tolerance(upstream["cold_overage"], upstream["cold_slack"])
+            self.owner_task.bound_cold(rate.with_tolerance(tolerance))
 
     def _set_evacuated(self, names: frozenset[str]) -> None:
         centres = {peer.data_centre for peer in self.registry.peers.values()} | {self.data_centre}
@@ -386,14 +394,3 @@
         self.events.hop(asyncio.get_running_loop().time(), call)
         self.latencies.record("queue", call.waited_us)
         self.latencies.record("upstream", call.served_us)
-
-
-def _limits(own: Limits, fleet: Fleet) -> Limits:
-    """Return what callers may send: the daemon's own limits, and what the configuration says."""
-    said = fleet["fleet"]
-    limits: Limits = {**own}
-    limits["header_bytes"] = said["header_bytes"] or own["header_bytes"]
-    limits["body_bytes"] = said["body_bytes"] or own["body_bytes"]
-    limits["request_ms"] = said["request_ms"] or own["request_ms"]
-    limits["idle_ms"] = said["idle_ms"] or own["idle_ms"]
-    return limits
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -68,6 +68,7 @@
         on_peer: Callable[[int, str, Any], None] | None = None,
     ) -> None:
         self.owner = owner
+        self.began = asyncio.get_running_loop().time()
         self._on_peer = on_peer
         self.on_refused: Callable[[Refused], None] | None = None
         self.on_spread: Callable[[list[Suspect]], None] | None = None
@@ -156,7 +157,7 @@
 
     def bound_cold(self, rate: ColdRate) -> None:
         """Take over what the upstream bears while it is cold."""
-        self._carry_out(self.owner.bound_cold(self._loop.time(), rate))
+        self._carry_out(self.owner.bound_cold(self._loop.time(), rate, self.began))
 
     def set_evacuated(self, evacuated: bool) -> None:
         """Take no new work while this data centre is evacuated.
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -209,9 +209,9 @@
             told += self._learn_pace(now, sample.pace)
         return [*told, *self._apply(now, self.queue.advance(now))]
 
-    def bound_cold(self, now: float, rate: ColdRate) -> list[Action]:
-        """Take over what the upstream bears while it is cold."""
-        self._cold.bound(now, rate)
+    def bound_cold(self, now: float, rate: ColdRate, began: float) -> list[Action]:
+        """Take over what the upstream bears while it is cold; the daemon's process `began` then."""
+        self._cold.bound(now, rate, began)
         return self._note_cold(now)
 
     def heard_again(self, now: float, cold_s: float) -> list[Action]:
--- a/foldhoist/schema/settings.py
+++ b/foldhoist/schema/settings.py
@@ -64,6 +64,14 @@
     """
     Longest wait for a new connection, milliseconds.
     """
+    cold_overage: float
+    """
+    What a cold upstream bears in a second at most, as a multiple of what the configuration says, with an adapter.
+    """
+    cold_slack: float
+    """
+    Calls in a second that it bears on top of that; a quarter of them is used.
+    """
 
 
 class Platform(TypedDict):
--- a/tests/adapter/test_numbers.py
+++ b/tests/adapter/test_numbers.py
@@ -32,6 +32,8 @@
     "{{listen.control}}": "10.0.0.1:8306",
     "{{listen.ready}}": "10.0.0.1:8302",
     "{{app_addr}}": "10.0.0.1:8301",
+    "{{#bounds.cold_overage}}cold_overage = {{bounds.cold_overage}}{{/bounds.cold_overage}}": "",
+    "{{#bounds.cold_slack}}cold_slack = {{bounds.cold_slack}}{{/bounds.cold_slack}}": "",
     "{{#bounds.quota_slack}}quota_slack = {{bounds.quota_slack}}{{/bounds.quota_slack}}": "",
     "{{service}}": "kasa",
     "{{platform.address}}": "10.0.0.9:8309",
--- a/tests/unit/admission/test_cold.py
+++ b/tests/unit/admission/test_cold.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from foldhoist.admission.bucket import TokenBucket
-from foldhoist.admission.cold import ColdRate, ColdStart
+from foldhoist.admission.cold import ColdRate, ColdStart, Tolerance
 from foldhoist.admission.due import DueQueue, Wish
 from foldhoist.admission.slots import Refuse, Shape, Start, Wait
 
@@ -146,3 +147,23 @@
     late = queue.submit(1.1, 5, Wish(1.5, 1.4, 0.1, 2.0))
     assert isinstance(late, Refuse)
     assert late.retry_after_s > 0.8
+
+
+def test_what_an_earlier_life_of_the_daemon_sent_counts_from_when_this_one_began() -> None:
+    upstream = ColdStart()
+    upstream.bound(0.7, ColdRate(5.0, 3.0), began=0.1)
+    upstream.told(0.7, 3.0)
+    assert not upstream.may_start(0.7)
+    assert upstream.ready_at(0.7) == pytest.approx(1.1)
+    late = ColdStart()
+    late.bound(0.7, ColdRate(5.0, 3.0), began=9.0)
+    late.told(0.7, 3.0)
+    assert late.ready_at(0.7) == pytest.approx(1.7)
+
+
+def test_what_is_borne_beyond_the_rate_is_used_in_part_and_never_wholly() -> None:
+    rate = ColdRate(5.5, 3.0)
+    assert rate.with_tolerance(Tolerance()) == rate
+    used = rate.with_tolerance(Tolerance(1.5, 8.0)).per_s
+    assert rate.per_s < used < 5.5 * 1.5 + 8.0
+    assert ColdRate().with_tolerance(Tolerance(1.5, 8.0)).per_s == 0.0
