Use all slots of an upstream until its answers show that a crowd slows it

Cause: a fifth of the slots was left empty at every upstream, rounded down: of three slots one, of five one. Some upstreams work more slowly when close to full, others don't, and nothing tells which.

--- /dev/null
+++ b/foldhoist/delivery/claims.py
@@ -0,0 +1,43 @@
+"""Calls with an idempotency key at their home: the first one runs, others get what became of it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from foldhoist.delivery import replies
+from foldhoist.delivery.keys import Deny, Join, Replay, fingerprint
+
+if TYPE_CHECKING:
+    from foldhoist.delivery.dispatch import Action, Counters, Peer
+    from foldhoist.delivery.endings import Endings
+    from foldhoist.delivery.keys import KeyTable
+    from foldhoist.schema.messages import Dispatch, Load
+
+
+class Claims:
+    """Claims keys for calls; times are monotonic seconds, `wall_ms` milliseconds of wall clock."""
+
+    def __init__(self, keys: KeyTable, endings: Endings, count: Counters) -> None:
+        self._keys = keys
+        self._endings = endings
+        self._count = count
+
+    def claim(
+        self, now: float, wall_ms: int, peer: Peer, req: Dispatch, load: Load
+    ) -> list[Action] | None:
+        """Return what answers a call whose key is known, None if this one is to run."""
+        mark = fingerprint(req["method"], req["path"], req["body"])
+        seq = req["seq"]
+        claim = self._keys.claim(now, wall_ms, req["key"], req["key_issued_ms"], mark)
+        match claim:
+            case Deny():
+                self._count.key_denied += 1
+                return [self._endings.send(peer, seq, replies.denied_frame(seq, claim, load))]
+            case Replay(response):
+                self._count.key_replayed += 1
+                frame = replies.answer_frame(seq, response, -1, (0, 0), load)
+                return [self._endings.send(peer, seq, frame)]
+            case Join():
+                self._endings.joined.add(req["key"], peer.incarnation, seq)
+                return []
+        return None
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -191,6 +191,7 @@
     __slots__ = (
         "ahead",
         "arrived",
+        "beside",
         "deadline",
         "incarnation",
         "key",
@@ -213,6 +214,7 @@
         self.running = False
         self.started = 0.0
         self.ahead = 0
+        self.beside = 0
         self.key = request["key"]
         self.rank = request.get("rank", NO_RANK)
         self.repeat = 1.0 if request["retried"] else request.get("repeat_percent", 0) / 100
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -9,9 +9,11 @@
 from typing import TYPE_CHECKING
 
 from foldhoist.admission.cold import ColdStart
+from foldhoist.admission.crowding import Crowding
 from foldhoist.admission.due import DueQueue
 from foldhoist.admission.slots import Refuse, Shape, SlotQueue, Start
 from foldhoist.delivery import replies
+from foldhoist.delivery.claims import Claims
 from foldhoist.delivery.dispatch import (
     Action,
     Broken,
@@ -31,7 +33,7 @@
 )
 from foldhoist.delivery.endings import Endings
 from foldhoist.delivery.holding import Holding
-from foldhoist.delivery.keys import Deny, Join, KeyTable, Replay, fingerprint
+from foldhoist.delivery.keys import KeyTable
 from foldhoist.delivery.peers import Peers, drop_acked
 from foldhoist.delivery.standing import EVACUATED, REPLACED, Standing
 from foldhoist.delivery.telling import Telling, crashes_frame
@@ -54,8 +56,6 @@
         Withdraw,
     )
 
-STEADY_SHARE = 0.8
-"""Share of the slots that an upstream announces up to which it is taken to keep its speed."""
 QUEUE_PER_SLOT = 3
 """Calls that may wait for each slot of an upstream that announces itself."""
 SERVER_ERROR = 500
@@ -88,6 +88,8 @@
         self.tickets = Tickets(bodies)
         self._endings = Endings(self.tickets, self.keys, self._peers, self._telling, self.count)
         self.refusals = self._endings.refusals
+        self._claims = Claims(self.keys, self._endings, self.count)
+        self._crowding = Crowding()
         self._waiting = Waiting(self.queue, self.tickets, self._endings)
         self._holding = Holding(
             self.quarantine, self.tickets, self._telling, self._waiting, self.count
@@ -126,7 +128,7 @@
         if held_s := self._holding.held_s(now, req):
             return [self._endings.refused_at_door(peer, req, HELD, held_s)]
         if req["key"]:
-            early = self._claim(now, wall_ms, peer, req)
+            early = self._claims.claim(now, wall_ms, peer, req, self.load())
             if early is not None:
                 return early
         return self._admit(now, peer, req)
@@ -169,7 +171,9 @@
                 if result.status < SERVER_ERROR:
                     self._cold.answered()
                     told += self._telling.crashes(self.quarantine.answered(now, ticket.identity))
+                self._learn_crowding(now, ticket, served)
                 started = self._apply(now, self.queue.release(now, served))
+                started += self._use_slots(now)
                 return [*self._endings.answered(now, ticket_id, result, served), *started, *told]
             case Shed():
                 self.standing.state = "shedding"
@@ -209,7 +213,7 @@
             told += self._learn_pace(now, sample.pace)
         return [*told, *self._apply(now, self.queue.advance(now))]
 
-    def bound_cold(self, now: float, rate: ColdRate, began: float) -> list[Action]:
+    def bound_cold(self, now: float, rate: ColdRate, began: float | None = None) -> list[Action]:
         """Take over what the upstream bears while it is cold; the daemon's process `began` then."""
         self._cold.bound(now, rate, began)
         return self._note_cold(now)
@@ -234,9 +238,8 @@
         self._cold.told(now, upstream["cold_ms"] / 1000)
         actions += self._note_cold(now)
         self.service = upstream["service"]
-        slots = max(1, int(upstream["slots"] * STEADY_SHARE))
-        queue = slots * QUEUE_PER_SLOT
-        actions += self.reshape(now, self.queue.shape._replace(slots=slots, queue=queue))
+        self._crowding.announced(upstream["slots"])
+        actions += self._use_slots(now)
         if upstream["state"] == "ready":
             return [*actions, *self.stay("upstream")]
         return [*actions, *self.leave("upstream")]
@@ -324,6 +327,19 @@
                 queue.pace.told(now, pace)
         return self._telling.pace(now)
 
+    def _learn_crowding(self, now: float, ticket: Ticket, served_s: float) -> None:
+        if self.standing.upstream is not None:
+            route = ticket.request.get("route", "")
+            self._crowding.answered(now, route, ticket.beside, served_s)
+
+    def _use_slots(self, now: float) -> list[Action]:
+        """Use as many slots of an upstream that announces itself as are worth it now."""
+        if self.standing.upstream is None:
+            return []
+        slots = self._crowding.room(now)
+        shape = self.queue.shape._replace(slots=slots, queue=slots * QUEUE_PER_SLOT)
+        return self.reshape(now, shape)
+
     def _refusal_at_door(self, req: Dispatch) -> str | None:
         if self.leaving:
             return self.standing.refusal
@@ -333,25 +349,6 @@
             return "upstream-down"
         return None if self.tickets.has_room(req) else "bodies-full"
 
-    def _claim(self, now: float, wall_ms: int, peer: Peer, req: Dispatch) -> list[Action] | None:
-        mark = fingerprint(req["method"], req["path"], req["body"])
-        seq = req["seq"]
-        claim = self.keys.claim(now, wall_ms, req["key"], req["key_issued_ms"], mark)
-        match claim:
-            case Deny():
-                self.count.key_denied += 1
-                return [
-                    self._endings.send(peer, seq, replies.denied_frame(seq, claim, self.load()))
-                ]
-            case Replay(response):
-                self.count.key_replayed += 1
-                frame = replies.answer_frame(seq, response, -1, (0, 0), self.load())
-                return [self._endings.send(peer, seq, frame)]
-            case Join():
-                self._endings.joined.add(req["key"], peer.incarnation, seq)
-                return []
-        return None
-
     def _admit(self, now: float, peer: Peer, req: Dispatch) -> list[Action]:
         ticket = Ticket(peer.incarnation, req, now)
         ticket.ahead = self.queue.busy + self.queue.queued
@@ -382,6 +379,7 @@
 
     def _start(self, now: float, ticket_id: int) -> Action:
         ticket = self.tickets.start(ticket_id, now)
+        ticket.beside = self.queue.busy
         self.count.dispatched += 1
         self.count.repeats += ticket.request["retried"]
         instance = self.standing.instance
--- a/tools/ablations.py
+++ b/tools/ablations.py
@@ -115,9 +115,9 @@
     ),
     Ablation(
         "slots-below-the-knee",
-        "foldhoist/delivery/owner.py",
-        "STEADY_SHARE = 0.8",
-        "STEADY_SHARE = 1.0",
+        "foldhoist/admission/crowding.py",
+        "SLOWER = 1.25",
+        "SLOWER = 1e9",
     ),
 )
 
