Judge an upstream to turn all away by answers since the first of a row, after 12 in a row

The first form took half by chance for all: three in a row, and answers to calls that had started before the last one did not count.

--- a/foldhoist/admission/shedding.py
+++ b/foldhoist/admission/shedding.py
@@ -7,8 +7,11 @@
 
 from __future__ import annotations
 
-IN_A_ROW = 3
-"""Calls turned away with none answered in between from which on all are taken to be."""
+IN_A_ROW = 12
+"""Calls turned away with none answered in between from which on all are taken to be.
+
+One that turns half of its calls away by chance does so 12 times in a row once in 4,096 calls.
+"""
 TRIAL_FIRST_S = 0.1
 """Time until a call finds out whether that has ended, seconds; twice as long each time."""
 TRIAL_LONGEST_S = 0.8
@@ -25,15 +28,16 @@
     def __init__(self) -> None:
         self.all = False
         self._in_a_row = 0
-        self._last_at = float("-inf")
+        self._row_began = 0.0
         self._pause_s = TRIAL_FIRST_S
         self._trial_at = 0.0
         self._invite_at = 0.0
 
     def turned_away(self, now: float) -> bool:
         """Count a call that was turned away; returns whether all are taken to be from now on."""
+        if not self._in_a_row:
+            self._row_began = now
         self._in_a_row += 1
-        self._last_at = now
         if self.all:
             self._pause_s = min(TRIAL_LONGEST_S, 2 * self._pause_s)
             self._trial_at = now + self._pause_s
@@ -47,9 +51,9 @@
     def answered(self, started: float) -> bool:
         """Count a call that the upstream has run; returns whether it takes calls again by that.
 
-        One that started before the last was turned away says nothing of now.
+        One that started before the first of those in a row was turned away says nothing of now.
         """
-        if started < self._last_at:
+        if self._in_a_row and started < self._row_began:
             return False
         return self.replaced()
 
