Send answers of bulk routes in pieces, and let customers beyond their usual wait behind others

Bulk: an answer over 16 KiB of a bulk route goes over a daemon's connection in pieces, of several answers by turns, each when the connection has taken the one before: a short call waits for one piece (11 ms on 12 Mbit/s), where it waited for 540 kB (0.36 s by the link's rate, not measured). It is handed on whole or not at all. Both ends still hold an answer whole.

Ruled out: weights by customer in each owner's queue (an owner sees a small customer once in seconds).

--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -71,7 +71,8 @@
         """Return what a new call asks for; without an objective it is due at its deadline.
 
         A nested call has the rank of what it is a part of. One that yields waits no longer than
-        others: it would only keep what it is a part of in its slot.
+        others: it would only keep what it is a part of in its slot. Calls of a customer that has
+        used up most of its burst yield: what it sends beyond its usual takes no one else's room.
 
         The call is counted for what its route is taken for. A nested call is a part of another
         one, which is lost if it is refused: it waits longer, and is of use until its deadline.
@@ -84,7 +85,8 @@
             rank = max(0, req.get("parent_rank", rank))
         due = now + req.get("due_ms", req["budget_ms"]) / 1000 + rank * RANK_S
         expect_s = req.get("expect_ms", 0) / 1000
-        wish = Wish(due, start_by, expect_s, deadline, None, rank, self._shares.yields(now, rank))
+        yields = req.get("scarce", False) or self._shares.yields(now, rank)
+        wish = Wish(due, start_by, expect_s, deadline, None, rank, yields)
         if not nested or wish.yields:
             return wish
         useful = latest_start(now, deadline, deadline, expect_s)
--- a/foldhoist/daemon/frames.py
+++ b/foldhoist/daemon/frames.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from foldhoist.delivery.codec import Packer, Splitter
+from foldhoist.delivery.pieces import PIECE_BYTES, Cutter, Joiner
 from foldhoist.exceptions import ProtocolError
 
 if TYPE_CHECKING:
@@ -16,6 +17,8 @@
 """A peer whose host acknowledges nothing for this long counts as gone, milliseconds."""
 MOST_UNSENT = 16 * 1024 * 1024
 """A peer that leaves this many bytes unread is cut off, bytes."""
+PIECES_S = 0.005
+"""Time between two looks at whether the connection takes another piece, seconds."""
 
 
 class FrameConnection(asyncio.Protocol):
@@ -32,6 +35,9 @@
         self.faults = 0
         self._splitter = Splitter(limit)
         self._packer = Packer()
+        self._cutter = Cutter()
+        self._joiner = Joiner(limit)
+        self._pieces: asyncio.TimerHandle | None = None
         self._on_message = on_message
         self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
@@ -47,16 +53,19 @@
         """Hand on every whole message; a peer that breaks the schema is cut off."""
         try:
             messages = self._splitter.feed(data)
+            whole = self._joined(messages)
         except ProtocolError:
             self.faults += 1
             self.close()
             return
-        for kind, body in messages:
+        for kind, body in whole:
             self._on_message(self, kind, body)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the user."""
         self._transport = None
+        if self._pieces is not None:
+            self._pieces.cancel()
         self._on_lost(self)
 
     def pause_writing(self) -> None:
@@ -67,15 +76,50 @@
         """Write a message; without a connection it is dropped."""
         if self._transport is None:
             return
-        data = self._packer.pack(kind, body)
-        self.sent_bytes += len(data)
-        self._transport.write(data)
+        self._write(kind, self._cutter.cut(body))
+        if self._cutter.pending > MOST_UNSENT:
+            self.close()
+        elif self._cutter.pending and self._pieces is None:
+            self._send_pieces()
 
     def close(self) -> None:
         """Close the connection at once."""
         if self._transport is not None:
             self._transport.abort()
 
+    def _write(self, kind: str, body: Mapping[str, Any]) -> None:
+        if self._transport is None:
+            return
+        data = self._packer.pack(kind, body)
+        self.sent_bytes += len(data)
+        self._transport.write(data)
+
+    def _send_pieces(self) -> None:
+        """Send pieces while the connection takes them; what else is sent goes in between."""
+        self._pieces = None
+        while self._transport is not None and self._cutter.pending:
+            if self._transport.get_write_buffer_size() > PIECE_BYTES:
+                loop = asyncio.get_running_loop()
+                self._pieces = loop.call_later(PIECES_S, self._send_pieces)
+                return
+            piece = self._cutter.piece()
+            if piece is not None:
+                self._write("Piece", piece)
+
+    def _joined(self, messages: list[tuple[str, Any]]) -> list[tuple[str, Any]]:
+        whole: list[tuple[str, Any]] = []
+        for kind, body in messages:
+            match kind:
+                case "Answer":
+                    answer = self._joiner.answer(body)
+                case "Piece":
+                    kind, answer = "Answer", self._joiner.piece(body)
+                case _:
+                    answer = body
+            if answer is not None:
+                whole.append((kind, answer))
+        return whole
+
 
 def notice_silence(transport: asyncio.BaseTransport) -> None:
     """Have the system end the connection when the peer's host falls silent."""
--- a/foldhoist/delivery/codec.py
+++ b/foldhoist/delivery/codec.py
@@ -60,6 +60,7 @@
     "Crashes": (20, messages.Crashes),
     "CreditAsk": (21, messages.CreditAsk),
     "Credit": (22, messages.Credit),
+    "Piece": (23, messages.Piece),
 }
 _NUMBERS = {name: number for name, (number, _) in _KINDS.items()}
 _DECODERS: dict[int, tuple[str, Any]] = {
--- a/foldhoist/delivery/endings.py
+++ b/foldhoist/delivery/endings.py
@@ -47,7 +47,8 @@
         actions: list[Action] = []
         for peer, seq in self._waiters(ticket):
             peer.used_at = now
-            frame = replies.answer_frame(seq, response, ticket.ahead, times_us, load)
+            bulk = ticket.request.get("bulk", False)
+            frame = replies.answer_frame(seq, response, ticket.ahead, times_us, load, bulk=bulk)
             actions.append(self._end(peer, seq, frame))
         if ticket.key:
             self._keys.ended(ticket.key, response, ran=True)
--- a/foldhoist/delivery/replies.py
+++ b/foldhoist/delivery/replies.py
@@ -15,9 +15,18 @@
 
 
 def answer_frame(
-    seq: int, response: Response, ahead: int, times_us: tuple[int, int], load: Load
+    seq: int,
+    response: Response,
+    ahead: int,
+    times_us: tuple[int, int],
+    load: Load,
+    *,
+    bulk: bool = False,
 ) -> Frame:
-    """Return an answer; `times_us` are the wait for a slot and the time at the upstream."""
+    """Return an answer; `times_us` are the wait for a slot and the time at the upstream.
+
+    One of a `bulk` route may be sent in pieces.
+    """
     waited_us, served_us = times_us
     body: Answer = {
         "seq": seq,
@@ -29,6 +38,8 @@
         "served_us": served_us,
         "load": load,
     }
+    if bulk:
+        body["bulk"] = True
     return Frame("Answer", body)
 
 
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -195,6 +195,27 @@
     Time from dispatch to the whole answer, microseconds.
     """
     load: Load
+    bulk: NotRequired[bool]
+    """
+    The answer of a bulk route; absent if not.
+    """
+    rest: NotRequired[int]
+    """
+    The rest of the body follows in pieces of this number; absent if it is whole.
+    """
+
+
+class Piece(TypedDict):
+    """
+    Owner to ingress: more of the body of an answer.
+    """
+
+    number: int
+    """
+    Number of the answer's rest on this connection.
+    """
+    last: bool
+    body: bytes
 
 
 class Refusal(TypedDict):
--- a/tests/adapter/target.py
+++ b/tests/adapter/target.py
@@ -43,6 +43,7 @@
         self.cold_until = 0.0
         self.bears_in_a_second = 0
         self.lives_ended = 0
+        self.more_body = b""
         self.address = ""
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -120,7 +121,7 @@
         if self.surplus:
             writer.write(_answer(200, "of-another", b"surplus"))
         more = self._load() if self.signed else ""
-        body = f"ran {path}".encode()
+        body = f"ran {path}".encode() + self.more_body
         writer.write(_answer(status, attempt, body, signed=self.signed, more=more))
 
     def turn_cold(self, for_s: float) -> None:
--- a/tests/adapter/test_customers.py
+++ b/tests/adapter/test_customers.py
@@ -43,6 +43,14 @@
     await cluster.settle(3)
 
 
+async def until_answered(cluster: Cluster, path: str) -> Answer:
+    """Ask at a host until an upstream answers: one that has just started takes few at a time."""
+    async with asyncio.timeout(WAIT_S):
+        while (answer := await cluster.ask("a", path)).status != 200:
+            await asyncio.sleep(0.05)
+        return answer
+
+
 async def until_status(cluster: Cluster, name: str, key: str, status: int) -> Answer:
     """Ask at a host with a key until this status comes."""
     async with asyncio.timeout(WAIT_S):
@@ -170,3 +178,16 @@
             assert state.tracks
     await cluster.ask("a")
     assert sum(len(target.ran) for target in cluster.targets.values()) == 2
+
+
+@played
+async def test_a_bulk_download_comes_whole_while_short_calls_go_past_it(cluster: Cluster) -> None:
+    await cluster.add("a", service="web")
+    await cluster.add("b")
+    await cluster.configure(3, [route(route_type="download"), route("/s/")])
+    await cluster.settle(3)
+    cluster.targets["b"].more_body = b"0123456789" * 60_000
+    paths = ["/a/0", "/a/1", "/s/2", "/a/3"]
+    answers = await asyncio.gather(*(until_answered(cluster, path) for path in paths))
+    for number, answer in enumerate(answers):
+        assert answer.body == f"ran {paths[number]}".encode() + b"0123456789" * 60_000
--- a/tests/unit/admission/test_due.py
+++ b/tests/unit/admission/test_due.py
@@ -171,3 +171,23 @@
     """Return what the queue reads of a call."""
     plain = {"route": route, "caller": caller, "due_ms": 500, "budget_ms": 400, "expect_ms": 30}
     return {"key": "", "retried": False, **plain, **fields}
+
+
+def test_calls_of_a_customer_beyond_its_usual_go_behind_others_that_wait() -> None:
+    """A customer that sends many times its usual takes no one else's room.
+
+    Load: one slot, a customer with its burst used up sends nine calls, another one a single call
+    behind them. Without the order by burst that one is the last to start, or is refused.
+    """
+    slots = queue(slots=1, most=20)
+    plain: Any = {"budget_ms": 9000, "due_ms": 5000, "expect_ms": 100, "rank": 1}
+    for ticket in range(1, 10):
+        asked = slots.wish_of(0.0, {**plain, "scarce": True}, 9.0, 10.0)
+        slots.submit(0.0, ticket, asked)
+    other = slots.wish_of(0.1, plain, 9.0, 10.0)
+    assert not other.yields
+    assert slots.expected_wait(0.1, other) < 0.2
+    assert isinstance(slots.submit(0.1, 10, other), Wait)
+    (started,) = slots.release(0.2, 0.1)
+    assert isinstance(started, Start)
+    assert started.ticket == 10
