--- a/foldhoist/admission/completion.py
+++ b/foldhoist/admission/completion.py
@@ -8,10 +8,7 @@
 from __future__ import annotations
 
 ROOM = 1.4
-"""Time that is kept for a call, in times of how long such calls take.
-
-Against 1.1 and 1.8 it had the best sum of worth over four days: 2.397, 2.381 and 2.358.
-"""
+"""Time that is kept for a call, in times of how long such calls take: some take longer."""
 
 
 def latest_start(now: float, due: float, deadline: float, expect_s: float) -> float:
--- a/foldhoist/admission/shares.py
+++ b/foldhoist/admission/shares.py
@@ -11,9 +11,8 @@
 MARGIN = 0.3
 """A rank yields when a more urgent one is refused a share larger by this.
 
-Calls that yield are mostly parts of others, whose work is lost when they are refused. Yielding from
-0.02 on cost 0.02 to 0.05 of worth on two days where all ranks were refused somewhat; from 0.3 on it
-costs nothing there and keeps 0.02 on a day where a rank was refused 0.39 beside 0.04.
+Calls that yield are mostly parts of others, whose work is lost when they are refused, so where all
+ranks are refused somewhat none is to yield.
 """
 
 
--- a/foldhoist/commands/log_story.py
+++ b/foldhoist/commands/log_story.py
@@ -73,11 +73,12 @@
             )
     reason = f" ({line['reason']})" if line["reason"] else ""
     kind = "repeatable" if line["repeatable"] else "not repeatable"
+    whose = f", for customer {line['customer']}" if line.get("customer") else ""
     late = ", late by its objective" if line.get("late") else ""
     verdict = f"{line['verdict']}{reason}, status {line['status']}{late}"
     return (
         f"{where} final answer to {line['method']} {line['path']}, {kind}, of service "
-        f"{line['service'] or '(none)'}, configuration {line['version']}: {verdict}, "
+        f"{line['service'] or '(none)'}{whose}, configuration {line['version']}: {verdict}, "
         f"after {line['total_ms']:.0f} ms and {line['attempts']} attempts"
     )
 
--- a/foldhoist/commands/status.py
+++ b/foldhoist/commands/status.py
@@ -34,6 +34,11 @@
         f"upstream {load['state']}{why}: {load['busy']} of {load['slots']} slots busy, "
         f"{load['queued']} waiting"
     )
+    for row in body["quotas"]:
+        print(
+            f"quota of {row['customer']}, kept here: {row['left']:.0f} of a burst of "
+            f"{row['burst']:.0f} left, {row['rate_per_s']:g} calls a second more"
+        )
     for name, entry in body["latencies_us"].items():
         print(
             f"{name}: {int(entry['count'])} values, p50 {entry['p50'] / 1000:.2f} ms, "
--- a/foldhoist/daemon/operators.py
+++ b/foldhoist/daemon/operators.py
@@ -100,6 +100,7 @@
         "leaving_why": sorted(daemon.owner.standing.leaving_why),
         "keys_pending": sorted(daemon.owner.keys.pending),
         "keys_since_ms": daemon.owner.keys.since_ms,
+        "quotas": daemon.quotas.status(),
         "gauges": daemon.gauges(),
         "latencies_us": daemon.latencies.summary(),
         "counters": daemon.counters(),
--- a/foldhoist/daemon/quota_task.py
+++ b/foldhoist/daemon/quota_task.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
@@ -18,6 +18,8 @@
     from foldhoist.daemon.owner_task import OwnerTask
     from foldhoist.schema.messages import CreditAsk
 
+MOST_SHOWN = 20
+"""Quotas that the status shows: however many customers there are, it stays readable."""
 LOOK_S = 0.1
 """Time between two looks at which hosts there are, seconds."""
 
@@ -69,8 +71,22 @@
         """Answer an ingress that asks for credit."""
         host = self._owner_task.owner.peer_name(link)
         credit = self.keeper.asked(self._loop.time(), host, ask)
-        if not ask["elsewhere"]:
-            self._owner_task.reply(link, "Credit", credit)
+        if ask["elsewhere"]:
+            logger.info("host {} asks another keeper of quotas: no answer came in time", host)
+            return
+        self._owner_task.reply(link, "Credit", credit)
+
+    def status(self) -> list[dict[str, Any]]:
+        """Return how much is left of the quotas that are kept here, the most used up first."""
+        customers = self._ingress_task.ingress.entrance.customers
+        rows: list[dict[str, Any]] = []
+        for name, left in self.keeper.levels().items():
+            customer = customers.named(name)
+            if customer is None:
+                continue
+            row = {"customer": name, "left": left, "burst": customer.most}
+            rows.append({**row, "rate_per_s": customer.rate_per_s})
+        return sorted(rows, key=lambda row: float(row["left"] / row["burst"]))[:MOST_SHOWN]
 
     def counters(self) -> dict[str, int]:
         """Return what was counted of quotas, as keeper and as ingress."""
--- a/foldhoist/observe/events.py
+++ b/foldhoist/observe/events.py
@@ -94,7 +94,9 @@
 
 
 def _call_fields(record: Record) -> dict[str, Any]:
+    of_customer = {"customer": record.customer} if record.customer else {}
     return {
+        **of_customer,
         "request": record.name,
         "trace": trace_id(record.trace),
         "service": record.service,
--- a/foldhoist/observe/records.py
+++ b/foldhoist/observe/records.py
@@ -77,6 +77,7 @@
         "urgent": record.urgent,
         "repeatable": record.repeatable,
         "key": record.key,
+        "customer": record.customer,
         "generation": record.generation,
         "verdict": record.verdict,
         "reason": record.reason,
