Lend a host's share of a quota once: the time that it was lent elsewhere does not count

Now a question says for how long no other keeper was asked, the own share counts from a keeper's last answer, and a keeper takes hosts that have missed five questions in a row for cut off (their connections fall 1.5 s later only).

--- a/foldhoist/customers/credit.py
+++ b/foldhoist/customers/credit.py
@@ -42,8 +42,6 @@
 """A keeper that has not answered is asked again after this long, seconds."""
 OWN_AGAIN_S = 0.5
 """When a caller is told to come back while no keeper answers, seconds."""
-OWN_FROM_S = 2.0
-"""The own share counts from when no keeper has answered for this long at the last, seconds."""
 FORGET_S = 10.0
 """A customer without calls here is forgotten after this long, seconds."""
 SPREAD = 0.5
@@ -92,6 +90,8 @@
         "credit",
         "credit_until",
         "customer",
+        "keeper",
+        "keeper_since",
         "own",
         "own_at",
         "quiet_until",
@@ -116,6 +116,8 @@
         self.used_at = now
         self.own = 0.0
         self.own_at = now
+        self.keeper = ""
+        self.keeper_since = now
 
     def spend(self, now: float) -> bool:
         """Use credit for one call, if there is any."""
@@ -186,6 +188,8 @@
             self.late += 1
             return []
         asked, account.asked = account.asked, None
+        # Until now this keeper has had this host's share.
+        account.own, account.own_at = 0.0, now
         if not message["known"]:
             account.tried.add(asked.keeper)
             return self._ask(now, account)
@@ -272,10 +276,13 @@
         self.asks += 1
         account.asked = _Asked(number, keeper, now)
         self._asked[number] = account
-        ahead = int(account.use.counted(now) * AHEAD_S)
+        # Where credit is short, what one host holds unused is what another one lacks.
+        ahead = 0 if account.scarce else int(account.use.counted(now) * AHEAD_S)
         want = min(len(account.waiting) + ahead, int(account.customer.most) + 1)
-        name = account.customer.name
-        return [Ask(keeper, {"ask": number, "customer": name, "want": want, "elsewhere": False})]
+        if keeper != account.keeper:
+            account.keeper, account.keeper_since = keeper, now
+        lends_ms = int((now - account.keeper_since) * 1000)
+        return [Ask(keeper, _question(account, number, want, lends_ms))]
 
     def _ask_another(self, now: float, account: _Account, asked: _Asked) -> list[Step]:
         self._asked.pop(asked.number, None)
@@ -306,9 +313,6 @@
     def _serve_own(self, now: float, account: _Account) -> list[Step]:
         """Let calls run by this host's own share, which no keeper has of it now."""
         customer = account.customer
-        if now - account.own_at > OWN_FROM_S:
-            # Until now a keeper has had this share.
-            account.own, account.own_at = 0.0, now
         gained = customer.rate_per_s / self._hosts * (now - account.own_at)
         account.own = min(max(1.0, customer.burst / self._hosts), account.own + gained)
         account.own_at = now
@@ -333,5 +337,15 @@
 
 
 def _elsewhere(account: _Account, asked: _Asked) -> Ask:
+    return Ask(asked.keeper, {**_question(account, asked.number, 0, 0), "elsewhere": True})
+
+
+def _question(account: _Account, number: int, want: int, lends_ms: int) -> CreditAsk:
     name = account.customer.name
-    return Ask(asked.keeper, {"ask": asked.number, "customer": name, "want": 0, "elsewhere": True})
+    return {
+        "ask": number,
+        "customer": name,
+        "want": want,
+        "lends_ms": lends_ms,
+        "elsewhere": False,
+    }
--- a/foldhoist/customers/keeper.py
+++ b/foldhoist/customers/keeper.py
@@ -19,7 +19,7 @@
     from foldhoist.customers.directory import Customer
     from foldhoist.schema.messages import Credit, CreditAsk
 
-BEGINS_WITH = 0.25
+BEGINS_WITH = 0.15
 """Share of the slack that a quota begins with here: what was lent before is not known.
 
 Of a slack that several keepers may begin with, one after the other, within one window.
@@ -30,7 +30,21 @@
 Others have lent in its place.
 """
 LENDS_S = 2.0
-"""A host that asked a keeper that is not the first in its own view lends it so long, seconds."""
+"""A host lends a keeper that is not the first its share for the time since it last asked.
+
+For this long at most, seconds.
+"""
+SILENT_ASKS = 5.0
+"""A host that misses so many questions in a row may be cut off, and ask another keeper.
+
+By chance a host with a steady stream of calls is silent for as long once in 150 times.
+"""
+SILENT_S = 0.3
+"""It has been silent for this long then, at least, seconds."""
+ASKED_S = 1.0
+"""Questions count by 1/e after this long, seconds."""
+SILENT_LONGEST_S = 3.0
+"""After this long it just has no calls, or its connection has fallen, seconds."""
 SCARCE_SHARE = 0.5
 """With less than this share of its burst left a customer's calls go behind others."""
 SCARCE_FROM = 10.0
@@ -51,6 +65,32 @@
     reached: Collection[str]
 
 
+class _Asker:
+    """What a host asks here; times are seconds of the keeper's own time."""
+
+    __slots__ = ("asks", "at", "per_s")
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+        self.per_s = 0.0
+        self.asks = FadingShare(at, ASKED_S)
+
+    def asked(self, at: float) -> float:
+        """Count a question; returns how long after the one before it comes."""
+        gap_s = at - self.at
+        self.at = at
+        self.per_s = self.asks.counted(at) / ASKED_S
+        self.asks.count(at, 0.0)
+        return gap_s
+
+    def is_silent(self, at: float) -> bool:
+        """Return whether questions that were to be expected have not come."""
+        silence_s = at - self.at
+        if not SILENT_S < silence_s <= SILENT_LONGEST_S:
+            return False
+        return silence_s * self.per_s > SILENT_ASKS
+
+
 class _Bucket:
     """Credit of one customer that is left to lend; `at` is seconds of the keeper's own time."""
 
@@ -60,7 +100,7 @@
         self.level = level
         self.at = at
         self.first = first
-        self.askers: dict[str, float] = {}
+        self.askers: dict[str, _Asker] = {}
         self.denied = FadingShare(at, DENIED_S)
 
 
@@ -121,8 +161,8 @@
             return _credit(ask, granted=ask["want"])
         at = self._time(now)
         bucket = self._bucket(at, customer)
-        bucket.askers[host] = at
         self._refill(at, customer, bucket)
+        self._take_share(at, host, customer, bucket, ask["lends_ms"] / 1000)
         return self._lend(at, customer, bucket, ask)
 
     def levels(self) -> dict[str, float]:
@@ -147,9 +187,8 @@
 
     def _again_s(self, at: float, customer: Customer, bucket: _Bucket) -> float:
         """Return when there is credit for one more beside those denied lately, seconds."""
-        gained = customer.rate_per_s * self._share(at, customer.name, bucket)
-        if gained <= 0:
-            return LONGEST_AGAIN_S
+        share = self._share(at, bucket) or len(bucket.askers) / len(self._hosts.known)
+        gained = customer.rate_per_s * share
         waiting = max(1.0, bucket.denied.counted(at))
         again_s = (waiting - bucket.level) / gained
         return min(LONGEST_AGAIN_S, max(SOONEST_AGAIN_S, again_s))
@@ -174,7 +213,7 @@
                 del self._buckets[name]
 
     def _refill(self, at: float, customer: Customer, bucket: _Bucket) -> None:
-        gained = customer.rate_per_s * self._share(at, customer.name, bucket) * (at - bucket.at)
+        gained = customer.rate_per_s * self._share(at, bucket) * (at - bucket.at)
         bucket.at = at
         bucket.level = min(customer.most, bucket.level + gained)
         first = customer.name in self._firsts
@@ -183,16 +222,30 @@
             bucket.level = min(bucket.level, self.slack * BEGINS_WITH)
         bucket.first = first
 
-    def _share(self, at: float, customer: str, bucket: _Bucket) -> float:
-        """Return the part of a quota whose owners lend it to this keeper."""
-        known = len(self._hosts.known) or 1
+    def _take_share(
+        self, at: float, host: str, customer: Customer, bucket: _Bucket, lends_s: float
+    ) -> None:
+        """Take what a host that asks here lends, if hosts do not do that by being connected."""
+        asker = bucket.askers.get(host)
+        if asker is None:
+            bucket.askers[host] = asker = _Asker(at)
+        gap_s = asker.asked(at)
         if bucket.first:
-            lenders = {self.name, *self._hosts.connected} - self._elsewhere
-            return min(1.0, len(lenders) / known)
-        for host, asked_at in list(bucket.askers.items()):
-            if at - asked_at > LENDS_S:
+            return
+        lent_s = min(gap_s, lends_s, LENDS_S)
+        lent = customer.rate_per_s * lent_s / len(self._hosts.known)
+        bucket.level = min(customer.most, bucket.level + lent)
+
+    def _share(self, at: float, bucket: _Bucket) -> float:
+        """Return the part of a quota whose owners lend it to this keeper all the time."""
+        for host, asker in list(bucket.askers.items()):
+            if at - asker.at > SILENT_LONGEST_S:
                 del bucket.askers[host]
-        return min(1.0, len(bucket.askers) / known)
+        if not bucket.first:
+            return 0.0
+        silent = {host for host, asker in bucket.askers.items() if asker.is_silent(at)}
+        lenders = {self.name, *self._hosts.connected} - self._elsewhere - silent
+        return min(1.0, len(lenders) / (len(self._hosts.known) or 1))
 
     def _take_roles(self) -> None:
         """Work out whose quotas hosts bring here first, if something has changed."""
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -313,6 +313,10 @@
     """
     Calls for which credit is asked; 0 with `elsewhere`.
     """
+    lends_ms: int
+    """
+    For how long the sender has asked no other keeper: the share of the quota that it lends is of that time, milliseconds.
+    """
     elsewhere: bool
     """
     The sender asks another keeper for a while, since this one has not answered.
--- a/foldhoist/schema/settings.py
+++ b/foldhoist/schema/settings.py
@@ -131,7 +131,7 @@
     """
     quota_slack: float
     """
-    Calls of a customer beyond its quota that may run in a window, at all daemons together; a quarter of it is what a new keeper of a quota begins with.
+    Calls of a customer beyond its quota that may run in a window, at all daemons together; a part of it is what a new keeper of a quota begins with.
     """
 
 
--- /dev/null
+++ b/tests/unit/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of customers."""
