--- a/foldhoist/customers/credit.py
+++ b/foldhoist/customers/credit.py
@@ -26,8 +26,8 @@
 """Reason of a refusal: the customer's quota is used up."""
 NO_KEEPER = "quota-unknown"
 """Reason of a refusal: no keeper of the quota answers, and this host's own share is used up."""
-ASK_S = 0.15
-"""Longest wait for a keeper's answer, seconds: many times what a message takes there and back."""
+ASK_S = 0.25
+"""Longest wait for a keeper's answer, seconds: a link full of large answers delays it so much."""
 MOST_ASKED = 2
 """Keepers that are asked for one call, one after the other."""
 HELD_S = 0.5
