--- a/tests/unit/config/test_fleet.py
+++ b/tests/unit/config/test_fleet.py
@@ -6,6 +6,7 @@
 
 from foldhoist.config.faults import errors, show
 from foldhoist.config.fleet import SectionCache, check_change, parse_fleet
+from foldhoist.customers.keys import digest_of
 
 GOOD = """[fleet]
 name = f
@@ -94,3 +95,42 @@
     route = f"\n[route r]\nservice = s\nprefix = /s/x/\nsplit = {split}\n"
     assert any(told in line for line in faults_of(GOOD + route))
     assert faults_of(GOOD + "\n[route r]\nservice = s\nprefix = /s/x/\nsplit = s:1\n") == []
+
+
+def customer(name: str, *keys: str, more: str = "") -> str:
+    digests = ", ".join(digest_of(key) for key in keys)
+    return f"\n[customer {name}]\nkeys = {digests}\n{more}"
+
+
+def test_a_key_of_two_customers_names_both() -> None:
+    (line,) = faults_of(GOOD + customer("huka", "k-1", "k-2") + customer("wona", "k-2"))
+    assert "[customer wona] keys" in line
+    assert "is a key of customer huka, too" in line
+    assert "k-2" not in line
+
+
+def test_a_customer_without_keys_is_a_warning() -> None:
+    faults = parse_fleet(GOOD + customer("huka"), "f.ini")[1]
+    assert not errors(faults)
+    assert "nobody can call as it" in show(faults[0])
+
+
+@pytest.mark.parametrize(
+    ("more", "told"),
+    [
+        ("rate_per_s = -1", "[customer huka] rate_per_s = -1: is out of range"),
+        ("rate_per_s = many", "is not a number"),
+        ("burst = nan", "is out of range"),
+        ("rank = 1001", "is out of range"),
+        ("rates = 1", "is no option of this section"),
+    ],
+)
+def test_a_quota_that_cannot_be_is_named(more: str, told: str) -> None:
+    lines = faults_of(GOOD + customer("huka", "k-1", more=more))
+    assert any(told in line for line in lines), lines
+
+
+def test_a_key_itself_is_no_digest() -> None:
+    lines = faults_of(GOOD + "\n[customer huka]\nkeys = ftimaj3nr26tta828m82\n")
+    assert any("write what `foldhoist key` prints" in line for line in lines)
+    assert all("ftimaj3nr26tta828m82" not in line.partition("holds")[2] for line in lines)
--- /dev/null
+++ b/tests/unit/delivery/test_quota_gate.py
@@ -0,0 +1,128 @@
+"""What becomes of credit at an ingress: a call that did not run costs its customer nothing."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from foldhoist.config.fleet import parse_fleet
+from foldhoist.customers.keys import digest_of
+from foldhoist.delivery.call import Outgoing, Reply, SendTo
+from foldhoist.delivery.verdict import NotRun
+from foldhoist.membership.view import homes, tracked
+from tests.unit.delivery.test_ingress import fleet_text, make, refusal, replies, request
+
+KEY = digest_of("k")
+CUSTOMER = f"\n[customer huka]\nkeys = {KEY}\nrate_per_s = 1\nburst = 20\nrank = 2\n"
+
+
+def limited() -> Any:
+    """Return an ingress with a customer whose quota other hosts keep."""
+    ingress = make()
+    fleet, faults = parse_fleet(fleet_text(3) + CUSTOMER, "x")
+    assert not faults
+    ingress.entrance.adopt(fleet)
+    ingress.gate.credits.place([*fleet["targets"], "me"])
+    return ingress
+
+
+def asked(actions: list[Any]) -> list[SendTo]:
+    return [each for each in actions if isinstance(each, SendTo) and each.frame.kind == "CreditAsk"]
+
+
+def dispatched(actions: list[Any]) -> list[SendTo]:
+    return [each for each in actions if isinstance(each, SendTo) and each.frame.kind == "Dispatch"]
+
+
+def credit(ask: SendTo, granted: int, again_ms: int = 0) -> Any:
+    body: Any = ask.frame.body
+    told = {"ask": body["ask"], "known": True, "granted": granted, "again_ms": again_ms}
+    return {**told, "scarce": bool(again_ms)}
+
+
+def call(ingress: Any, now: float, number: int) -> list[Any]:
+    found: list[Any] = ingress.arrive(now, number, request(api_key=KEY))
+    return found
+
+
+def test_a_call_waits_for_credit_and_goes_on_with_it() -> None:
+    ingress = limited()
+    actions = call(ingress, 1.0, 1)
+    (ask,) = asked(actions)
+    assert not dispatched(actions)
+    assert asked(call(ingress, 1.0, 2)) == []
+    (sent,) = dispatched(ingress.credited(1.01, credit(ask, 1)))
+    assert sent.frame.body["customer"] == "huka"
+    assert sent.frame.body["rank"] == 2 * 4
+    assert "scarce" not in sent.frame.body
+
+
+def test_beyond_the_quota_it_is_refused_with_a_time_and_nothing_is_asked_for_a_while() -> None:
+    ingress = limited()
+    (ask,) = asked(call(ingress, 1.0, 1))
+    (verdict,) = replies(ingress.credited(1.01, credit(ask, 0, again_ms=2000)))
+    assert (verdict.reason, verdict.status) == ("over-quota", 429)
+    assert 2.0 <= verdict.retry_after_s <= 3.0
+    again = call(ingress, 1.05, 2)
+    assert asked(again) == []
+    assert replies(again)[0].status == 429
+    assert asked(call(ingress, 1.4, 3))
+
+
+def test_credit_of_a_call_that_did_not_run_is_used_by_the_next() -> None:
+    ingress = limited()
+    (ask,) = asked(call(ingress, 1.0, 1))
+    waiting = dispatched(ingress.credited(1.01, credit(ask, 1)))
+    ended: list[Any] = []
+    while waiting:
+        one = waiting.pop()
+        actions = ingress.refusal(1.02, one.target, refusal(one.frame.body["seq"], "no"))
+        waiting += dispatched(actions)
+        ended += [each for each in actions if isinstance(each, Reply)]
+    assert isinstance(ended[0].verdict, NotRun)
+    assert dispatched(call(ingress, 1.1, 2))
+    assert asked(call(ingress, 1.1, 3))
+
+
+def test_credit_of_a_call_that_may_have_run_is_spent() -> None:
+    ingress = limited()
+    (ask,) = asked(call(ingress, 1.0, 1))
+    (sent,) = dispatched(ingress.credited(1.01, credit(ask, 1)))
+    ingress.caller_gone(1.02, 1)
+    assert isinstance(sent.frame, Outgoing)
+    assert asked(call(ingress, 1.1, 2))
+
+
+def test_a_keeper_that_does_not_answer_is_told_and_the_next_one_is_asked() -> None:
+    ingress = limited()
+    (ask,) = asked(call(ingress, 1.0, 1))
+    told, again = asked(ingress.tick(1.3))
+    assert (told.target, told.frame.body["elsewhere"]) == (ask.target, True)
+    assert again.target != ask.target
+    actions = ingress.tick(1.6)
+    (verdict,) = replies(actions)
+    assert (verdict.reason, verdict.status) == ("quota-unknown", 503)
+
+
+def test_a_caller_that_leaves_while_its_call_waits_takes_nothing() -> None:
+    ingress = limited()
+    (ask,) = asked(call(ingress, 1.0, 1))
+    ingress.caller_gone(1.005, 1)
+    assert dispatched(ingress.credited(1.01, credit(ask, 1))) == []
+    assert dispatched(call(ingress, 1.02, 2))
+
+
+def test_calls_that_wait_run_when_the_customer_has_no_quota_any_more() -> None:
+    ingress = limited()
+    call(ingress, 1.0, 1)
+    fleet, _ = parse_fleet(
+        fleet_text(3) + CUSTOMER.replace("rate_per_s = 1", "rate_per_s = 0"), "x"
+    )
+
+    actions = ingress.adopt(1.1, 2, fleet, tracked(fleet, "me", "a"), homes(fleet))
+    assert dispatched(actions)
+
+
+def test_without_a_key_nothing_is_attempted() -> None:
+    ingress = limited()
+    (verdict,) = replies(ingress.arrive(1.0, 1, request()))
+    assert (verdict.reason, verdict.status) == ("no-api-key", 401)
