Mend the two tests that failed once: lasting addresses, and reading a generation when it is in force

Cause, measured with twelve orders: a daemon shows a generation 0.01 to 0.18 s after the command has ended (it polls each 0.4 s), the next command takes 0.32 s to start and ask; a busy machine turns that round. The command says what the log has accepted, so the test was wrong; it now waits for the generation at every daemon and then reads the same, which is as strict.

test_planned_stop: a daemon could not listen at its old address. Cause, shown: with an outgoing connection of another process bound to that port, the same start ends with address in use. Addresses were ones that the system had chosen, of the range from which outgoing connections get theirs; that this happened in that run is likely, not proved. Stand-ins, the adapter's cluster and the soak now take ports below that range.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -9,6 +9,8 @@
 import sys
 from typing import TYPE_CHECKING
 
+from standins.ports import lasting_address
+
 if TYPE_CHECKING:
     from pathlib import Path
 
@@ -40,7 +42,6 @@
 log_format = json
 """
 PORTS = ("callers", "frames", "control", "operators")
-ANY_PORT = "127.0.0.1:0"
 
 
 class DaemonProcess:
@@ -52,7 +53,7 @@
         self.upstream = upstream
         self.log = log
         self.folder = folder
-        self.addresses = dict.fromkeys(PORTS, ANY_PORT)
+        self.addresses = {name: lasting_address() for name in PORTS}
         self.process: asyncio.subprocess.Process | None = None
         self.first = True
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from standins.ports import lasting_address
+
 START_S = 60.0
 """Longest wait for a process to say that it listens, seconds."""
 
@@ -131,7 +133,7 @@
             self.upstream_address[name] = process.ready()["address"]
 
     def start_daemons(self) -> None:
-        """Start the daemons, each on ports that the system chooses."""
+        """Start the daemons."""
         for name in self.targets:
             self.launch_daemon(name)
         for name, process in self.daemons.items():
@@ -140,7 +142,7 @@
     def launch_upstream(self, name: str) -> Process:
         """Start one upstream; it listens where it listened before, if it did."""
         target = self.targets[name]
-        listen = self.upstream_address.get(name, "127.0.0.1:0")
+        listen = self.upstream_address.get(name) or lasting_address()
         args = ["standins.upstream", "--listen", listen]
         args += ["--service-ms", str(target.service_ms), "--spread", str(target.spread)]
         args += ["--journal", str(self.folder / f"{name}.journal")]
@@ -163,7 +165,7 @@
     def settings_of(self, name: str) -> str:
         """Return the settings of a daemon."""
         known = self.addresses.get(name, {})
-        listen = {key: known.get(key, "127.0.0.1:0") for key in LISTEN}
+        listen = {key: known.get(key) or lasting_address() for key in LISTEN}
         lines = "\n".join(f"{key} = {value}" for key, value in listen.items())
         seeds = ", ".join(
             found["control"] for other, found in self.addresses.items() if other != name
--- a/tests/adapter/cluster.py
+++ b/tests/adapter/cluster.py
@@ -10,6 +10,7 @@
 
 from foldhoist.config.settings import parse_settings
 from foldhoist.daemon.mesh import MeshDaemon
+from standins.ports import lasting_address
 from tests.adapter.keyed_log import KeyedLog
 from tests.adapter.target import FakeTarget
 
@@ -97,8 +98,8 @@
         text = SETTINGS.format(
             name=name,
             data_centre=self.places[name],
-            callers=_port(addresses.get("callers")),
-            frames=_port(addresses.get("frames")),
+            callers=_port(addresses.get("callers") or lasting_address()),
+            frames=_port(addresses.get("frames") or lasting_address()),
             address=target.address,
             service=target.service,
             log=self.log.door(name).address,
@@ -280,5 +281,5 @@
         self.done = True
 
 
-def _port(address: str | None) -> str:
-    return address.rpartition(":")[2] if address else "0"
+def _port(address: str) -> str:
+    return address.rpartition(":")[2]
--- a/tests/adapter/target.py
+++ b/tests/adapter/target.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
+from standins.ports import lasting_address
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -48,8 +50,8 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        """Listen at a port that the system chooses."""
-        await self._listen(0)
+        """Listen where it can listen again later."""
+        await self._listen(int(lasting_address().rpartition(":")[2]))
         self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
 
     async def revive(self, instance: str) -> None:
--- a/tests/integration/test_commands.py
+++ b/tests/integration/test_commands.py
@@ -61,9 +61,11 @@
         more = ("--daemon", daemon, "--log", log)
         assert "is no data centre" in fleet.command("evacuate", "nowhere", *more).stdout
         assert fleet.command("evacuate", name, *more).returncode == 0
+        fleet.wait_generation(2)
         assert f"evacuated = {name}" in fleet.command("config", daemon).stdout
         assert "nothing changes" in fleet.command("evacuate", name, *more).stdout
         assert fleet.command("evacuate", name, *more, "--end").returncode == 0
+        fleet.wait_generation(3)
         assert "evacuated" not in fleet.command("config", daemon).stdout
 
 
