Read as a newcomer: no state twice, no work on each call that need not be there, what a task needs by its constructor

A keeper counted denied calls one by one. - Seats were worked out ten times a second; now when the hosts change.

--- a/foldhoist/admission/fading.py
+++ b/foldhoist/admission/fading.py
@@ -16,11 +16,11 @@
         self._whole = 0.0
         self._part = 0.0
 
-    def count(self, now: float, part: float) -> None:
-        """Count one; `part` says how much of it is looked for, 0 to 1."""
+    def count(self, now: float, part: float, times: float = 1.0) -> None:
+        """Count one, or one so many times; `part` is how much of it is looked for, 0 to 1."""
         self._fade(now)
-        self._whole += 1.0
-        self._part += part
+        self._whole += times
+        self._part += part * times
 
     def counted(self, now: float) -> float:
         """Return how many were counted, older ones less: by 1/e after `kept_s` seconds."""
--- a/foldhoist/admission/shedding.py
+++ b/foldhoist/admission/shedding.py
@@ -55,10 +55,6 @@
         """
         if self._in_a_row and started < self._row_began:
             return False
-        return self.replaced()
-
-    def replaced(self) -> bool:
-        """Take in that another upstream is there; returns whether calls may go there again."""
         self._in_a_row = 0
         self._pause_s = TRIAL_FIRST_S
         if not self.all:
--- a/foldhoist/customers/credit.py
+++ b/foldhoist/customers/credit.py
@@ -46,7 +46,7 @@
 OWN_AGAIN_S = 0.5
 """When a caller is told to come back while no keeper answers, seconds."""
 FORGET_S = 10.0
-"""A customer without calls here is forgotten after this long, seconds."""
+"""A customer without calls here is forgotten after this long or twice as long, seconds."""
 SPREAD = 0.5
 """Callers are told to come back later than there is credit by up to this share of the time."""
 
@@ -148,6 +148,7 @@
         self._up: set[str] = set()
         self._suspect_until: dict[str, float] = {}
         self._next_ask = 1
+        self._forget_at = 0.0
 
     def adopt(self, now: float, directory: Directory) -> list[Step]:
         """Take over a configuration; calls that wait for credit they no longer need may run."""
@@ -236,15 +237,17 @@
                 self._suspect_until[asked.keeper] = now + SUSPECT_S
                 steps.append(_elsewhere(account, asked))
             steps += self._ask_another(now, account, asked)
-        for name, account in list(self._accounts.items()):
-            if not account.waiting and now - account.used_at > FORGET_S:
-                self._forget(name, account)
+        if now >= self._forget_at:
+            self._forget_at = now + FORGET_S
+            self._forget_unused(now)
         return steps
 
     def next_at(self) -> float | None:
         """Return when `tick` has a question to end, None for never."""
-        times = [account.asked.at for account in self._asked.values() if account.asked]
-        return min(times) + ASK_S if times else None
+        oldest = next(iter(self._asked.values()), None)
+        if oldest is None or oldest.asked is None:
+            return None
+        return oldest.asked.at + ASK_S
 
     def give_back(self, now: float, customer: Customer) -> None:
         """Take back the credit of a call that did not run; the next one may use it."""
@@ -335,6 +338,11 @@
         left_s = max(0.0, account.again_at - now) * (1.0 + SPREAD * self._rng.random())
         return Denied(call_id, OVER_QUOTA, min(LONGEST_AGAIN_S, left_s))
 
+    def _forget_unused(self, now: float) -> None:
+        for name, account in list(self._accounts.items()):
+            if not account.waiting and now - account.used_at > FORGET_S:
+                self._forget(name, account)
+
     def _forget(self, name: str, account: _Account) -> None:
         del self._accounts[name]
         if account.asked is not None:
--- a/foldhoist/customers/keeper.py
+++ b/foldhoist/customers/keeper.py
@@ -182,8 +182,7 @@
         again_s = 0.0
         if missing:
             self.denied += missing
-            for _ in range(min(missing, int(customer.most) + 1)):
-                bucket.denied.count(at, 1.0)
+            bucket.denied.count(at, 1.0, missing)
             again_s = self._again_s(at, customer, bucket)
         scarce = customer.burst >= SCARCE_FROM and bucket.level < SCARCE_SHARE * customer.burst
         return _credit(ask, granted=granted, again_s=again_s, scarce=scarce)
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -72,6 +72,7 @@
         self.rng = rng or random.Random()
         self.started = time.time()
         self.draining = False
+        self._targets: frozenset[str] = frozenset()
         self.stopped = asyncio.Event()
         self.addresses: dict[str, str] = {}
         self.latencies = Latencies()
@@ -117,9 +118,15 @@
         )
         self.links = Links(self._hello, limit, events, self.rng)
         self.ingress_task.connect(self.name, self.links, self.owner_task)
-        slack = platform["quota_slack"]
-        self.quotas = QuotaTask(self.name, slack, self.links, self.ingress_task, self.owner_task)
-        self.quotas.on_seats = lambda: self.links.want(self.quotas.hosts() - {self.name})
+        self.quotas = QuotaTask(
+            self.name,
+            platform["quota_slack"],
+            self.links,
+            self.ingress_task,
+            self.owner_task,
+            lambda: self._targets,
+            lambda hosts: self.links.want(hosts - {self.name}),
+        )
         await self._listen()
         self.control = Control(cfg["listen"]["control"], cfg["measuring"], self._on_control)
         self.addresses["control"] = self.control.address
@@ -231,7 +238,7 @@
         chosen = tracked(fleet, self.name, centre)
         self.links.adopt({name: target["frames"] for name, target in fleet["targets"].items()})
         self.ingress_task.adopt(state.generation, fleet, chosen, homes(fleet))
-        self.quotas.known = lambda: {*fleet["targets"]}
+        self._targets = frozenset(fleet["targets"])
         self.quotas.adopt()
         names = {member.name for members in chosen.values() for member in members}
         if self.name in names or mine is not None:
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -37,6 +37,7 @@
 from foldhoist.membership.registry import Registry
 from foldhoist.observe.counters import counters_of
 from foldhoist.observe.events import Events
+from foldhoist.observe.exporting import spans_of
 from foldhoist.observe.latencies import Latencies
 from foldhoist.observe.logs import log_reread, write_event
 from foldhoist.observe.records import Ring
@@ -46,7 +47,6 @@
     from foldhoist.configlog.versions import Version
     from foldhoist.delivery.call import Record
     from foldhoist.delivery.dispatch import Ended, Refused
-    from foldhoist.observe.spans import Spans
     from foldhoist.routing.picker import Member as Tracked
     from foldhoist.schema.fleet import Fleet
     from foldhoist.schema.messages import Hello, Member
@@ -97,8 +97,6 @@
         self._make_traffic()
         self.store = self.adapter.store()
         self.registry = Registry(self.name, self.data_centre)
-        self.registry.also_wanted = self.quotas.hosts
-        self.quotas.known = lambda: set(self.registry.peers)
         self.upstream = UpstreamTask(
             self.owner_task, self._on_upstream, cfg["upstream"]["service"], self._is_service
         )
@@ -124,7 +122,6 @@
             self._on_adopt,
             self.rng,
         )
-        self.quotas.on_seats = self.peers.rewire_soon
         await self._listen()
         self.stopping = Stopping(self)
         self.endpoints = self.adapter.listen(self.upstream, self._is_ready, self.metrics)
@@ -236,7 +233,7 @@
             self.data_centre, cfg["limits"]["calls"], self.rng, self._slack, self.quarantine
         )
         ring = Ring(cfg["observe"]["records"])
-        self.ingress_task = IngressTask(ingress, ring, self.latencies, self._spans())
+        self.ingress_task = IngressTask(ingress, ring, self.latencies, spans_of(cfg))
         events = LinkEvents(
             self._on_link_up,
             self._on_link_lost,
@@ -249,17 +246,15 @@
         self.owner_task.on_spread = self.messages.spread
         self.owner_task.on_held = self.messages.held
         self.ingress_task.connect(self.name, self.links, self.owner_task)
-        slack = platform["quota_slack"]
-        self.quotas = QuotaTask(self.name, slack, self.links, self.ingress_task, self.owner_task)
-
-    def _spans(self) -> Spans | None:
-        """Return what exports spans; its libraries are loaded only if there is an address."""
-        observe = self.cfg["observe"]
-        if not observe["otlp"]:
-            return None
-        from foldhoist.observe.spans import Spans
-
-        return Spans(self.name, self.data_centre, observe["otlp"], observe["trace_share"])
+        self.quotas = QuotaTask(
+            self.name,
+            platform["quota_slack"],
+            self.links,
+            self.ingress_task,
+            self.owner_task,
+            lambda: self.registry.peers,
+            self._on_seats,
+        )
 
     async def _listen(self) -> None:
         cfg = self.cfg
@@ -345,6 +340,11 @@
         for name in changed:
             self.ingress_task.ingress.replaced(now, name)
 
+    def _on_seats(self, hosts: frozenset[str]) -> None:
+        """Keep connections to the hosts that keep quotas."""
+        self.registry.keepers = hosts
+        self.peers.rewire_soon()
+
     def _on_rewired(self) -> None:
         self.readers.place([self.name, *self.registry.neighbours.centre()])
         self._track()
--- a/foldhoist/daemon/quota_task.py
+++ b/foldhoist/daemon/quota_task.py
@@ -11,7 +11,7 @@
 from foldhoist.customers.seats import seats
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from foldhoist.daemon.ingress_task import IngressTask
     from foldhoist.daemon.links import Links
@@ -28,24 +28,27 @@
     """Owns the keeper of a daemon; does nothing while no customer has a quota."""
 
     def __init__(
-        self, name: str, slack: float, links: Links, ingress_task: IngressTask, owner: OwnerTask
+        self,
+        name: str,
+        slack: float,
+        links: Links,
+        ingress_task: IngressTask,
+        owner_task: OwnerTask,
+        known: Callable[[], Iterable[str]],
+        on_seats: Callable[[frozenset[str]], None],
     ) -> None:
+        """`known` returns the other hosts; `on_seats` is told which hosts keep quotas, if any."""
         self.name = name
         self.keeper = Keeper(name, slack)
-        self.known: Callable[[], set[str]] = set
-        self.on_seats: Callable[[], None] = lambda: None
         self._links = links
         self._ingress_task = ingress_task
-        self._owner_task = owner
+        self._owner_task = owner_task
+        self._known = known
+        self._on_seats = on_seats
         self._loop = asyncio.get_running_loop()
-        self._seats: tuple[str, ...] = ()
+        self._hosts: frozenset[str] = frozenset()
         self._task: asyncio.Task[None] | None = None
 
-    @property
-    def active(self) -> bool:
-        """Return whether a customer has a quota."""
-        return self._task is not None
-
     def adopt(self) -> None:
         """Take over the customers of the configuration that the ingress has in force."""
         customers = self._ingress_task.ingress.entrance.customers
@@ -56,6 +59,8 @@
         elif not customers.any_limited and self._task is not None:
             logger.info("quotas are not kept any more")
             self.close()
+            self._hosts = frozenset()
+            self._on_seats(self._hosts)
 
     def close(self) -> None:
         """Stop."""
@@ -63,10 +68,6 @@
             self._task.cancel()
             self._task = None
 
-    def hosts(self) -> set[str]:
-        """Return the hosts that keep quotas, none while no customer has one."""
-        return set(seats({self.name, *self.known()})) if self.active else set()
-
     def asked(self, link: int, ask: CreditAsk) -> None:
         """Answer an ingress that asks for credit."""
         host = self._owner_task.owner.peer_name(link)
@@ -103,22 +104,22 @@
 
     async def _look(self) -> None:
         while True:
-            self.see()
+            self._see()
             await asyncio.sleep(LOOK_S)
 
-    def see(self) -> None:
+    def _see(self) -> None:
         """Take over which hosts there are now."""
-        known = {self.name, *self.known()}
+        hosts = frozenset((self.name, *self._known()))
         connected = {name for _, name in self._owner_task.ingresses()}
-        now = self._loop.time()
-        self.keeper.see(now, Hosts(known, connected, self._links.open()))
-        self._ingress_task.ingress.gate.credits.place(known)
-        placed = seats(known)
-        if placed != self._seats:
-            self._log_seats(placed)
-            self._seats = placed
-            self.on_seats()
-
-    def _log_seats(self, placed: tuple[str, ...]) -> None:
+        self.keeper.see(self._loop.time(), Hosts(hosts, connected, self._links.open()))
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._place(hosts)
+
+    def _place(self, hosts: frozenset[str]) -> None:
+        """Tell this host's ingress, and whoever connects with them, who keeps quotas."""
+        self._ingress_task.ingress.gate.credits.place(hosts)
+        placed = frozenset(seats(hosts))
         keeps = "keeps" if self.name in placed else "does not keep"
         logger.info("quotas are kept by {} hosts; this one {} some", len(placed), keeps)
+        self._on_seats(placed)
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -238,7 +238,6 @@
         actions: list[Action] = []
         if self.standing.upstream is not None and self.standing.is_another(upstream):
             self._cold.replaced()
-            actions += self._turning_away.replaced()
         if self.standing.announce(now, upstream):
             actions += self._waiting.refuse(self.tickets.ids(), REPLACED)
         self._cold.told(now, upstream["cold_ms"] / 1000)
--- a/foldhoist/delivery/standing.py
+++ b/foldhoist/delivery/standing.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from foldhoist.admission.shedding import Shedding
 from foldhoist.membership.lives import life_of
 from foldhoist.routing.sampling import is_change
 
@@ -44,7 +45,7 @@
         self.stop_at = float("inf")
         self.watched = False
         self.cold = False
-        self.refuses_all = False
+        self.shedding = Shedding()
         self._told_pace = 0
         self._answered_any = False
 
@@ -92,7 +93,7 @@
             self.state = "warm"
             self.pace = 0
             self.errors = 0.0
-            self.refuses_all = False
+            self.shedding = Shedding()
             self.leaving_why.pop("upstream", None)
             self.leaving_why.pop(REPLACED, None)
             # The leaving of the life before binds that life alone.
@@ -156,6 +157,6 @@
     def _shown_state(self) -> str:
         if self.leaving:
             return "leaving"
-        if self.refuses_all and self.state != "down":
+        if self.shedding.all and self.state != "down":
             return "refusing"
         return "cold" if self.cold and self.state == "warm" else self.state
--- a/foldhoist/delivery/turning_away.py
+++ b/foldhoist/delivery/turning_away.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from foldhoist.admission.shedding import Shedding
-
 if TYPE_CHECKING:
     from foldhoist.delivery.dispatch import Action
     from foldhoist.delivery.standing import Standing
@@ -28,7 +26,6 @@
     def __init__(
         self, standing: Standing, telling: Telling, waiting: Waiting, tickets: Tickets
     ) -> None:
-        self._shedding = Shedding()
         self._standing = standing
         self._telling = telling
         self._waiting = waiting
@@ -36,31 +33,22 @@
 
     def refuses(self, now: float) -> bool:
         """Return whether a call that arrives now is refused."""
-        return not self._shedding.takes(now)
+        return not self._standing.shedding.takes(now)
 
     def again_s(self, now: float) -> float:
         """Return when a call may be taken, seconds."""
-        return self._shedding.again_s(now)
+        return self._standing.shedding.again_s(now)
 
     def turned_away(self, now: float) -> list[Action]:
         """Take in that the upstream has turned a call away."""
-        if not self._shedding.turned_away(now):
+        if not self._standing.shedding.turned_away(now):
             return []
-        self._standing.refuses_all = True
         return [*self._telling.all(), *self._waiting.refuse(self._tickets.ids(), SHEDS_ALL)]
 
     def answered(self, started: float) -> list[Action]:
         """Take in that the upstream has run a call that had started then."""
-        return self._take_again() if self._shedding.answered(started) else []
-
-    def replaced(self) -> list[Action]:
-        """Take in that another life of the upstream is there."""
-        return self._take_again() if self._shedding.replaced() else []
+        return self._telling.all() if self._standing.shedding.answered(started) else []
 
     def tick(self, now: float) -> list[Action]:
         """Ask an ingress for a call if it is time to find out."""
-        return self._telling.invite(now) if self._shedding.invites(now) else []
-
-    def _take_again(self) -> list[Action]:
-        self._standing.refuses_all = False
-        return self._telling.all()
+        return self._telling.invite(now) if self._standing.shedding.invites(now) else []
--- a/foldhoist/membership/registry.py
+++ b/foldhoist/membership/registry.py
@@ -16,7 +16,7 @@
 from foldhoist.routing.picker import Member as Tracked
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from foldhoist.schema.messages import Announced, EndedLife, Member, Row, Suspect
 
@@ -149,14 +149,17 @@
 
 
 class Registry:
-    """All peers of a daemon; `now` is in seconds, monotonic."""
+    """All peers of a daemon; `now` is in seconds, monotonic.
+
+    `keepers` are hosts that keep quotas: all are connected with these.
+    """
 
     def __init__(self, name: str, data_centre: str) -> None:
         self.name = name
         self.data_centre = data_centre
         self.peers: dict[str, Peer] = {}
         self.neighbours = Neighbours(name, data_centre)
-        self.also_wanted: Callable[[], set[str]] = set
+        self.keepers: frozenset[str] = frozenset()
         self._at: dict[str, str] = {}
 
     def stored(
@@ -285,7 +288,7 @@
     def wanted(self, now: float) -> set[str]:
         """Return the peers to keep connections to."""
         found = {*self.neighbours.centre(), *self.neighbours.relays()}
-        found.update(self.also_wanted() & self.peers.keys())
+        found.update(self.keepers & self.peers.keys())
         for service in self.neighbours.services:
             found.update(self.neighbours.far(service, lambda name: self._is_usable(now, name)))
         return found
--- /dev/null
+++ b/foldhoist/observe/exporting.py
@@ -0,0 +1,19 @@
+"""Whether spans are exported; the libraries for that are loaded only if they are."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from foldhoist.observe.spans import Spans
+    from foldhoist.schema.settings import Settings
+
+
+def spans_of(cfg: Settings) -> Spans | None:
+    """Return what exports spans, None if the settings name no address for them."""
+    daemon, observe = cfg["daemon"], cfg["observe"]
+    if not observe["otlp"]:
+        return None
+    from foldhoist.observe.spans import Spans
+
+    return Spans(daemon["name"], daemon["data_centre"], observe["otlp"], observe["trace_share"])
