Stand-ins hold the addresses that they hand out

With the same random numbers two draws give one address: 127.0.0.1:30651 twice on.

Now a pool keeps a bound socket that does not listen for each address until its fleet ends. The holder binds without SO_REUSEADDR, so a second draw fails, and sets it afterwards, so that servers of asyncio and pynng can bind beside it; Linux lets only one of them listen.

Tried and left: nothing else.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -9,11 +9,11 @@
 import sys
 from typing import TYPE_CHECKING
 
-from standins.ports import reusable_address
-
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from standins.ports import AddressPool
+
 START_TIMEOUT_S = 60.0
 """Longest wait for a process to listen, seconds."""
 STOP_TIMEOUT_S = 20.0
@@ -47,13 +47,21 @@
 class DaemonProcess:
     """A daemon that keeps its addresses over restarts and logs to a file."""
 
-    def __init__(self, name: str, data_centre: str, upstream: str, log: str, folder: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        upstream: str,
+        log: str,
+        folder: Path,
+        pool: AddressPool,
+    ) -> None:
         self.name = name
         self.data_centre = data_centre
         self.upstream = upstream
         self.log = log
         self.folder = folder
-        self.addresses = {name: reusable_address() for name in PORTS}
+        self.addresses = {name: pool.take() for name in PORTS}
         self.process: asyncio.subprocess.Process | None = None
         self.first_start = True
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,6 +12,7 @@
 from soak.callers import Caller
 from soak.history import Execution, Fault, History, PlannedStop, RequestResult
 from soak.processes import DaemonProcess
+from standins.ports import AddressPool
 from tests.adapter.cluster import call
 from tests.adapter.keyed_log import KeyedLog
 from tests.adapter.target import FakeTarget
@@ -54,6 +55,7 @@
         }
         self._daemons: dict[str, DaemonProcess] = {}
         self._folder = folder
+        self._pool = AddressPool()
 
     def now(self) -> float:
         """Return the time since traffic started, seconds."""
@@ -90,7 +92,9 @@
             await target.start()
             log = self._log.endpoint(name).address
             centre = f"c{number % DATA_CENTRES}"
-            self._daemons[name] = DaemonProcess(name, centre, target.address, log, self._folder)
+            self._daemons[name] = DaemonProcess(
+                name, centre, target.address, log, self._folder, self._pool
+            )
         await self._configure()
         await asyncio.gather(*(daemon.start() for daemon in self._daemons.values()))
 
@@ -218,4 +222,5 @@
                 await daemon.wait()
         for target in self._targets.values():
             target.close()
+        self._pool.close()
         self._log.close()
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -1,4 +1,4 @@
-"""Loopback addresses that a restarted process can bind again."""
+"""Loopback addresses that are held for a process, also while it is not running."""
 
 from __future__ import annotations
 
@@ -16,18 +16,37 @@
 """Ports tried before an error is raised."""
 
 
-def reusable_address() -> str:
-    """Return a free loopback address that a process can bind again after a restart.
+class AddressPool:
+    """Holds the loopback addresses that it hands out, until it is closed.
 
-    The port lies below the ephemeral range: an outgoing connection could take an ephemeral port
-    while the process is down. Raises RuntimeError if no free port is found.
+    A held address has a bound socket that does not listen. Nothing else can draw the address or
+    bind it, but for a server that sets SO_REUSEADDR, as asyncio's and pynng's do.
     """
-    rng = random.SystemRandom()
-    for _ in range(MAX_TRIES):
-        port = rng.randrange(MIN_PORT, _first_ephemeral_port())
-        if _is_free(port):
+
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self._rng = rng if rng is not None else random.SystemRandom()
+        self._held: list[socket.socket] = []
+
+    def take(self) -> str:
+        """Return a free address that one process can bind, again after each restart.
+
+        The port lies below the ephemeral range: an outgoing connection could take an ephemeral port
+        while the process is down. Raises RuntimeError if no free port is found.
+        """
+        for _ in range(MAX_TRIES):
+            port = self._rng.randrange(MIN_PORT, _first_ephemeral_port())
+            sock = _hold(port)
+            if sock is None:
+                continue
+            self._held.append(sock)
             return f"127.0.0.1:{port}"
-    raise RuntimeError(f"no free port found from {MIN_PORT} on in {MAX_TRIES} tries")
+        raise RuntimeError(f"no free port found from {MIN_PORT} on in {MAX_TRIES} tries")
+
+    def close(self) -> None:
+        """Release every address."""
+        for sock in self._held:
+            sock.close()
+        self._held.clear()
 
 
 def _first_ephemeral_port() -> int:
@@ -37,10 +56,14 @@
         return DEFAULT_FIRST_EPHEMERAL
 
 
-def _is_free(port: int) -> bool:
-    with socket.socket() as sock:
-        try:
-            sock.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
+def _hold(port: int) -> socket.socket | None:
+    """Return a socket that holds the port, or None if it is in use."""
+    sock = socket.socket()
+    try:
+        sock.bind(("127.0.0.1", port))
+    except OSError:
+        sock.close()
+        return None
+    # Set only now: the bind itself must fail if another holder has the port.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return sock
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from standins.ports import reusable_address
+from standins.ports import AddressPool
 
 START_TIMEOUT_S = 60.0
 """Longest wait for a process to listen and for a command to finish, seconds."""
@@ -99,6 +99,7 @@
         self.settings = settings
         self.scratch = tempfile.TemporaryDirectory(prefix="foldhoist-")
         self.folder = Path(self.scratch.name)
+        self.pool = AddressPool()
         self.upstreams: dict[str, Process] = {}
         self.upstream_address: dict[str, str] = {}
         self.daemons: dict[str, Process] = {}
@@ -144,7 +145,7 @@
     def launch_upstream(self, name: str) -> Process:
         """Start one upstream, on its previous address after a restart."""
         target = self.targets[name]
-        listen = self.upstream_address.get(name) or reusable_address()
+        listen = self.upstream_address.get(name) or self.pool.take()
         args = ["standins.upstream", "--listen", listen]
         args += ["--service-ms", str(target.service_ms), "--spread", str(target.spread)]
         args += ["--journal", str(self.folder / f"{name}.journal")]
@@ -167,7 +168,7 @@
     def settings_of(self, name: str) -> str:
         """Return the settings of a daemon."""
         known = self.addresses.get(name, {})
-        listen = {key: known.get(key) or reusable_address() for key in LISTEN}
+        listen = {key: known.get(key) or self.pool.take() for key in LISTEN}
         lines = "\n".join(f"{key} = {value}" for key, value in listen.items())
         seeds = ", ".join(
             found["control"] for other, found in self.addresses.items() if other != name
@@ -274,6 +275,7 @@
         """Stop every process that this fleet started."""
         for process in [*self.daemons.values(), *self.upstreams.values(), self.platform]:
             process.kill()
+        self.pool.close()
         self.scratch.cleanup()
 
 
--- a/tests/adapter/cluster.py
+++ b/tests/adapter/cluster.py
@@ -10,7 +10,7 @@
 
 from foldhoist.config.settings import parse_settings
 from foldhoist.daemon.mesh import MeshDaemon
-from standins.ports import reusable_address
+from standins.ports import AddressPool
 from tests.adapter.keyed_log import KeyedLog
 from tests.adapter.target import FakeTarget
 
@@ -66,6 +66,7 @@
         self.data_centres: dict[str, str] = {}
         self.customers: list[dict[str, Any]] = []
         self.sequence = 0
+        self.pool = AddressPool()
 
     async def __aenter__(self) -> Cluster:
         """Return the cluster."""
@@ -79,6 +80,7 @@
                 await daemon.stop()
         for target in self.targets.values():
             target.close()
+        self.pool.close()
         self.log.close()
 
     async def add(self, name: str, service: str = "shop", data_centre: str = "one") -> None:
@@ -98,8 +100,8 @@
         text = SETTINGS.format(
             name=name,
             data_centre=self.data_centres[name],
-            callers=_port(addresses.get("callers") or reusable_address()),
-            frames=_port(addresses.get("frames") or reusable_address()),
+            callers=_port(addresses.get("callers") or self.pool.take()),
+            frames=_port(addresses.get("frames") or self.pool.take()),
             address=target.address,
             service=target.service,
             log=self.log.endpoint(name).address,
--- a/tests/adapter/target.py
+++ b/tests/adapter/target.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
-from standins.ports import reusable_address
+from standins.ports import AddressPool
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -47,11 +47,12 @@
         self.crashes = 0
         self.extra_body = b""
         self.address = ""
+        self._pool = AddressPool()
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen at an address that can be bound again after a crash."""
-        await self._listen(int(reusable_address().rpartition(":")[2]))
+        await self._listen(int(self._pool.take().rpartition(":")[2]))
         self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
 
     async def restart(self, instance: str) -> None:
@@ -60,8 +61,9 @@
         await self._listen(int(self.address.rpartition(":")[2]))
 
     def close(self) -> None:
-        """Stop listening."""
+        """Stop listening and release the address."""
         self._server.close()
+        self._pool.close()
 
     async def _listen(self, port: int) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
@@ -69,7 +71,7 @@
     def _crash(self) -> None:
         """Stop listening and reset every connection, as a killed process does."""
         self.crashes += 1
-        self.close()
+        self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
