--- a/tests/adapter/target.py
+++ b/tests/adapter/target.py
@@ -36,12 +36,15 @@
         self.cut = False
         self.full = False
         self.pace = "100"
+        self.limit = ""
+        self.leaving = False
         self.health_requests = 0
         self.health_hangs = False
         self.gate: asyncio.Event | None = None
         self.handler: Callable[[Request], Awaitable[int]] | None = None
         self.crash_path = ""
         self.arrivals: list[float] = []
+        self.received: list[tuple[float, str]] = []
         self.cold_until = 0.0
         self.max_calls_per_s = 0
         self.crashes = 0
@@ -103,13 +106,16 @@
                 await asyncio.Event().wait()
             writer.write(_answer(200, "", b"", signed=False, more=self._health()))
             return
-        self.arrivals.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(now)
+        self.received.append((now, attempt))
         if self._is_overloaded():
             self._crash()
             raise ConnectionResetError
         if self.full:
             self.rejected += 1
-            writer.write(_answer(503, attempt, b"", signed=False, more="X-Not-Executed: 1\r\n"))
+            more = f"X-Not-Executed: 1\r\n{self._signals()}"
+            writer.write(_answer(503, attempt, b"", signed=False, more=more))
             return
         req = Request(method, path, headers, body)
         self.ran.append(req)
@@ -124,7 +130,7 @@
             raise ConnectionResetError
         if self.extra_answer:
             writer.write(_answer(200, "of-another", b"surplus"))
-        more = self._load() if self.signed else ""
+        more = f"{self._load()}{self._signals()}" if self.signed else ""
         body = f"ran {path}".encode() + self.extra_body
         writer.write(_answer(status, attempt, body, signed=self.signed, more=more))
 
@@ -150,6 +156,10 @@
         remaining_s = max(0.0, self.cold_until - asyncio.get_running_loop().time())
         return f"{self._load()}X-Cold-Ms: {remaining_s * 1000:.0f}\r\n"
 
+    def _signals(self) -> str:
+        limit = "".join(f"Server-Limit: {value}\r\n" for value in self.limit.split("\n") if value)
+        return limit + ("Server-Leaving: 1\r\n" if self.leaving else "")
+
     def _load(self) -> str:
         pace = f",{self.pace}" if self.pace else ""
         return f"X-Server-Load: 1,0,4{pace}\r\n"
