--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -63,6 +63,7 @@
         explain: bool = True,
         route: str = "",
         remote_s: float = 0.0,
+        start_by: float = float("inf"),
     ) -> Pick:
         """Choose the upstream that would finish one more call first."""
         best, lowest_cost = "", float("inf")
--- a/foldhoist/admission/bucket.py
+++ b/foldhoist/admission/bucket.py
@@ -30,6 +30,18 @@
             return float("inf")
         return max(0.0, (amount - self._tokens) / self.rate)
 
+    def spend(self, now: float, amount: float = 1.0) -> None:
+        """Take `amount` tokens whether the bucket has them or not; it may then owe some."""
+        self._refill(now)
+        self._tokens -= amount
+
+    def change(self, now: float, rate: float, burst: float) -> None:
+        """Change the rate and the burst; tokens above the new burst are lost."""
+        self._refill(now)
+        self.rate = rate
+        self.burst = burst
+        self._tokens = min(burst, self._tokens)
+
     def _refill(self, now: float) -> None:
         gained = (now - self._at) * self.rate
         self._at = max(now, self._at)
--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -14,6 +14,7 @@
 from foldhoist.admission.completion import latest_start
 from foldhoist.admission.nested import RouteCallers
 from foldhoist.admission.pace import PaceMonitor
+from foldhoist.admission.rate_limit import LIMITED, RateLimit
 from foldhoist.admission.refusal_rates import RefusalRates
 from foldhoist.admission.slots import DEFAULT_SERVICE_S, SMOOTHING, Refuse, Start, Wait
 
@@ -57,6 +58,7 @@
         self.service_s = DEFAULT_SERVICE_S
         self.pace = PaceMonitor()
         self.cold = ColdStart()
+        self.rate = RateLimit()
         self._callers = RouteCallers()
         self._waiting: dict[int, QueuedCall] = {}
         self._refusal_rates = RefusalRates()
@@ -105,8 +107,14 @@
         """
         if now >= call.deadline:
             return self._refused(now, ticket, call, "deadline-passed", 0.0)
-        if self._has_room(now) and self._may_start(now, call):
+        # Under a named limit a call that waits is next, also if its timer has not fired yet.
+        is_next = not (self.rate.active and self._waiting)
+        if is_next and self._has_room(now) and self._may_start(now, call):
             return self._started(now, ticket, call)
+        if self.rate.active:
+            ahead = sum(1 for other in self._waiting.values() if other.order <= call.order)
+            if self.rate.ready_at(now, ahead) > call.start_by:
+                return self._limited(now, ticket, call, ahead)
         expected = self.expected_wait(now, call)
         if len(self._waiting) >= self.limits.queue:
             return self._refused(now, ticket, call, "queue-full", expected)
@@ -121,7 +129,8 @@
         ahead = [other for other in self._waiting.values() if other.order <= call.order]
         work_s = sum(other.expect_s for other in ahead)
         slot_s = (work_s + self.service_s) / self.limits.slots
-        return max(slot_s, self.cold.ready_at(now, len(ahead)) - now)
+        cold_s = self.cold.ready_at(now, len(ahead)) - now
+        return max(slot_s, cold_s, self.rate.ready_at(now, len(ahead)) - now)
 
     def withdraw(self, ticket: int) -> None:
         """Remove a waiting call from the queue."""
@@ -161,23 +170,38 @@
             for ticket in late
         ]
 
+    def limit_changed(self, now: float) -> list[Decision]:
+        """Refuse the waiting calls whose turn would come too late by the named limit."""
+        decisions: list[Decision] = []
+        ahead = 0
+        for ticket, call in sorted(self._waiting.items(), key=lambda item: item[1].order):
+            if self.rate.ready_at(now, ahead) <= call.start_by:
+                ahead += 1
+                continue
+            del self._waiting[ticket]
+            decisions.append(self._limited(now, ticket, call, ahead))
+        return [*decisions, *self.advance(now)]
+
     def next_at(self, now: float) -> float | None:
-        """Return when to look again: a waiting call expires or a cold upstream may take one.
+        """Return when to look again: a waiting call expires, or the upstream may take one.
 
         None if no call waits.
         """
         if not self._waiting:
             return None
         late_at = min(call.start_by for call in self._waiting.values())
-        ready_at = self.cold.ready_at(now)
+        ready_at = max(self.cold.ready_at(now), self.rate.ready_at(now))
         return min(late_at, ready_at) if ready_at > now else late_at
 
     def _has_room(self, now: float) -> bool:
-        return self.busy < self.cold.usable_slots(self.limits.slots) and self.cold.may_start(now)
+        if self.busy >= self.cold.usable_slots(self.limits.slots):
+            return False
+        return self.cold.may_start(now) and self.rate.may_start(now)
 
     def _started(self, now: float, ticket: int, call: QueuedCall) -> Start:
         self.busy += 1
         self.cold.record_start(now)
+        self.rate.record_start(now)
         self._refusal_rates.record(now, call.rank, refused=False)
         return Start(ticket)
 
@@ -187,6 +211,11 @@
         self._refusal_rates.record(now, call.rank, refused=True)
         return Refuse(ticket, reason, retry_after_s)
 
+    def _limited(self, now: float, ticket: int, call: QueuedCall, ahead: int) -> Refuse:
+        """Refuse a call whose turn by the named limit would come too late."""
+        turn = self.rate.promise_turn(now, ahead, call.deadline)
+        return self._refused(now, ticket, call, LIMITED, turn - now)
+
     def _may_start(self, now: float, call: QueuedCall) -> bool:
         """Return whether the call should start now rather than wait for a faster upstream.
 
--- /dev/null
+++ b/foldhoist/admission/rate_limit.py
@@ -0,0 +1,157 @@
+"""Limits the rate of calls to an upstream that names how many it takes; no I/O, no clock.
+
+All calls to an upstream pass through its owner, which therefore counts for all senders. Two bounds
+hold at once: a token bucket starts calls evenly at the named rate, and a sliding window counts the
+calls that started before the limit was named, or while it was higher.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from foldhoist.admission.bucket import TokenBucket
+
+LIMITED = "upstream-limited"
+"""Reason of refusals: the upstream takes no more calls a second."""
+MIN_RATE_PER_S = 0.5
+"""Least rate of calls, per second, whatever is named: only an answer shows that a limit ended."""
+MAX_RATE_PER_S = 1e9
+"""Greatest rate that is told from no limit, calls a second."""
+BURST_S = 0.5
+"""Calls that may start at once after a pause, as a time at the named rate, seconds."""
+WINDOW_S = 4.0
+"""Length of the sliding window, seconds."""
+WINDOW_OVERAGE = 1.5
+"""Calls that a window may hold, as a multiple of those that the named rate allows."""
+CELL_S = 0.25
+"""Starts are counted in cells of this length, seconds."""
+PRIOR_S = 1.0
+"""Starts at most this long before a limit is first named count against it, seconds."""
+
+
+class StartCounts:
+    """Counts the starts of the last `WINDOW_S` in cells; times are monotonic seconds."""
+
+    def __init__(self) -> None:
+        self._cells: deque[tuple[float, int]] = deque()
+
+    def add(self, at: float, count: int = 1) -> None:
+        """Count starts at a time not before that of the last call."""
+        end = (at // CELL_S + 1) * CELL_S
+        if self._cells and self._cells[-1][0] >= end:
+            end, before = self._cells.pop()
+            count += before
+        self._cells.append((end, count))
+        self.drop_before(at - WINDOW_S)
+
+    def drop_before(self, at: float) -> None:
+        """Forget the cells that end at this time or earlier."""
+        while self._cells and self._cells[0][0] <= at:
+            self._cells.popleft()
+
+    def total(self, now: float) -> int:
+        """Return the number of starts in the window."""
+        self.drop_before(now - WINDOW_S)
+        return sum(count for _, count in self._cells)
+
+    def room_at(self, now: float, most: int) -> float:
+        """Return when the window will hold fewer than `most` starts."""
+        left = self.total(now)
+        at = now
+        for end, count in self._cells:
+            if left < most:
+                break
+            at = end + WINDOW_S
+            left -= count
+        return at
+
+
+class RateLimit:
+    """Limits the starts of calls at one upstream to the rate that it names, if it names one."""
+
+    def __init__(self) -> None:
+        self.per_s: float | None = None
+        self._starts = StartCounts()
+        self._bucket = TokenBucket(0.0, 1.0, 0.0)
+        self._promised_until = float("-inf")
+
+    @property
+    def active(self) -> bool:
+        """Return whether the upstream names a limit."""
+        return self.per_s is not None
+
+    def set(self, now: float, per_s: float, *, first: bool = False) -> None:
+        """Set the named rate; `first` says that this upstream has named none before."""
+        rate = min(MAX_RATE_PER_S, max(MIN_RATE_PER_S, per_s))
+        burst = max(1.0, rate * BURST_S)
+        if self.per_s is None:
+            # It starts empty: the upstream has just had more calls than it takes.
+            self._bucket = TokenBucket(rate, burst, now)
+            self._bucket.take(now, burst)
+        else:
+            self._bucket.change(now, rate, burst)
+        if first:
+            self._starts.drop_before(now - PRIOR_S)
+        self.per_s = per_s
+
+    def end(self) -> None:
+        """Lift the limit; starts are counted on, as it may be named again."""
+        self.per_s = None
+
+    def reset(self) -> None:
+        """Forget everything: another incarnation of the upstream is in place."""
+        self.per_s = None
+        self._starts = StartCounts()
+        self._promised_until = float("-inf")
+
+    def assume_starts(self, now: float, until: float) -> None:
+        """Count starts at the named rate up to `until`, by an earlier incarnation of the owner."""
+        if self.per_s is None:
+            return
+        cell = now - WINDOW_S
+        counts = StartCounts()
+        left = 0.0
+        while cell < until:
+            left += self._bucket.rate * CELL_S
+            counts.add(cell, int(left))
+            left -= int(left)
+            cell += CELL_S
+        counts.add(max(until, now), self._starts.total(now))
+        self._starts = counts
+
+    def record_start(self, now: float) -> None:
+        """Count a call that is sent to the upstream."""
+        self._starts.add(now)
+        if self.active:
+            self._bucket.spend(now)
+
+    def may_start(self, now: float) -> bool:
+        """Return whether a call may start now."""
+        return self.ready_at(now) <= now
+
+    def ready_at(self, now: float, ahead: int = 0) -> float:
+        """Return the time at which a call with `ahead` others before it may start."""
+        if self.per_s is None:
+            return now
+        most = max(1, int(WINDOW_OVERAGE * WINDOW_S * self._bucket.rate))
+        paced_at = now + self._bucket.wait(now, ahead + 1.0)
+        window_at = self._starts.room_at(now, most)
+        if window_at <= now:
+            return paced_at
+        return max(paced_at, window_at + ahead / self._bucket.rate)
+
+    def promise_turn(self, now: float, ahead: int, by: float) -> float:
+        """Return when a refused call may come back: after those that wait or were told so before.
+
+        A time after `by`, the deadline of the call, is not kept for it.
+        """
+        if self.per_s is None:
+            return now
+        turn = max(self.ready_at(now, ahead), self._promised_until)
+        if turn < by:
+            self._promised_until = turn + 1.0 / self._bucket.rate
+        return turn
+
+    def used_per_s(self, now: float) -> float:
+        """Return the mean rate of starts in the window, calls a second."""
+        return self._starts.total(now) / WINDOW_S
--- a/foldhoist/admission/slots.py
+++ b/foldhoist/admission/slots.py
@@ -5,6 +5,8 @@
 from collections import deque
 from typing import NamedTuple, TypeAlias
 
+from foldhoist.admission.rate_limit import LIMITED, RateLimit
+
 DEFAULT_SERVICE_S = 0.005
 """Service time assumed before the first answer, seconds."""
 SMOOTHING = 0.1
@@ -60,6 +62,7 @@
         self.limits = limits
         self.busy = 0
         self.service_s = DEFAULT_SERVICE_S
+        self.rate = RateLimit()
         self._urgent: deque[_Waiting] = deque()
         self._ordinary: deque[_Waiting] = deque()
         self._withdrawn: set[int] = set()
@@ -75,10 +78,12 @@
         """Decide on a new call; `deadline` is its latest start, monotonic seconds."""
         if now >= deadline:
             return Refuse(ticket, "deadline-passed", 0.0)
-        if self._is_first(urgent) and self._may_start(urgent):
-            self.busy += 1
-            return Start(ticket)
+        if self._is_first(urgent) and self._may_start(urgent) and self.rate.may_start(now):
+            return self._started(now, ticket)
         ahead = len(self._urgent) if urgent else self._queued
+        if self.rate.ready_at(now, ahead) > deadline:
+            turn = self.rate.promise_turn(now, ahead, deadline)
+            return Refuse(ticket, LIMITED, turn - now)
         expected = self.expected_wait(ahead)
         if self._queued >= self.limits.queue:
             return Refuse(ticket, "queue-full", self.expected_wait(self._queued))
@@ -115,7 +120,7 @@
         while True:
             self._drop_withdrawn(self._urgent)
             self._drop_withdrawn(self._ordinary)
-            lane = self._next_lane()
+            lane = self._next_lane() if self.rate.may_start(now) else None
             if lane is None:
                 return decisions
             call = lane.popleft()
@@ -124,8 +129,22 @@
                 decisions.append(Refuse(call.ticket, "deadline-passed", 0.0))
                 continue
             self._count_urgent_run(lane)
-            self.busy += 1
-            decisions.append(Start(call.ticket))
+            decisions.append(self._started(now, call.ticket))
+
+    def limit_changed(self, now: float) -> list[Decision]:
+        """Refuse the waiting calls whose turn would come too late by the named limit."""
+        decisions: list[Decision] = []
+        ahead = 0
+        for call in [*self._urgent, *self._ordinary]:
+            if call.ticket in self._withdrawn:
+                continue
+            if self.rate.ready_at(now, ahead) <= call.deadline:
+                ahead += 1
+                continue
+            self.withdraw(call.ticket)
+            turn = self.rate.promise_turn(now, ahead, call.deadline)
+            decisions.append(Refuse(call.ticket, LIMITED, turn - now))
+        return [*decisions, *self.advance(now)]
 
     def expire(self, now: float) -> list[Decision]:
         """Refuse every waiting call whose deadline has passed."""
@@ -140,6 +159,11 @@
             self._drop_withdrawn(lane)
         return decisions
 
+    def _started(self, now: float, ticket: int) -> Start:
+        self.busy += 1
+        self.rate.record_start(now)
+        return Start(ticket)
+
     def _drop_withdrawn(self, lane: deque[_Waiting]) -> None:
         while lane and lane[0].ticket in self._withdrawn:
             self._withdrawn.discard(lane.popleft().ticket)
--- a/foldhoist/commands/log_events.py
+++ b/foldhoist/commands/log_events.py
@@ -62,8 +62,8 @@
         case "refused":
             return (
                 f"{where} refused as owner, {event['reason']}: {event['busy']} of {event['slots']} "
-                f"slots busy, {event['queued']} waiting, upstream {event['state']}; "
-                f"retry after {event['retry_after_ms']} ms"
+                f"slots busy, {event['queued']} waiting, upstream {event['state']}"
+                f"{_format_limit(event)}; retry after {event['retry_after_ms']} ms"
             )
         case "hop":
             return (
@@ -83,6 +83,13 @@
     )
 
 
+def _format_limit(event: dict[str, Any]) -> str:
+    if "limit_per_s" not in event:
+        return ""
+    age_s = event["limit_age_ms"] / 1000
+    return f" that has taken {event['limit_per_s']:g} calls/s for {age_s:.1f} s"
+
+
 def _format_attempt(event: dict[str, Any]) -> str:
     text = (
         f"sent to {event['upstream']} after {event['sent_ms']:.0f} ms ({event['why']}), "
--- a/foldhoist/commands/status.py
+++ b/foldhoist/commands/status.py
@@ -34,6 +34,12 @@
         f"upstream {load['state']}{why}: {load['busy']} of {load['slots']} slots busy, "
         f"{load['queued']} waiting"
     )
+    limit = body["limit"]
+    if limit["per_s"] >= 0:
+        print(
+            f"the upstream takes {limit['per_s']:g} calls/s, named {limit['age_s']:.1f} s ago; "
+            f"{limit['used_per_s']:g} calls/s are sent"
+        )
     for row in body["quotas"]:
         print(
             f"quota of {row['customer']}, counted here: {row['left']:.0f} of a burst of "
--- a/foldhoist/daemon/dialect.py
+++ b/foldhoist/daemon/dialect.py
@@ -19,19 +19,24 @@
     RETRY,
     TRACE,
     TRACEPARENT,
+    UPSTREAM_LIMIT,
     UPSTREAM_STATE,
     URGENT,
     VERDICT,
     HeadRules,
+    parse_decimal,
 )
 from foldhoist.daemon.request import BadRequest, read_request
 from foldhoist.delivery.dispatch import Complete, Result, Sample, Shed, StartCall
+from foldhoist.delivery.upstream_signals import Signals
 from foldhoist.delivery.verdict import Answered, Headers, MayHaveRun, NotRun, Verdict, verdict_name
 
 if TYPE_CHECKING:
     from foldhoist.daemon.http import HeadReader
     from foldhoist.delivery.call import CallerRequest
 
+MAX_FAULT_CHARS = 40
+"""Longest part of an unreadable limit that is kept for the log, characters."""
 SHED_RETRY_S = 0.5
 """Retry delay after a shed call without a whole number in Retry-After, seconds."""
 
@@ -62,8 +67,8 @@
     def sample(self, status: int, head: HeadReader) -> Sample:
         """Return the sample in an answer of the health path."""
 
-    def is_leaving(self, head: HeadReader) -> bool:
-        """Return whether an answer says that the upstream is leaving."""
+    def signals(self, status: int, head: HeadReader, call: StartCall) -> Signals | None:
+        """Return what an answer says of the upstream, None if it is not this upstream's answer."""
 
 
 class DefaultDialect:
@@ -130,9 +135,23 @@
         """Return an empty sample, as the default headers carry no pace."""
         return Sample(0)
 
-    def is_leaving(self, head: HeadReader) -> bool:
-        """Return whether an answer says that the upstream is leaving."""
-        return head.values.get(UPSTREAM_STATE) == b"leaving"
+    def signals(self, status: int, head: HeadReader, call: StartCall) -> Signals | None:
+        """Return what an answer says of the upstream."""
+        leaving = head.values.get(UPSTREAM_STATE) == b"leaving"
+        return limit_signals(head.values.get(UPSTREAM_LIMIT), leaving)
+
+
+def limit_signals(limit: bytes | None, leaving: bool) -> Signals:
+    """Return the signals for the value of a limit header, None if the answer has none.
+
+    A limit is a plain decimal number of calls a second.
+    """
+    if limit is None:
+        return Signals(None, leaving)
+    per_s = parse_decimal(limit)
+    if per_s is None:
+        return Signals(None, leaving, limit.decode("latin-1")[:MAX_FAULT_CHARS])
+    return Signals(per_s, leaving)
 
 
 def _retry_after(values: dict[bytes, bytes]) -> float:
--- a/foldhoist/daemon/http.py
+++ b/foldhoist/daemon/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -42,6 +43,11 @@
 UPSTREAM_STATE = b"upstream-state"
 """Response header with which an upstream says that it is leaving."""
 
+UPSTREAM_LIMIT = b"upstream-limit"
+"""Response header with the calls a second that an upstream takes from all hosts together."""
+
+_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,9})?")
+"""A number in a header: no sign, no exponent, bounded digits."""
 _PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -55,7 +61,9 @@
 CUSTOMER = b"Foldhoist-Customer"
 """Request header that names the customer to an upstream."""
 
-CONSUMED = frozenset({IDEMPOTENCY_KEY, TRACEPARENT, b"host", NOT_RUN, UPSTREAM_STATE})
+CONSUMED = frozenset(
+    {IDEMPOTENCY_KEY, TRACEPARENT, b"host", NOT_RUN, UPSTREAM_STATE, UPSTREAM_LIMIT}
+)
 """Headers that foldhoist reads or sets again at each hop instead of forwarding them."""
 
 
@@ -119,6 +127,12 @@
         return [pair for pair in self.forwarded if pair[0].lower() not in drop]
 
 
+def parse_decimal(value: bytes) -> float | None:
+    """Return the number in a header's value, or None if it is not a plain decimal number."""
+    text = value.strip()
+    return float(text) if _DECIMAL.fullmatch(text) else None
+
+
 def write_head(start_line: bytes, headers: Headers, length: int | None) -> bytes:
     """Return the encoded start line, headers and, unless `length` is None, content length."""
     parts = [start_line]
--- a/foldhoist/daemon/operators.py
+++ b/foldhoist/daemon/operators.py
@@ -98,6 +98,7 @@
         "reader": daemon.configuration.peers.role.reader,
         "log_reachable": daemon.configuration.log_ok,
         "load": daemon.owner.load(),
+        "limit": _limit(daemon),
         "leaving_why": sorted(daemon.owner.status.leaving_sources),
         "keys_pending": sorted(daemon.owner.keys.pending),
         "keys_since_ms": daemon.owner.keys.since_ms,
@@ -109,6 +110,21 @@
     }
 
 
+def _limit(daemon: Daemon) -> dict[str, float]:
+    """Return the limit that the upstream names, its age and the calls a second sent; -1 if none."""
+    said = daemon.owner.load().get("said", {})
+    now = daemon.ingress_task.now()
+    return {
+        "per_s": _or_unknown(said.get("limit_per_s")),
+        "age_s": said.get("limit_age_ms", -1000) / 1000,
+        "used_per_s": round(daemon.owner.queue.rate.used_per_s(now), 2),
+    }
+
+
+def _or_unknown(per_s: float | None) -> float:
+    return -1.0 if per_s is None else per_s
+
+
 def _upstreams(daemon: Daemon) -> list[dict[str, Any]]:
     now = daemon.ingress_task.now()
     rows: list[dict[str, Any]] = []
@@ -129,6 +145,8 @@
                     "slots": stats.slots,
                     "latency_ms": round(stats.latency_s * 1000, 3),
                     "errors": round(stats.errors, 3),
+                    "limit_per_s": _or_unknown(stats.limit_per_s),
+                    "turn_s": round(stats.turn_wait_s(now), 3),
                     "ejected_s": round(max(0.0, stats.ejected_until - now), 3),
                 }
             )
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -9,8 +9,10 @@
 from loguru import logger
 
 from foldhoist.daemon.frames import FrameConnection
+from foldhoist.daemon.goaway import GoawayExchange
 from foldhoist.daemon.lost_calls import LostCalls
 from foldhoist.daemon.sampler import Sampler
+from foldhoist.daemon.signal_log import SignalLog
 from foldhoist.daemon.upstream import CONNECTION_LOST, UpstreamPool
 from foldhoist.delivery.call_finisher import LOCAL_LINK
 from foldhoist.delivery.codec import FRAME_OVERHEAD_BYTES, SCHEMA_VERSION
@@ -22,8 +24,10 @@
     QuarantineCalls,
     SendTo,
     ShareSuspects,
+    SignalsChanged,
     StartCall,
 )
+from foldhoist.delivery.upstream_signals import Leaving
 from foldhoist.delivery.upstream_status import EVACUATED
 from foldhoist.membership.incarnations import incarnation_of
 from foldhoist.routing.sampling import SamplePlan
@@ -37,6 +41,8 @@
     from foldhoist.daemon.lost_calls import LostCall
     from foldhoist.delivery.dispatch import Action, Ended, Refused, Result, Sample
     from foldhoist.delivery.owner import Owner
+    from foldhoist.delivery.upstream_signals import SignalChange, Signals
+    from foldhoist.membership.incarnations import UpstreamIncarnation
     from foldhoist.schema.messages import Announced, Hello, Suspect
     from foldhoist.schema.settings import Settings
 
@@ -44,12 +50,8 @@
 """Interval at which waiting and running calls are checked against their limits, seconds."""
 RECONNECT_INTERVAL_S = 0.3
 """Pause before each attempt to connect to an unreachable upstream, seconds."""
-GOAWAY_TIMEOUT_S = 1.0
-"""Longest wait for ingresses to acknowledge a Goaway, seconds."""
-MIN_GOAWAY_TIMEOUT_S = 0.1
-"""Longest such wait once the shutdown has reached its time limit, seconds."""
-GOAWAY_CHECK_S = 0.01
-"""Interval at which their acknowledgements are checked, seconds."""
+GOAWAY = {"reason": "drain"}
+"""The message to an ingress when this owner takes no more calls."""
 UPSTREAM_UNREACHABLE = "upstream-unreachable"
 """Reason of a call for which no connection to the upstream could be opened."""
 
@@ -73,6 +75,8 @@
         self.on_refused: Callable[[Refused], None] | None = None
         self.on_suspects: Callable[[list[Suspect]], None] | None = None
         self.on_quarantined: Callable[[list[str]], None] | None = None
+        self.on_leaving: Callable[[UpstreamIncarnation], None] | None = None
+        self._signal_log = SignalLog(self.began)
         self._timer: asyncio.TimerHandle | None = None
         self._reconnecting: asyncio.Task[None] | None = None
         self._hello = hello
@@ -83,14 +87,14 @@
         self._conns: dict[int, FrameConnection] = {}
         self._next_link = LOCAL_LINK + 1
         self._accepted_links: set[int] = set()
-        self._goaway_unacked: set[int] = set()
+        self.goaway = GoawayExchange()
         host, _, port = cfg["upstream"]["address"].rpartition(":")
         self.pool = UpstreamPool(
             (host, int(port)),
             cfg["upstream"]["connect_ms"] / 1000,
             cfg["limits"]["body_bytes"],
             self._on_result,
-            lambda: self.set_state("leaving"),
+            self._on_signals,
             dialect,
         )
         self._lost_calls = LostCalls(self.pool, self._on_calls_lost)
@@ -145,7 +149,7 @@
         if before is not None and not incarnation_of(before).is_same(incarnation_of(upstream)):
             self.pool.close_idle()
         self.sampler.instance = upstream["instance"]
-        self._carry_out(self.owner.announce(self._loop.time(), upstream))
+        self._carry_out(self.owner.announce(self._loop.time(), upstream, self.began))
 
     def learn_crashes(self, suspects: list[Suspect]) -> None:
         """Merge what another daemon knows of calls that crash upstreams."""
@@ -166,37 +170,23 @@
         """
         if evacuated == (EVACUATED in self.owner.status.leaving_sources):
             return
-        before = self.owner.load()["state"]
         if evacuated:
-            self._carry_out(self.owner.set_leaving(EVACUATED))
-        else:
-            self._carry_out(self.owner.end_evacuation(self._loop.time()))
-            self.sampler.request_sample()
-        self._log_state_change(before)
+            self.set_leaving(EVACUATED)
+            return
+        self._change_state(lambda: self.owner.end_evacuation(self._loop.time()))
+        self.sampler.request_sample()
 
     def set_queue_limits(self, limits: QueueLimits) -> None:
         """Set the limits of the queue."""
         self._carry_out(self.owner.set_queue_limits(self._loop.time(), limits))
 
-    @property
-    def goaway_pending(self) -> bool:
-        """Return whether `send_goaway` waits for an acknowledgement."""
-        return bool(self._goaway_unacked)
-
     async def send_goaway(self, limit: float) -> None:
         """Send a Goaway to every ingress, and wait until all have acknowledged it, or a timeout.
 
-        Calls that arrive meanwhile are refused. `limit` is when the shutdown should be over,
-        monotonic seconds; the wait may exceed it by MIN_GOAWAY_TIMEOUT_S.
+        Calls that arrive meanwhile are refused. `limit` is when to be done, monotonic seconds.
         """
-        self._goaway_unacked = {link for link in self._accepted_links if link != LOCAL_LINK}
-        for link in self._goaway_unacked:
-            self._send(link, "Goaway", {"reason": "drain"})
-        now = self._loop.time()
-        until = min(now + GOAWAY_TIMEOUT_S, max(limit, now + MIN_GOAWAY_TIMEOUT_S))
-        while self._goaway_unacked and self._loop.time() < until:
-            await asyncio.sleep(GOAWAY_CHECK_S)
-        self._goaway_unacked.clear()
+        links = [link for link in self._accepted_links if link != LOCAL_LINK]
+        await self.goaway.run(links, lambda link: self._send(link, "Goaway", GOAWAY), limit)
 
     def ingresses(self) -> list[tuple[int, str]]:
         """Return the connections from other daemons, each with the name of the daemon."""
@@ -216,23 +206,20 @@
 
     def set_state(self, state: str) -> None:
         """Set the state of the upstream."""
-        before = self.owner.load()["state"]
-        self._carry_out(self.owner.set_state(state))
-        self._log_state_change(before)
+        self._change_state(lambda: self.owner.set_state(state))
 
     def set_leaving(self, source: str) -> None:
         """Stop admitting calls because `source` reports that the upstream is leaving."""
-        before = self.owner.load()["state"]
-        self._carry_out(self.owner.set_leaving(source))
-        self._log_state_change(before)
+        self._change_state(lambda: self.owner.set_leaving(source))
 
     def clear_leaving(self, source: str) -> None:
         """Withdraw the report of `source`; calls are admitted once no source is left."""
-        before = self.owner.load()["state"]
-        self._carry_out(self.owner.clear_leaving(source))
-        self._log_state_change(before)
+        self._change_state(lambda: self.owner.clear_leaving(source))
 
-    def _log_state_change(self, before: str) -> None:
+    def _change_state(self, change: Callable[[], list[Action]]) -> None:
+        """Carry out the actions of a change, and log the state of the upstream if it differs."""
+        before = self.owner.load()["state"]
+        self._carry_out(change())
         after = self.owner.load()["state"]
         if after != before:
             causes = ", ".join(self.owner.status.leaving_sources) or "upstream"
@@ -266,17 +253,22 @@
                 self._carry_out(self.owner.withdraw(now, link, body))
             case "FateAsk":
                 self._carry_out(self.owner.fate(now, link, body))
+            case "Heard":
+                self._carry_out(self.owner.told(now, body, self.began))
             case "Goaway":
-                self._goaway_unacked.discard(link)
+                self.goaway.unacked.discard(link)
             case _ if self._on_peer is not None:
                 self._on_peer(link, kind, body)
 
     def _on_lost(self, conn: FrameConnection) -> None:
         self._conns.pop(conn.number, None)
         self._accepted_links.discard(conn.number)
-        self._goaway_unacked.discard(conn.number)
+        self.goaway.unacked.discard(conn.number)
         self.owner.link_lost(self._loop.time(), conn.number)
 
+    def _on_signals(self, ticket: int, signals: Signals) -> None:
+        self._carry_out(self.owner.answer_began(self._loop.time(), ticket, signals))
+
     def _on_result(self, ticket: int, result: Result) -> None:
         match result:
             case Incomplete(True, reason) if reason == CONNECTION_LOST:
@@ -331,6 +323,8 @@
                     self.on_suspects(suspects)
                 case QuarantineCalls(calls):
                     self._report_quarantined(calls)
+                case SignalsChanged(changes):
+                    self._report_signals(changes)
                 case CloseLink(link):
                     conn = self._conns.get(link)
                     if conn is not None:
@@ -342,6 +336,12 @@
         if self.on_quarantined is not None:
             self.on_quarantined(calls)
 
+    def _report_signals(self, changes: list[SignalChange]) -> None:
+        self._signal_log.write(self._loop.time(), changes)
+        for change in changes:
+            if isinstance(change, Leaving) and self.on_leaving is not None:
+                self.on_leaving(change.incarnation)
+
     def _send(self, link: int, kind: str, body: Any) -> None:
         if link == LOCAL_LINK:
             self._loop.call_soon(self._on_local, kind, body)
--- a/foldhoist/daemon/traffic_metrics.py
+++ b/foldhoist/daemon/traffic_metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from foldhoist.observe.counters import counters_of
@@ -13,6 +14,10 @@
     from foldhoist.daemon.owner_task import OwnerTask
 
 
+NO_LIMIT = -1.0
+"""Gauge of the named limit while the upstream names none, since 0 is a limit."""
+
+
 def traffic_counters(
     ingress_task: IngressTask, owner_task: OwnerTask, callers: ServerState
 ) -> dict[str, dict[str, int]]:
@@ -30,10 +35,13 @@
 ) -> dict[str, float]:
     """Return the gauges of calls and connections."""
     owner = owner_task.owner
+    limit = owner.queue.rate
     return {
         "ingress_calls": ingress_task.ingress.calls,
         "owner_busy": owner.queue.busy,
         "owner_queued": owner.queue.queued,
+        "limit_per_s": limit.per_s if limit.per_s is not None else NO_LIMIT,
+        "starts_per_s": limit.used_per_s(asyncio.get_running_loop().time()),
         "links": len(links.connected()),
         "caller_connections": len(callers.open),
         "upstream_connections": owner_task.pool.open,
--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -10,12 +10,13 @@
 
 from foldhoist.daemon.dialect import DefaultDialect
 from foldhoist.daemon.http import HeadReader, write_head
-from foldhoist.delivery.dispatch import Complete, Incomplete, Result, StartCall
+from foldhoist.delivery.dispatch import Incomplete, Result, StartCall
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from foldhoist.daemon.dialect import Dialect
+    from foldhoist.delivery.upstream_signals import Signals
 
 MAX_IDLE_S = 20.0
 """Maximum idle time after which a connection is still reused, seconds."""
@@ -30,13 +31,17 @@
 
 
 class UpstreamConnection(asyncio.Protocol):
-    """A connection that runs one call at a time; `on_end` is called once per call."""
+    """A connection that runs one call at a time; `on_end` is called once per call.
+
+    `on_signals` is called with what the head of an answer says of the upstream.
+    """
 
     def __init__(
         self,
         max_body_bytes: int,
         on_end: Callable[[UpstreamConnection, Result], None],
         dialect: Dialect | None = None,
+        on_signals: Callable[[int, Signals], None] | None = None,
     ) -> None:
         dialect = dialect or DefaultDialect()
         self.ticket = 0
@@ -46,6 +51,7 @@
         self._call: StartCall | None = None
         self._max_body_bytes = max_body_bytes
         self._on_end = on_end
+        self._on_signals = on_signals
         self._transport: asyncio.Transport | None = None
         self._running = False
         self._sent = False
@@ -140,6 +146,7 @@
         if self._status < 200:
             return
         self._keep_alive = self._parser.should_keep_alive()
+        self._pass_signals()
         self._until_close = (
             not self._framed and self._status not in (204, 304) and not self._is_head
         )
@@ -190,6 +197,14 @@
         self._framed = False
         self._until_close = False
 
+    def _pass_signals(self) -> None:
+        """Pass on what the head says of the upstream, long before the end of a large answer."""
+        if self._on_signals is None or self._call is None:
+            return
+        signals = self._dialect.signals(self._status, self.head, self._call)
+        if signals is not None:
+            self._on_signals(self.ticket, signals)
+
     def _interpret(self) -> Result | None:
         """Return the result of the answer, or None if it belongs to another call."""
         assert self._call is not None
@@ -218,7 +233,7 @@
         connect_s: float,
         max_body_bytes: int,
         on_result: Callable[[int, Result], None],
-        on_leaving: Callable[[], None],
+        on_signals: Callable[[int, Signals], None],
         dialect: Dialect | None = None,
     ) -> None:
         self.dialect = dialect or DefaultDialect()
@@ -228,7 +243,7 @@
         self._connect_s = connect_s
         self._max_body_bytes = max_body_bytes
         self._on_result = on_result
-        self._on_leaving = on_leaving
+        self._on_signals = on_signals
         self._idle: deque[UpstreamConnection] = deque()
         self._busy: dict[int, UpstreamConnection] = {}
         self._connecting: dict[int, asyncio.Task[None]] = {}
@@ -297,7 +312,9 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(self._connect_s):
             _, conn = await loop.create_connection(
-                lambda: UpstreamConnection(self._max_body_bytes, self._on_call_end, self.dialect),
+                lambda: UpstreamConnection(
+                    self._max_body_bytes, self._on_call_end, self.dialect, self._on_signals
+                ),
                 *self.address,
             )
         self.opened += 1
@@ -322,8 +339,6 @@
             self._idle.append(conn)
         elif not isinstance(result, Incomplete):
             conn.abort("not-reusable")
-        if isinstance(result, Complete) and self.dialect.is_leaving(conn.head):
-            self._on_leaving()
         self._on_result(conn.ticket, result)
 
     def _request_bytes(self, call: StartCall) -> bytes:
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -11,6 +11,7 @@
 from foldhoist.routing.routes import NO_RANK
 
 if TYPE_CHECKING:
+    from foldhoist.delivery.upstream_signals import SignalChange
     from foldhoist.delivery.verdict import Headers
     from foldhoist.schema.messages import Answer, Crashes, Dispatch, Refusal, Report, Suspect
 
@@ -66,7 +67,15 @@
     calls: list[str]
 
 
-Action: TypeAlias = SendTo | CloseLink | StartCall | CancelCall | ShareSuspects | QuarantineCalls
+class SignalsChanged(NamedTuple):
+    """Log what the upstream says in its answers from now on, and record it if it is leaving."""
+
+    changes: list[SignalChange]
+
+
+Action: TypeAlias = (
+    SendTo | CloseLink | StartCall | CancelCall | ShareSuspects | QuarantineCalls | SignalsChanged
+)
 
 
 class Complete(NamedTuple):
@@ -123,7 +132,10 @@
 
 
 class Refused(NamedTuple):
-    """The record of a call that the owner refused, with the load at that time."""
+    """The record of a call that the owner refused, with the load at that time.
+
+    `limit_per_s` is the limit that the upstream names, None if it names none.
+    """
 
     request: str
     trace: str
@@ -134,6 +146,8 @@
     queued: int
     slots: int
     state: str
+    limit_per_s: float | None = None
+    limit_age_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -146,6 +160,8 @@
     dispatched: int = 0
     fenced: int = 0
     held: int = 0
+    limit_changes: int = 0
+    limited: int = 0
     key_denied: int = 0
     key_replayed: int = 0
     lost: int = 0
@@ -194,8 +210,8 @@
     """A call that waits or runs at this owner; times are monotonic seconds.
 
     `start_by` is its latest useful start. `ahead` counts the calls that ran or waited when it
-    arrived, `running_at_start` the busy slots when it started, its own included. `repeat` is the
-    probability that it is a repeat, 0 to 1.
+    arrived, `running_at_start` the busy slots when it started, its own included, `replacements` the
+    upstream's incarnations until then. `repeat` is the probability that it is a repeat, 0 to 1.
     """
 
     __slots__ = (
@@ -206,6 +222,7 @@
         "key",
         "rank",
         "repeat",
+        "replacements",
         "request",
         "running",
         "running_at_start",
@@ -225,6 +242,7 @@
         self.started = 0.0
         self.ahead = 0
         self.running_at_start = 0
+        self.replacements = 0
         self.key = request["key"]
         self.rank = request.get("rank", NO_RANK)
         self.repeat = 1.0 if request["retried"] else request.get("repeat_percent", 0) / 100
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -25,6 +25,7 @@
 )
 from foldhoist.delivery.call_table import CallTable
 from foldhoist.delivery.dispatch_message import dispatch_message
+from foldhoist.delivery.heard_signals import HeardSignals
 from foldhoist.delivery.quota_gate import Begin, QuotaGate, Refuse
 from foldhoist.delivery.request_intake import UNAUTHORIZED, RejectedRequest, RequestIntake
 from foldhoist.delivery.services import RetrySlack, Services
@@ -42,9 +43,6 @@
     from foldhoist.schema.fleet import Fleet
     from foldhoist.schema.messages import Answer, Credit, Refusal, Report
 
-FATE_TIMEOUT_S = 1.0
-"""Longest wait for the outcome of a call after the connection to its owner is lost, seconds."""
-
 
 class Ingress:
     """Runs the calls that entered at this daemon until each has its final answer."""
@@ -61,7 +59,8 @@
         self.generation = 0
         self.explain = True
         self.count = Counters()
-        self._services = Services(data_centre, rng, slack)
+        self._heard = HeardSignals()
+        self._services = Services(data_centre, rng, slack, self._heard)
         self.intake = RequestIntake(self.admission, self._services)
         self._calls = CallTable()
         self.gate = QuotaGate(self._calls, self.count, rng)
@@ -112,7 +111,7 @@
 
     def answer(self, now: float, target: str, message: Answer) -> list[Action]:
         """Handle an owner's answer: give it to the caller, or retry after a server error."""
-        ended = self._end_attempt(message["seq"])
+        ended = self._end_attempt(now, target, message)
         if ended is None:
             return []
         call, attempt, picker = ended
@@ -128,7 +127,7 @@
 
     def refusal(self, now: float, target: str, message: Refusal) -> list[Action]:
         """Handle a refusal: retry, give the final answer, or wait for another attempt."""
-        ended = self._end_attempt(message["seq"])
+        ended = self._end_attempt(now, target, message)
         if ended is None:
             return []
         call, attempt, picker = ended
@@ -145,6 +144,7 @@
 
     def report(self, now: float, target: str, message: Report) -> None:
         """Handle an unsolicited load report of an owner."""
+        self._heard.record(now, target, message["load"])
         for state in self._services.all():
             state.picker.reported(target, now, message["load"])
 
@@ -155,7 +155,11 @@
         self._connected.add(target)
         self.gate.linked(now, target, up=True)
         self._services.linked(now, target, True, fresh)
-        return [*self._ask_fate(now, target, fresh), *self._unpark(now)]
+        return [
+            *self._heard.tell(now, target),
+            *self._ask_fate(now, target, fresh),
+            *self._unpark(now),
+        ]
 
     def link_closing(self, now: float, target: str) -> list[Action]:
         """Stop sending calls to an owner; it still answers those that it has."""
@@ -172,7 +176,7 @@
             if call.repeatable and not call.req.key:
                 actions += self._attempt_lost(now, call, attempt, "owner-connection-lost")
                 continue
-            attempt.fate_due = now + FATE_TIMEOUT_S
+            attempt.fate_due = now + rules.FATE_TIMEOUT_S
             self._calls.schedule(min(attempt.fate_due, call.deadline), call, Timer.FATE_TIMEOUT)
         return actions
 
@@ -214,14 +218,17 @@
         """Return the picker of each service."""
         return {name: state.picker for name, state in self._services.items()}
 
-    def _end_attempt(self, seq: int) -> tuple[Call, PendingAttempt, Picker | None] | None:
+    def _end_attempt(
+        self, now: float, target: str, result: Answer | Refusal
+    ) -> tuple[Call, PendingAttempt, Picker | None] | None:
         """Remove the attempt that a result is for; returns None if the result is late."""
-        call = self._calls.by_seq.pop(seq, None)
+        self._heard.record(now, target, result["load"])
+        call = self._calls.by_seq.pop(result["seq"], None)
         if call is None:
             self.count.late += 1
             return None
         state = self._services.get(call.service)
-        return call, call.pending.pop(seq), state.picker if state is not None else None
+        return call, call.pending.pop(result["seq"]), state.picker if state is not None else None
 
     def _on_timer(self, now: float, call: Call, kind: Timer) -> list[Action]:
         if now >= call.deadline:
@@ -239,8 +246,7 @@
         state = self._services.get(call.service)
         if state is None:
             return self._give_up(now, call, "service-removed", 0.0)
-        wait_s = rules.max_park_s(now, call, state)
-        if not wait_s:
+        if not (wait_s := rules.max_park_s(now, call, state)):
             return self._give_up(now, call, NO_CONNECTION, 1.0)
         self._calls.park(call)
         self._calls.schedule(now + wait_s, call, Timer.PARK_TIMEOUT)
--- a/foldhoist/delivery/load_reports.py
+++ b/foldhoist/delivery/load_reports.py
@@ -16,24 +16,28 @@
     from foldhoist.schema.messages import Load, Suspect
 
 MAX_PACE_REPORTS = 24
-"""Most ingresses to which a change of the pace is reported, by most recent call.
+"""Most ingresses to which a change of pace or limit is reported, by most recent call.
 
-Bounds the control traffic of an upstream whose pace changes several times a second.
+Bounds the control traffic of an upstream whose pace or limit changes several times a second.
 """
 
 
 class LoadReports:
-    """Builds the reports of one owner; times are monotonic seconds."""
+    """Builds the reports of one owner; times are monotonic seconds.
+
+    `now` is the time of the owner's latest event; ages and waits in a load are as of then.
+    """
 
     def __init__(self, status: UpstreamStatus, queue: SlotQueue | DueQueue, peers: Peers) -> None:
         self._status = status
         self._queue = queue
         self._peers = peers
         self._trials_invited = 0
+        self.now = 0.0
 
     def load(self) -> Load:
         """Return the current load."""
-        return self._status.load(self._queue)
+        return self._status.load(self._queue, self.now)
 
     def to_all(self) -> list[Action]:
         """Report the load to every ingress."""
@@ -61,6 +65,10 @@
             return []
         return self._send_to(self._peers.recently_used(now - PACE_KEPT_MS / 1000, MAX_PACE_REPORTS))
 
+    def limit_change(self, now: float) -> list[Action]:
+        """Report the load to ingresses with recent calls, as the upstream named another limit."""
+        return self._send_to(self._peers.recently_used(now - PACE_KEPT_MS / 1000, MAX_PACE_REPORTS))
+
     def crashes(self, suspects: list[Suspect]) -> list[Action]:
         """Report suspected calls to every ingress, and have them passed on to other daemons."""
         if not suspects:
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -9,9 +9,8 @@
 from typing import TYPE_CHECKING
 
 from foldhoist.admission.cold import ColdStart
-from foldhoist.admission.concurrency_limit import ConcurrencyLimit
 from foldhoist.admission.due import DueQueue
-from foldhoist.admission.slots import QueueLimits, Refuse, SlotQueue, Start
+from foldhoist.admission.slots import QueueLimits, SlotQueue
 from foldhoist.delivery import replies
 from foldhoist.delivery.call_finisher import CallFinisher
 from foldhoist.delivery.claims import Claims
@@ -29,7 +28,6 @@
     Result,
     SendTo,
     Shed,
-    StartCall,
     Ticket,
 )
 from foldhoist.delivery.keys import KeyTable
@@ -37,29 +35,36 @@
 from foldhoist.delivery.owner_admission import OwnerAdmission
 from foldhoist.delivery.peers import Peers, drop_acked
 from foldhoist.delivery.quarantined_calls import QuarantinedCalls
+from foldhoist.delivery.queue_decisions import QueueDecisions
 from foldhoist.delivery.shed_guard import ShedGuard
+from foldhoist.delivery.signal_effects import SignalEffects
+from foldhoist.delivery.slot_limits import SlotLimits
 from foldhoist.delivery.tickets import Tickets
-from foldhoist.delivery.upstream_status import EVACUATED, REPLACED, UpstreamStatus
+from foldhoist.delivery.upstream_status import (
+    EVACUATED,
+    REPLACED,
+    UpstreamStatus,
+)
 from foldhoist.delivery.waiting_calls import WaitingCalls
+from foldhoist.membership.incarnations import incarnation_of
 from foldhoist.quarantine.table import Quarantine
 
 if TYPE_CHECKING:
     from foldhoist.admission.body_memory import BodyMemory
     from foldhoist.admission.cold import ColdRate
-    from foldhoist.admission.slots import Decision
     from foldhoist.delivery.dispatch import Sample
+    from foldhoist.delivery.upstream_signals import Signals
     from foldhoist.schema.messages import (
         Announced,
         Dispatch,
         FateAsk,
+        Heard,
         Hello,
         Load,
         Suspect,
         Withdraw,
     )
 
-QUEUE_PER_SLOT = 3
-"""Calls that may wait for each slot of an upstream that announces itself."""
 SERVER_ERROR = 500
 """Answers from this status on do not show that the upstream can complete a call."""
 
@@ -83,7 +88,7 @@
         self.keys = KeyTable(name, key_window_s)
         self.count = Counters()
         self.quarantine = quarantine if quarantine is not None else Quarantine()
-        self.status = UpstreamStatus()
+        self.status = UpstreamStatus(self.queue.rate)
         self._cold = self.queue.cold if isinstance(self.queue, DueQueue) else ColdStart()
         self._peers = Peers()
         self._reports = LoadReports(self.status, self.queue, self._peers)
@@ -93,8 +98,14 @@
         )
         self.refusals = self._finisher.refusals
         self._claims = Claims(self.keys, self._finisher, self.count)
-        self._concurrency_limit = ConcurrencyLimit()
+        self._slots = SlotLimits()
         self._waiting = WaitingCalls(self.queue, self.tickets, self._finisher)
+        self._decided = QueueDecisions(
+            self.status, self.queue, self.tickets, self._finisher, self.count
+        )
+        self._signals = SignalEffects(
+            self.status, self.queue, self._reports, self._decided, self.count
+        )
         self._shed_guard = ShedGuard(self.status, self._reports, self._waiting, self.tickets)
         self._quarantined = QuarantinedCalls(
             self.quarantine, self.tickets, self._reports, self._waiting, self.count
@@ -123,6 +134,7 @@
 
     def dispatch(self, now: float, wall_ms: int, link: int, req: Dispatch) -> list[Action]:
         """Refuse a call, answer it by its idempotency key, or queue or start it."""
+        self._reports.now = now
         peer = self._peers.at(link)
         if peer is None:
             self.count.fenced += 1
@@ -164,6 +176,7 @@
 
     def finished(self, now: float, ticket_id: int, result: Result) -> list[Action]:
         """Handle the result of a call that was started at the upstream."""
+        self._reports.now = now
         ticket = self.tickets.get(ticket_id)
         if ticket is None:
             return []
@@ -178,8 +191,9 @@
                         self.quarantine.record_answer(now, ticket.identity)
                     )
                 reports += self._shed_guard.answered(ticket.started)
-                self._record_concurrency(now, ticket, served_s)
-                started = self._apply(now, self.queue.release(now, served_s))
+                if self.status.upstream is not None:
+                    self._slots.record_answer(now, ticket, served_s)
+                started = self._decided.apply(now, self.queue.release(now, served_s))
                 started += self._update_slots(now)
                 return [
                     *self._finisher.answered(now, ticket_id, result, served_s),
@@ -190,18 +204,35 @@
                 self.status.state = "shedding"
                 reports = self._shed_guard.shed(now)
                 retry_after_s = result.retry_after_s
-                return [*reports, *self._end_shed(now, ticket_id, "upstream-shed", retry_after_s)]
+                return [
+                    *reports,
+                    *self._decided.end_shed(now, ticket_id, "upstream-shed", retry_after_s),
+                ]
             case Replaced():
                 reports = self.set_leaving(REPLACED)
                 waiting = self._waiting.refuse(self.tickets.ids(), REPLACED)
-                return [*reports, *waiting, *self._end_shed(now, ticket_id, REPLACED, 0.0)]
+                return [
+                    *reports,
+                    *waiting,
+                    *self._decided.end_shed(now, ticket_id, REPLACED, 0.0),
+                ]
             case Incomplete():
                 self.count.lost += 1
                 self.status.failed()
-                started = self._apply(now, self.queue.release(now, None))
+                started = self._decided.apply(now, self.queue.release(now, None))
                 ran = "maybe" if result.sent else "no"
                 return [*self._finisher.refused(ticket_id, ran, result.reason, 0.5), *started]
 
+    def answer_began(self, now: float, ticket_id: int, signals: Signals) -> list[Action]:
+        """Handle what the head of an answer says, unless a former incarnation sent it."""
+        self._reports.now = now
+        return self._signals.answer_began(now, self.tickets.get(ticket_id), signals)
+
+    def told(self, now: float, heard: Heard, began: float) -> list[Action]:
+        """Handle what an ingress was told of the upstream; `began` is when this process started."""
+        self._reports.now = now
+        return self._signals.apply(now, self.status.signals.told(now, heard, began))
+
     def upstream_crashed(self, now: float, tickets: list[int]) -> list[Action]:
         """Handle a crash of the upstream while these calls were running.
 
@@ -224,7 +255,7 @@
         reports = self._update_cold(now)
         if sample.pace:
             reports += self._update_pace(now, sample.pace)
-        return [*reports, *self._apply(now, self.queue.advance(now))]
+        return [*reports, *self._decided.apply(now, self.queue.advance(now))]
 
     def set_cold_rate(self, now: float, rate: ColdRate, began: float | None = None) -> list[Action]:
         """Set the call rate of a cold upstream; `began` is when the daemon's process started."""
@@ -241,17 +272,25 @@
         self._cold.assume_cold(now)
         return [*self._update_cold(now), *self.clear_leaving(EVACUATED)]
 
-    def announce(self, now: float, upstream: Announced) -> list[Action]:
-        """Handle an announcement of the upstream; state "gone" means that none is known."""
+    def announce(
+        self, now: float, upstream: Announced, began: float = float("inf")
+    ) -> list[Action]:
+        """Handle an announcement; state "gone" means that none is known; see `told` for `began`."""
+        self._reports.now = now
         actions: list[Action] = []
-        if self.status.upstream is not None and self.status.is_new_incarnation(upstream):
+        is_new = self.status.is_new_incarnation(upstream)
+        if self.status.upstream is not None and is_new:
             self._cold.reset_on_replacement()
-        if self.status.announce(now, upstream):
+        changed_service = self.status.announce(now, upstream)
+        if is_new:
+            changes = self.status.signals.replaced(now, incarnation_of(upstream), began)
+            actions += self._signals.apply(now, changes)
+        if changed_service:
             actions += self._waiting.refuse(self.tickets.ids(), REPLACED)
         self._cold.extend(now, upstream["cold_ms"] / 1000)
         actions += self._update_cold(now)
         self.service = upstream["service"]
-        self._concurrency_limit.set_slots(upstream["slots"])
+        self._slots.set_announced(upstream["slots"])
         actions += self._update_slots(now)
         if upstream["state"] == "ready":
             return [*actions, *self.clear_leaving("upstream")]
@@ -262,7 +301,7 @@
         before, self.queue.limits = self.queue.limits, limits
         if before.slots == limits.slots:
             return []
-        return [*self._reports.to_all(), *self._apply(now, self.queue.advance(now))]
+        return [*self._reports.to_all(), *self._decided.apply(now, self.queue.advance(now))]
 
     def set_state(self, state: str) -> list[Action]:
         """Set the state of the upstream; reports a change to every ingress."""
@@ -278,9 +317,10 @@
 
     def tick(self, now: float) -> list[Action]:
         """Expire calls, peers and keys, start calls that may start now, and invite trial calls."""
+        self._reports.now = now
         actions = self._update_cold(now)
-        actions += self._apply(now, self.queue.expire(now))
-        actions += self._apply(now, self.queue.advance(now))
+        actions += self._decided.apply(now, self.queue.expire(now))
+        actions += self._decided.apply(now, self.queue.advance(now))
         actions += self._shed_guard.tick(now)
         for peer in self._peers.orphaned(now):
             dropped = self._waiting.refuse(list(peer.live.values()), "ingress-gone")
@@ -337,18 +377,11 @@
                 queue.pace.record(now, pace)
         return self._reports.pace_change(now)
 
-    def _record_concurrency(self, now: float, ticket: Ticket, served_s: float) -> None:
-        if self.status.upstream is not None:
-            route = ticket.request.get("route", "")
-            self._concurrency_limit.record_answer(now, route, ticket.running_at_start, served_s)
-
     def _update_slots(self, now: float) -> list[Action]:
-        """Apply the concurrency limit to an upstream that has announced itself."""
+        """Apply the slots of an upstream that has announced itself."""
         if self.status.upstream is None:
             return []
-        slots = self._concurrency_limit.current(now)
-        limits = self.queue.limits._replace(slots=slots, queue=slots * QUEUE_PER_SLOT)
-        return self.set_queue_limits(now, limits)
+        return self.set_queue_limits(now, self._slots.apply_to(now, self.queue.limits))
 
     def _admit(self, now: float, peer: Peer, req: Dispatch) -> list[Action]:
         ticket = Ticket(peer.incarnation, req, now)
@@ -363,35 +396,4 @@
                 new_call = queue.queued_call(now, req, ticket.start_by, ticket.deadline)
                 ticket.rank = new_call.rank
                 decision = queue.submit(now, ticket_id, new_call)
-        return self._apply(now, [decision])
-
-    def _apply(self, now: float, decisions: list[Decision]) -> list[Action]:
-        actions: list[Action] = []
-        for decision in decisions:
-            match decision:
-                case Start(ticket_id) if now > self.status.last_start_at:
-                    actions += self._apply(now, self.queue.release(now, None))
-                    actions += self._finisher.refused(ticket_id, "no", "upstream-leaving", 0.0)
-                case Start(ticket_id):
-                    actions.append(self._start(now, ticket_id))
-                case Refuse(ticket_id, reason, retry_after_s):
-                    actions += self._finisher.refused(ticket_id, "no", reason, retry_after_s)
-        return actions
-
-    def _start(self, now: float, ticket_id: int) -> Action:
-        ticket = self.tickets.start(ticket_id, now)
-        ticket.running_at_start = self.queue.busy
-        self.count.dispatched += 1
-        self.count.repeats += ticket.request["retried"]
-        instance = self.status.instance
-        return StartCall(ticket_id, ticket.request, ticket.deadline - now, instance)
-
-    def _end_shed(
-        self, now: float, ticket_id: int, reason: str, retry_after_s: float
-    ) -> list[Action]:
-        self.count.turned_away += 1
-        started = self._apply(now, self.queue.release(now, None))
-        return [
-            *self._finisher.refused(ticket_id, "no", reason, retry_after_s, reached=True),
-            *started,
-        ]
+        return self._decided.apply(now, [decision])
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from foldhoist.admission.completion import hedge_after, latest_start
+from foldhoist.admission.completion import TIME_MARGIN, hedge_after, latest_start
 from foldhoist.delivery.verdict import Answered, MayHaveRun
 from foldhoist.routing.picker import NO_CONNECTION, Choice, NoChoice
 from foldhoist.routing.policies import REMOTE_COST_S
@@ -31,6 +31,8 @@
 REMOTE_COST_SHARE_PER_KB = 0.08
 """Added to that share for each kilobyte of the bodies of the route's calls."""
 
+FATE_TIMEOUT_S = 1.0
+"""Longest wait for the outcome of a call after the connection to its owner is lost, seconds."""
 MAX_PARK_S = 0.3
 """Longest wait of a parked call for a connection to an owner, seconds."""
 
@@ -78,7 +80,9 @@
         return False
     if now + MIN_BUDGET_S >= call.deadline:
         return False
-    if isinstance(state.picker.pick(now, call.excluded, explain=False), NoChoice):
+    start_by = latest_useful_start(call, state)
+    found = state.picker.pick(now, call.excluded, explain=False, start_by=start_by)
+    if isinstance(found, NoChoice):
         return False
     if call.arrivals == 0 or state.budget.spend(now):
         return True
@@ -95,7 +99,17 @@
     if call.req.key:
         return choose_key_home(call, state, up)
     remote_s = remote_cost_s(call, state)
-    return state.picker.pick(now, call.excluded, explain, call.route, remote_s)
+    start_by = latest_useful_start(call, state)
+    return state.picker.pick(now, call.excluded, explain, call.route, remote_s, start_by)
+
+
+def latest_useful_start(call: Call, state: ServiceState) -> float:
+    """Return when a call must start to be answered by its deadline, monotonic seconds.
+
+    Its owner is stricter with a call that can still meet its objective.
+    """
+    expect_s = state.picker.times.mean(call.route)
+    return call.deadline - expect_s * TIME_MARGIN
 
 
 def last_verdict(call: Call, not_run: NotRun) -> Verdict:
@@ -140,9 +154,9 @@
     failed = message["status"] >= SERVER_ERROR
     size = len(call.req.body) + len(message["body"])
     load, ahead = message["load"], message["ahead"]
-    served_s = message["served_us"] / 1e6
+    served_s, waited_s = message["served_us"] / 1e6, message["waited_us"] / 1e6
     picker.answered(
-        attempt.target, attempt.seq, now, failed, load, ahead, call.route, size, served_s
+        attempt.target, attempt.seq, now, failed, load, ahead, call.route, size, served_s, waited_s
     )
 
 
--- a/foldhoist/delivery/services.py
+++ b/foldhoist/delivery/services.py
@@ -7,6 +7,7 @@
 
 from foldhoist.admission.retries import RetryBudget, SlackPart
 from foldhoist.config.fleet import evacuated
+from foldhoist.delivery.heard_signals import HeardSignals
 from foldhoist.routing.picker import Picker
 from foldhoist.routing.policies import make_policy
 from foldhoist.routing.split import Split
@@ -80,7 +81,14 @@
 class Services:
     """All services by name; keeps the state of those that remain in the configuration."""
 
-    def __init__(self, data_centre: str, rng: Random, slack: RetrySlack | None) -> None:
+    def __init__(
+        self,
+        data_centre: str,
+        rng: Random,
+        slack: RetrySlack | None,
+        heard: HeardSignals | None = None,
+    ) -> None:
+        self._heard = heard if heard is not None else HeardSignals()
         self._data_centre = data_centre
         self._rng = rng
         self._slack = slack
@@ -144,6 +152,7 @@
             self._data_centre,
             cfg["eject_share"],
             self._rng,
+            self._heard.leaving,
         )
         if old is None:
             return ServiceState(cfg, picker, RetryBudget(cfg["retry_share"], self._rng))
--- a/foldhoist/delivery/upstream_status.py
+++ b/foldhoist/delivery/upstream_status.py
@@ -5,11 +5,13 @@
 from typing import TYPE_CHECKING
 
 from foldhoist.admission.shedding import Shedding
+from foldhoist.delivery.upstream_signals import UpstreamSignals
 from foldhoist.membership.incarnations import incarnation_of
 from foldhoist.routing.sampling import is_change
 
 if TYPE_CHECKING:
     from foldhoist.admission.due import DueQueue
+    from foldhoist.admission.rate_limit import RateLimit
     from foldhoist.admission.slots import SlotQueue
     from foldhoist.schema.messages import Announced, Load
 
@@ -29,6 +31,8 @@
 """
 EVACUATED = "data-centre-evacuated"
 """Reason of refusals while the data centre is evacuated."""
+SAID_LEAVING = "answers"
+"""Source of a leaving: the upstream says so in its answers."""
 LEAVING_QUEUE_S = 0.8
 """How long waiting calls may still start after the upstream announces that it leaves, seconds."""
 
@@ -36,8 +40,10 @@
 class UpstreamStatus:
     """State of one upstream, as announced and observed; times are monotonic seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit: RateLimit) -> None:
         self.state = "warm"
+        self.signals = UpstreamSignals(limit)
+        self.replacements = 0
         self.upstream: Announced | None = None
         self.pace = 0
         self.errors = 0.0
@@ -99,12 +105,18 @@
             self.shedding = Shedding()
             self.leaving_sources.pop("upstream", None)
             self.leaving_sources.pop(REPLACED, None)
+            self.leaving_sources.pop(SAID_LEAVING, None)
+            self.replacements += 1
             # The deadline applied to the previous incarnation only.
             self.last_start_at = float("inf")
         if upstream["state"] != "ready":
-            self.last_start_at = min(self.last_start_at, now + LEAVING_QUEUE_S)
+            self.stop_starting(now)
         return before is not None and before["service"] != upstream["service"]
 
+    def stop_starting(self, now: float) -> None:
+        """Let waiting calls start for `LEAVING_QUEUE_S` more, as the upstream is leaving."""
+        self.last_start_at = min(self.last_start_at, now + LEAVING_QUEUE_S)
+
     def set_leaving(self, source: str) -> bool:
         """Add a source that reports the upstream as leaving; returns whether it is a new one."""
         if self.leaving_sources.get(source):
@@ -144,7 +156,7 @@
         self._reported_pace = self.pace
         return True
 
-    def load(self, queue: SlotQueue | DueQueue) -> Load:
+    def load(self, queue: SlotQueue | DueQueue, now: float) -> Load:
         """Return the current load, as sent to ingresses."""
         load: Load = {
             "busy": queue.busy,
@@ -158,6 +170,9 @@
             load["pace"] = self.pace
             if self.pace_sampled:
                 load["pace_kept_ms"] = PACE_KEPT_MS
+        said = self.signals.said(now, queue.queued)
+        if said is not None:
+            load["said"] = said
         return load
 
     def _reported_state(self) -> str:
--- a/foldhoist/membership/incarnations.py
+++ b/foldhoist/membership/incarnations.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from foldhoist.schema.messages import Announced, EndedLife
+    from foldhoist.schema.messages import Announced, EndedLife, Said
 
 MAX_ENDED_NAMES = 16
 """Maximum number of upstream names whose ended incarnations are kept."""
@@ -36,11 +36,20 @@
         return 0 < self.born_ms < other.born_ms
 
 
+UNNAMED = UpstreamIncarnation("")
+"""Stands for an upstream that does not announce itself."""
+
+
 def incarnation_of(announced: Announced) -> UpstreamIncarnation:
     """Return the incarnation that sent this announcement."""
     return UpstreamIncarnation(announced["instance"], announced["born_ms"])
 
 
+def incarnation_of_said(said: Said) -> UpstreamIncarnation:
+    """Return the incarnation that has said this of itself."""
+    return UpstreamIncarnation(said["instance"], said["born_ms"])
+
+
 def incarnations_from_rows(rows: Iterable[EndedLife]) -> list[UpstreamIncarnation]:
     """Return the ended incarnations of a message's rows."""
     return [UpstreamIncarnation(row["instance"], row["born_ms"]) for row in rows]
--- a/foldhoist/membership/registry.py
+++ b/foldhoist/membership/registry.py
@@ -314,14 +314,17 @@
 
         found: dict[str, list[Tracked]] = {}
         if own is not None and _is_present(own):
-            found[own["service"]] = [Tracked(self.name, self.data_centre, own["slots"])]
+            tracked = Tracked(self.name, self.data_centre, own["slots"], incarnation_of(own))
+            found[own["service"]] = [tracked]
         for service in self.neighbours.services:
             local_peers = self.neighbours.local(service, is_usable)
             for name in local_peers + self.neighbours.remote(service, is_usable):
                 peer = self.peers[name]
                 if peer.upstream is None or not _is_present(peer.upstream):
                     continue
-                tracked = Tracked(name, peer.data_centre, peer.upstream["slots"])
+                incarnation = incarnation_of(peer.upstream)
+                slots = peer.upstream["slots"]
+                tracked = Tracked(name, peer.data_centre, slots, incarnation)
                 found.setdefault(service, []).append(tracked)
         return found
 
--- a/foldhoist/observe/events.py
+++ b/foldhoist/observe/events.py
@@ -69,6 +69,8 @@
         """Log a call that the owner refused without running it."""
         fields = refused._asdict()
         fields["trace"] = trace_id(refused.trace)
+        if refused.limit_per_s is None:
+            del fields["limit_per_s"], fields["limit_age_ms"]
         self._write_bounded(now, "refused", fields)
 
     def log_change(self, now: float, event: str, fields: dict[str, Any]) -> None:
--- a/foldhoist/routing/picker.py
+++ b/foldhoist/routing/picker.py
@@ -5,6 +5,8 @@
 from statistics import median
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
+from foldhoist.admission.rate_limit import LIMITED
+from foldhoist.membership.incarnations import UNNAMED, UpstreamIncarnation
 from foldhoist.routing.policies import (
     REMOTE_COST_S,
     Mixed,
@@ -18,7 +20,7 @@
 from foldhoist.routing.upstream_stats import UpstreamStats
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterable
+    from collections.abc import Container, Iterable, Mapping
     from random import Random
 
     from foldhoist.routing.upstream_stats import SentCall
@@ -55,11 +57,15 @@
 
 
 class Member(NamedTuple):
-    """An upstream that the picker may choose; `slots` is the number of calls it runs at once."""
+    """An upstream that the picker may choose; `slots` is the number of calls it runs at once.
+
+    `incarnation` is the one that its owner reports, without a name if it reports none.
+    """
 
     name: str
     data_centre: str
     slots: int
+    incarnation: UpstreamIncarnation = UNNAMED
 
 
 class Choice(NamedTuple):
@@ -85,11 +91,20 @@
 
     `eject_share` is the largest share of the upstreams that may be ejected at a time, `evacuated`
     the data centres that get no calls, and `cold_s` the cost, seconds, that the policy `Mixed` adds
-    to upstreams that report to be cold.
+    to upstreams that report to be cold. `leaving` has the incarnations that have told this daemon
+    that they leave; their owners may have forgotten it.
     """
 
-    def __init__(self, policy: Policy, data_centre: str, eject_share: float, rng: Random) -> None:
+    def __init__(
+        self,
+        policy: Policy,
+        data_centre: str,
+        eject_share: float,
+        rng: Random,
+        leaving: Mapping[str, UpstreamIncarnation] | None = None,
+    ) -> None:
         self.policy = policy
+        self._leaving = leaving if leaving is not None else {}
         self.data_centre = data_centre
         self.eject_share = eject_share
         self.rng = rng
@@ -110,6 +125,7 @@
             if stats is None:
                 ramp_start = now if self._has_members else now - RAMP_S
                 stats = UpstreamStats(member.name, member.data_centre, member.slots, ramp_start)
+            stats.incarnation = member.incarnation
             kept[member.name] = stats
         self.tracks = kept
         self._has_members = True
@@ -121,21 +137,21 @@
         explain: bool = True,
         route: str = "",
         remote_s: float = REMOTE_COST_S,
+        start_by: float = float("inf"),
     ) -> Pick:
         """Choose an upstream for one call, other than the excluded ones.
 
         `remote_s` is the cost that the policy `Mixed` adds to upstreams in another data centre,
-        seconds of a call of `route`. Without `explain` the choice lists no candidates.
+        seconds of a call of `route`. An upstream whose named limit lets the call start only after
+        `start_by` is skipped. Without `explain` the choice lists no candidates.
         """
         candidates: list[UpstreamStats] = []
         ejected: list[UpstreamStats] = []
         trial: UpstreamStats | None = None
         for stats in self.tracks.values():
-            if not stats.connected or not stats.accepts_calls or stats.name in excluded:
+            if not self._may_get_calls(stats, excluded):
                 continue
-            if stats.data_centre in self.evacuated:
-                continue
-            if stats.backoff_until > now:
+            if stats.backoff_until > now or stats.turn_at > start_by:
                 continue
             if stats.ejected_until > now:
                 ejected.append(stats)
@@ -151,6 +167,7 @@
         scores: list[float] | None = None
         if not candidates:
             candidates = ejected or self._trial_upstreams(excluded)
+            candidates = [stats for stats in candidates if stats.turn_at <= start_by]
             reason = "only-ejected-left"
         if not candidates:
             return self._no_choice(now, excluded)
@@ -166,13 +183,18 @@
         return [
             stats
             for stats in self.tracks.values()
-            if stats.trial_left
-            and stats.connected
-            and stats.accepts_calls
-            and stats.name not in excluded
-            and stats.data_centre not in self.evacuated
+            if stats.trial_left and self._may_get_calls(stats, excluded)
         ]
 
+    def _may_get_calls(self, stats: UpstreamStats, excluded: Container[str]) -> bool:
+        """Return whether calls may go to this upstream at all, now or after a pause."""
+        if not stats.connected or not stats.accepts_calls or stats.name in excluded:
+            return False
+        left = self._leaving.get(stats.name)
+        if left is not None and stats.incarnation.instance and left.is_same(stats.incarnation):
+            return False
+        return stats.data_centre not in self.evacuated
+
     def _make_choice(
         self,
         stats: UpstreamStats,
@@ -205,35 +227,40 @@
         route: str = "",
         size: int = 0,
         served_s: float = 0.0,
+        waited_s: float = 0.0,
     ) -> None:
         """Record an answer.
 
         `ahead` is the number of calls that were at the upstream before this one, -1 if unknown.
         `size` is the bytes of both bodies. `served_s` is the service time without queueing, used
-        for the route's mean; if it is 0, unknown, the latency is used.
+        for the route's mean; if it is 0, unknown, the latency is used. `waited_s` is the wait at
+        the owner, which does not show that an upstream with a named limit is slow.
         """
         stats = self.tracks.get(name)
         if stats is None:
             return
         sent = stats.ended(seq)
         stats.update_load(load, now)
-        self._update_state(stats, load)
         if sent is None:
             return
         self._update_estimates(sent, ahead, load.get("pace", 0))
-        latency_s = now - sent.at
+        latency_s = now - sent.at - (waited_s if stats.limit_per_s is not None else 0.0)
         if route and not failed:
             self.times.update(route, served_s or latency_s, size)
         self._record_result(stats, now, latency_s * self.times.scale(route), failed)
 
     def refused(self, name: str, seq: int, now: float, retry_after_s: float, load: Load) -> None:
-        """Record a refusal, and skip the upstream for `retry_after_s` seconds, within bounds."""
+        """Record a refusal, and skip the upstream for `retry_after_s` seconds, within bounds.
+
+        Under a limit that the upstream names, the load itself says when a call's turn comes.
+        """
         stats = self.tracks.get(name)
         if stats is None:
             return
         stats.ended(seq)
         stats.update_load(load, now)
-        self._update_state(stats, load)
+        if stats.turn_at > now:
+            return
         pause_s = min(MAX_REFUSAL_PAUSE_S, max(MIN_REFUSAL_PAUSE_S, retry_after_s))
         stats.backoff_until = max(stats.backoff_until, now + pause_s)
 
@@ -262,7 +289,6 @@
         if stats is None:
             return
         stats.update_load(load, now)
-        self._update_state(stats, load)
 
     def linked(self, name: str, now: float, up: bool, fresh: bool) -> None:
         """Record that the connection to the owner is up or down.
@@ -294,9 +320,6 @@
         stats.load = None
         stats.other_calls = 0
 
-    def _update_state(self, stats: UpstreamStats, load: Load) -> None:
-        stats.accepts_calls = load["state"] not in ("leaving", "down", "refusing")
-
     def _ready_for_trial(self, stats: UpstreamStats, now: float) -> UpstreamStats | None:
         """Return the upstream if a trial call may be sent to it now, else None."""
         return (
@@ -353,13 +376,15 @@
         stats.trial_left = TRIAL_CALLS
 
     def _no_choice(self, now: float, excluded: Container[str]) -> NoChoice:
-        waits = [
-            stats.backoff_until - now
+        busy = [
+            stats
             for stats in self.tracks.values()
-            if stats.backoff_until > now and stats.connected and stats.accepts_calls
+            if stats.open_at > now and self._may_get_calls(stats, ())
         ]
-        if waits:
-            return NoChoice("all-upstreams-full", min(waits))
+        if busy:
+            first = min(busy, key=lambda stats: stats.open_at)
+            is_limited = first.turn_at > first.backoff_until
+            return NoChoice(LIMITED if is_limited else "all-upstreams-full", first.open_at - now)
         upstreams = [stats for stats in self.tracks.values() if stats.connected]
         if upstreams and all(stats.data_centre in self.evacuated for stats in upstreams):
             return NoChoice(ALL_EVACUATED, EVACUATED_RETRY_S)
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -11,6 +11,37 @@
     """
 
 
+class Said(TypedDict):
+    """
+    What one incarnation of an upstream says of itself in its answers.
+    """
+
+    instance: str
+    """
+    Name of that incarnation, empty if the upstream does not announce itself.
+    """
+    born_ms: int
+    """
+    Its start, wall clock in milliseconds; 0 if it is not known.
+    """
+    limit_per_s: NotRequired[float]
+    """
+    Calls a second that it takes from all hosts together; absent if it names no limit now.
+    """
+    limit_age_ms: NotRequired[int]
+    """
+    Time since it named this limit, milliseconds; absent without a limit.
+    """
+    wait_ms: NotRequired[int]
+    """
+    How long a call that comes to the owner now waits for its turn by the limit, milliseconds; absent if it does not wait.
+    """
+    leaving: NotRequired[bool]
+    """
+    It has said that it is leaving, which holds for good. Absent if it has not.
+    """
+
+
 class Load(TypedDict):
     """
     What an owner knows of its upstream at the moment it writes; rides on every answer.
@@ -48,6 +79,7 @@
     """
     How long that pace holds if the owner tells of no other, milliseconds; absent if the owner does not watch it.
     """
+    said: NotRequired[Said]
 
 
 class Hello(TypedDict):
@@ -608,6 +640,18 @@
     """
 
 
+class Heard(TypedDict):
+    """
+    Ingress to owner, first on a connection: what the ingress was told of the owner's upstream, by which it is bound. An owner that has started again knows it only so.
+    """
+
+    said: Said
+    age_ms: int
+    """
+    Time since the ingress was told, milliseconds.
+    """
+
+
 class Goaway(TypedDict):
     """
     The last word of a connection: an owner takes no more calls on it, or an ingress sends none.
--- a/tests/adapter/test_numbers.py
+++ b/tests/adapter/test_numbers.py
@@ -13,12 +13,13 @@
 
 from foldhoist.config.settings import parse_settings
 from foldhoist.configlog.versions import Version
+from foldhoist.daemon.http import parse_decimal
 from foldhoist.daemon.request import BadRequest
 from foldhoist.delivery.services import RetrySlack
 from foldhoist_adapter.configuration import translate
 from foldhoist_adapter.endpoints import _HEARTBEATS, _announcement
 from foldhoist_adapter.headers import PlatformDialect
-from foldhoist_adapter.numbers import parse_number, whole_count
+from foldhoist_adapter.numbers import whole_count
 from tests.unit.daemon.calls import head_of
 
 TEMPLATE = (Path(__file__).resolve().parents[2] / "deploy" / "settings.ini").read_text()
@@ -88,7 +89,7 @@
     ],
 )
 def test_header_number_is_a_plain_decimal(header: bytes, number: float | None) -> None:
-    assert parse_number(header) == number
+    assert parse_decimal(header) == number
 
 
 def test_heartbeat_may_have_slots_with_a_fraction() -> None:
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -349,7 +349,7 @@
     stop = asyncio.ensure_future(owner.drain())
     patient = {"X-Deadline-Ms": "9000"}
     pending = asyncio.ensure_future(cluster.send("b", method="POST", headers=patient))
-    await until(lambda: owner.owner_task.goaway_pending or owner.stopped.is_set())
+    await until(lambda: owner.owner_task.goaway.unacked or owner.stopped.is_set())
     from_ingress.resume_reading()
     await until(lambda: owner.owner.count.refused > 0 or owner.stopped.is_set())
     to_owner.resume_reading()
--- a/tests/unit/test_boundaries.py
+++ b/tests/unit/test_boundaries.py
@@ -12,7 +12,7 @@
 CORE = ("admission", "configlog", "customers", "delivery", "membership", "quarantine", "routing")
 PLATFORM_NAMES = re.compile(
     r"x-attempt-id|x-deadline-ms|x-response-signature|x-expect-instance|x-server-load"
-    r"|x-not-executed|x-caller-service|x-instance-id|/foldhoist/|log-append|log-newest|log-read"
+    r"|x-not-executed|server-limit|server-leaving|x-caller-service|x-instance-id|/foldhoist/|log-append|log-newest|log-read"
     r"|keyed\.|virtual_hosts|route_paths|path_prefix|weighted_clusters|slo_latency|route_type"
     r"|cold_remaining|max_header_bytes|header_timeout|start_rev|x-tenant|tenant|auth_exempt",
     re.IGNORECASE,
