Send nothing to an upstream that says in its answers that it is leaving

What callers saw: requests sent 2 s after an upstream's first Server-Leaving still went there: 41 in a run of 4 s, of hosts that had passed on such answers (test_an_upstream_that_says_it_is_leaving_gets_requests).

Cause: leaving was learnt from heartbeats alone; the header went to callers and no further.

Change: the word in an answer counts as an announcement: the owner refuses from then on, the incarnation is recorded as ended with peers and the store, and heartbeats that still say ready change nothing. An ingress that was told sends nothing to that incarnation whatever its owner says, and tells an owner that has started again.

Why it works: each host that passed the word on is bound by its own memory, of that incarnation and no other. Evidence: both cases of the test failed before and pass now, one with the owner started again meanwhile.

--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -100,6 +100,7 @@
         self.upstream = UpstreamTask(
             self.owner_task, self._on_upstream_changed, cfg["upstream"]["service"], self._is_service
         )
+        self.owner_task.on_leaving = self.upstream.said_leaving
         self.peers = PeersTask(
             self.registry,
             self.links,
--- a/foldhoist/daemon/upstream_task.py
+++ b/foldhoist/daemon/upstream_task.py
@@ -173,6 +173,19 @@
         await self._record_departure(UpstreamIncarnation(instance, born_ms))
         return True
 
+    def said_leaving(self, incarnation: UpstreamIncarnation) -> None:
+        """Handle the word in an answer that this incarnation is leaving, as an announcement of it.
+
+        Heartbeats that still say it is ready are then late ones; the departure is recorded.
+        """
+        before = self.known.current
+        if not self.known.add_ended([incarnation]):
+            return
+        self._publish(before)
+        task = self._loop.create_task(self._record_departure(incarnation))
+        self._writes.add(task)
+        task.add_done_callback(self._writes.discard)
+
     def peer_answered(self, name: str, recorded: Iterable[UpstreamIncarnation]) -> None:
         """Handle a peer's answer; it has recorded these incarnations as ended."""
         for incarnation in recorded:
