--- a/foldhoist/delivery/upstream_signals.py
+++ b/foldhoist/delivery/upstream_signals.py
@@ -107,11 +107,7 @@
         incarnation = incarnation_of_said(said)
         if incarnation.is_same(self.incarnation):
             return self._learn(now, said, at, began)
-        known = self._pending.get(incarnation)
-        if known is None or known[1] < at:
-            self._pending[incarnation] = (said, at)
-        while len(self._pending) > MAX_PENDING:
-            del self._pending[next(iter(self._pending))]
+        self._keep_pending(incarnation, said, at)
         return []
 
     def said(self, now: float, queued: int) -> Said | None:
@@ -132,6 +128,16 @@
                 said["wait_ms"] = int(wait_s * 1000) + 1
         return said
 
+    def _keep_pending(self, incarnation: UpstreamIncarnation, said: Said, at: float) -> None:
+        """Keep the latest word on an incarnation; that it is leaving holds for good."""
+        before, told_at = self._pending.get(incarnation, (said, at))
+        latest = said if told_at <= at else before
+        if before.get("leaving") or said.get("leaving"):
+            latest = {**latest, "leaving": True}
+        self._pending[incarnation] = (latest, max(at, told_at))
+        while len(self._pending) > MAX_PENDING:
+            del self._pending[next(iter(self._pending))]
+
     def _learn(self, now: float, said: Said, at: float, began: float) -> list[SignalChange]:
         changes: list[SignalChange] = []
         if said.get("leaving", False):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -94,6 +94,9 @@
             answer.status,
             answer.echo,
             complete,
+            answer.limit,
+            answer.leaving,
+            answer.signals_of,
         )
         self.results.append(result)
         return not answer.closed
@@ -105,6 +108,9 @@
         self.echo = ""
         self.body = b""
         self.closed = False
+        self.limit = ""
+        self.leaving = False
+        self.signals_of = ""
         self._parts: list[bytes] = []
         self._done = False
 
@@ -121,10 +127,17 @@
         self.closed = self.closed or not parser.should_keep_alive()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == b"x-attempt-id":
-            self.echo = value.decode("latin-1")
-        if name.lower() == b"connection" and value.lower() == b"close":
-            self.closed = True
+        match name.lower():
+            case b"x-attempt-id":
+                self.echo = value.decode("latin-1")
+            case b"server-limit":
+                self.limit = value.decode("latin-1")
+            case b"server-leaving":
+                self.leaving = value == b"1"
+            case b"x-signals-of":
+                self.signals_of = value.decode("latin-1")
+            case b"connection" if value.lower() == b"close":
+                self.closed = True
 
     def on_body(self, body: bytes) -> None:
         self._parts.append(body)
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -1,6 +1,6 @@
 """Checks the history of a run against the promises made to callers; no I/O.
 
-Not checked: configurations in force, deadlines, retry budgets, departures of upstreams,
+Not checked: configurations in force, deadlines, retry budgets, departures that are announced,
 memory.
 """
 
@@ -10,13 +10,14 @@
 from typing import TYPE_CHECKING
 
 from soak.history import Violation
+from soak.signal_checker import signal_violations
 
 if TYPE_CHECKING:
     from soak.history import History, RequestResult
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run and never will."""
-UNPLANNED = frozenset({"kill", "pause"})
+UNPLANNED = frozenset({"kill", "pause", "reset"})
 """Kinds of faults that may interrupt running calls."""
 FAULT_EFFECT_S = 4.0
 """Time after an unplanned fault in which calls may still fail because of it, seconds.
@@ -43,6 +44,7 @@
         if stop.code != 0 or (check_stop_time and stop.took > MAX_STOP_S):
             evidence = f"{stop.daemon}: code {stop.code} after {stop.took:.1f} s"
             found.append(Violation("planned-stop-ends", evidence))
+    found += signal_violations(history)
     found += [Violation("served-again", f"{daemon} did not answer") for daemon in history.unserved]
     return found
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -6,7 +6,10 @@
 
 
 class RequestResult(NamedTuple):
-    """A request as its caller saw it; status 0 if no complete answer came."""
+    """A request as its caller saw it; status 0 if no complete answer came.
+
+    `limit` and `leaving` are what the answer said of the upstream's incarnation `signals_of`.
+    """
 
     attempt: str
     daemon: str
@@ -16,6 +19,9 @@
     status: int
     echo: str
     complete: bool
+    limit: str = ""
+    leaving: bool = False
+    signals_of: str = ""
 
 
 class Execution(NamedTuple):
@@ -25,6 +31,23 @@
     upstream: str
 
 
+class Arrival(NamedTuple):
+    """A request that reached an incarnation of an upstream, run or turned away."""
+
+    attempt: str
+    instance: str
+    at: float
+
+
+class LimitSpan(NamedTuple):
+    """A time in which an incarnation of an upstream named one limit, requests a second."""
+
+    instance: str
+    began: float
+    ended: float
+    per_s: float
+
+
 class Fault(NamedTuple):
     """A fault injected into a daemon, its upstream or its store."""
 
@@ -50,6 +73,8 @@
     faults: tuple[Fault, ...]
     stops: tuple[PlannedStop, ...]
     unserved: tuple[str, ...]
+    arrivals: tuple[Arrival, ...] = ()
+    limits: tuple[LimitSpan, ...] = ()
 
 
 class Violation(NamedTuple):
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,7 +10,15 @@
 from typing import TYPE_CHECKING
 
 from soak.callers import Caller
-from soak.history import Execution, Fault, History, PlannedStop, RequestResult
+from soak.history import (
+    Arrival,
+    Execution,
+    Fault,
+    History,
+    LimitSpan,
+    PlannedStop,
+    RequestResult,
+)
 from soak.processes import DaemonProcess
 from standins.ports import AddressPool
 from tests.adapter.cluster import call
@@ -32,6 +40,8 @@
 """Service time of a request, seconds."""
 SLOW_SERVICE_S = 0.3
 """Service time of a request during a fault of kind `slow`, seconds."""
+LEAVE_S = 2.5
+"""Least time for which a leaving upstream still answers, seconds."""
 RECOVERY_TIMEOUT_S = 30.0
 """Time after the last fault within which each daemon must serve again, seconds."""
 READY_TIMEOUT_S = 60.0
@@ -50,6 +60,10 @@
         self._faults: list[Fault] = []
         self._stops: list[PlannedStop] = []
         self._interrupted: set[str] = set()
+        self._signalling: set[str] = set()
+        self._announced: dict[str, str] = {}
+        self._limits: list[LimitSpan] = []
+        self._replaced = 0
         self._targets = {
             f"d{number}": FakeTarget("shop", f"i-{number}") for number in range(processes)
         }
@@ -118,7 +132,11 @@
             self._sequence += 1
             body = {
                 "info": {"service": "shop", "slots": 8},
-                "status": {"state": "ready", "sequence": self._sequence, "cold_remaining_s": 0},
+                "status": {
+                    "state": self._announced.get(name, "ready"),
+                    "sequence": self._sequence,
+                    "cold_remaining_s": 0,
+                },
             }
             path = f"/foldhoist/instances/{target.instance}"
             with suppress(OSError, TimeoutError):
@@ -183,8 +201,40 @@
                 self._targets[fault.daemon].work_s = SLOW_SERVICE_S
                 await asyncio.sleep(fault.duration)
                 self._targets[fault.daemon].work_s = SERVICE_S
+            case "limit" if fault.daemon not in self._signalling:
+                self._signalling.add(fault.daemon)
+                await self._limit(fault)
+                self._signalling.discard(fault.daemon)
+            case "leave" if fault.daemon not in self._signalling:
+                self._signalling.add(fault.daemon)
+                await self._leave(fault)
+                self._signalling.discard(fault.daemon)
+            case "reset":
+                self._targets[fault.daemon].reset_connections()
         self._faults.append(Fault(fault.kind, fault.daemon, began, self.now()))
 
+    async def _limit(self, fault: PlannedFault) -> None:
+        """Let an upstream name a limit, change it in the middle, and end it."""
+        target = self._targets[fault.daemon]
+        for per_s in fault.limits:
+            began = self.now()
+            target.limit = str(per_s)
+            await asyncio.sleep(fault.duration / 2)
+            self._limits.append(LimitSpan(target.instance, began, self.now(), per_s))
+        target.limit = ""
+
+    async def _leave(self, fault: PlannedFault) -> None:
+        """Let an upstream say that it is leaving, and put another incarnation in its place."""
+        target = self._targets[fault.daemon]
+        target.leaving = True
+        if fault.announces:
+            self._announced[fault.daemon] = "draining"
+        await asyncio.sleep(LEAVE_S + fault.duration)
+        self._announced.pop(fault.daemon, None)
+        target.leaving = False
+        self._replaced += 1
+        target.instance = f"{target.instance.partition('+')[0]}+{self._replaced}"
+
     async def _restart(self, fault: PlannedFault) -> None:
         daemon = self._daemons[fault.daemon]
         began = self.now()
@@ -204,12 +254,19 @@
             for name, target in self._targets.items()
             for req in target.ran
         ]
+        arrivals = [
+            Arrival(attempt, instance, at - self._traffic_start)
+            for target in self._targets.values()
+            for at, attempt, instance in target.received
+        ]
         return History(
             tuple(results),
             tuple(executions),
             tuple(self._faults),
             tuple(self._stops),
             tuple(unserved),
+            tuple(arrivals),
+            tuple(self._limits),
         )
 
     async def _terminate(self) -> None:
--- a/tests/adapter/target.py
+++ b/tests/adapter/target.py
@@ -44,7 +44,7 @@
         self.handler: Callable[[Request], Awaitable[int]] | None = None
         self.crash_path = ""
         self.arrivals: list[float] = []
-        self.received: list[tuple[float, str]] = []
+        self.received: list[tuple[float, str, str]] = []
         self.cold_until = 0.0
         self.max_calls_per_s = 0
         self.crashes = 0
@@ -75,8 +75,7 @@
         """Stop listening and reset every connection, as a killed process does."""
         self.crashes += 1
         self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
+        self.reset_connections()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
@@ -108,7 +107,7 @@
             return
         now = asyncio.get_running_loop().time()
         self.arrivals.append(now)
-        self.received.append((now, attempt))
+        self.received.append((now, attempt, self.instance))
         if self._is_overloaded():
             self._crash()
             raise ConnectionResetError
@@ -134,6 +133,11 @@
         body = f"ran {path}".encode() + self.extra_body
         writer.write(_answer(status, attempt, body, signed=self.signed, more=more))
 
+    def reset_connections(self) -> None:
+        """Reset every connection, as a cut on the way does."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def become_cold(self, for_s: float) -> None:
         """Be cold for `for_s` seconds; more than `max_calls_per_s` in a second crash it then."""
         self.arrivals.clear()
@@ -157,8 +161,12 @@
         return f"{self._load()}X-Cold-Ms: {remaining_s * 1000:.0f}\r\n"
 
     def _signals(self) -> str:
-        limit = "".join(f"Server-Limit: {value}\r\n" for value in self.limit.split("\n") if value)
-        return limit + ("Server-Leaving: 1\r\n" if self.leaving else "")
+        lines = [f"Server-Limit: {value}\r\n" for value in self.limit.split("\n") if value]
+        if self.leaving:
+            lines.append("Server-Leaving: 1\r\n")
+        if lines:
+            lines.append(f"X-Signals-Of: {self.instance}\r\n")
+        return "".join(lines)
 
     def _load(self) -> str:
         pace = f",{self.pace}" if self.pace else ""
--- a/tests/adapter/test_named_limits.py
+++ b/tests/adapter/test_named_limits.py
@@ -142,7 +142,7 @@
         await cluster.heartbeat("s0")
         await traffic.run_for(DRAIN_S + 1.0)
         await traffic.end()
-        late = [name for _, name in leaver.received if traffic.sent[name] > since + DRAIN_S]
+        late = [name for _, name, _ in leaver.received if traffic.sent[name] > since + DRAIN_S]
         assert late == []
         assert cluster.targets["s1"].arrivals[-1] > since + DRAIN_S
 
