--- a/foldhoist/daemon/dialect.py
+++ b/foldhoist/daemon/dialect.py
@@ -37,6 +37,8 @@
 
 MAX_FAULT_CHARS = 40
 """Longest part of an unreadable limit that is kept for the log, characters."""
+NO_VALUE = "(empty)"
+"""Stands for an empty limit in the log."""
 SHED_RETRY_S = 0.5
 """Retry delay after a shed call without a whole number in Retry-After, seconds."""
 
@@ -150,7 +152,8 @@
         return Signals(None, leaving)
     per_s = parse_decimal(limit)
     if per_s is None:
-        return Signals(None, leaving, limit.decode("latin-1")[:MAX_FAULT_CHARS])
+        value = limit.decode("latin-1")[:MAX_FAULT_CHARS].strip()
+        return Signals(None, leaving, value or NO_VALUE)
     return Signals(per_s, leaving)
 
 
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -5,10 +5,13 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from foldhoist.daemon.request import BadRequest
 from foldhoist.delivery.call import CallerRequest
 from foldhoist.delivery.dispatch import Complete, Incomplete, Replaced, Shed, StartCall
+from foldhoist.delivery.upstream_signals import Signals
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response
 from foldhoist_adapter.headers import PlatformDialect
 from tests.unit.daemon.calls import dispatch_of, head_of
@@ -107,3 +110,56 @@
         assert headers == []
     answered = Answered(Response(200, [[b"X-Response-Signature", b"s"]], b"body"))
     assert DIALECT.answer(answered, "") == (200, [[b"X-Response-Signature", b"s"]], b"body")
+
+
+@pytest.mark.parametrize(
+    ("fields", "signals"),
+    [
+        ({}, Signals()),
+        ({b"Server-Limit": b"5.9"}, Signals(5.9)),
+        ({b"server-limit": b" 0 "}, Signals(0.0)),
+        ({b"Server-Leaving": b"1"}, Signals(None, leaving=True)),
+        ({b"Server-Leaving": b"0"}, Signals()),
+        ({b"Server-Limit": b"3", b"Server-Leaving": b"1"}, Signals(3.0, leaving=True)),
+        ({b"Server-Limit": b"-3"}, Signals(None, False, "-3")),
+        ({b"Server-Limit": b"1e3"}, Signals(None, False, "1e3")),
+        ({b"Server-Limit": b"nan"}, Signals(None, False, "nan")),
+        ({b"Server-Limit": b""}, Signals(None, False, "(empty)")),
+        ({b"Server-Limit": b"9" * 100}, Signals(None, False, "9" * 40)),
+        ({b"Server-Limit": b"5", b"server-limit": b"6"}, Signals(None, False, "5, 6")),
+    ],
+)
+def test_an_answer_says_what_its_upstream_takes(
+    fields: dict[bytes, bytes], signals: Signals
+) -> None:
+    assert DIALECT.signals(200, head({**SIGNED, **fields}), CALL) == signals
+
+
+@pytest.mark.parametrize(
+    ("status", "fields"),
+    [
+        (421, SIGNED),
+        (200, {b"X-Attempt-Id": b"a1"}),
+        (200, {**SIGNED, b"X-Attempt-Id": b"of-another"}),
+        (503, {b"X-Attempt-Id": b"of-another", b"X-Not-Executed": b"1"}),
+    ],
+)
+def test_a_signal_of_another_upstream_or_answer_counts(
+    status: int, fields: dict[bytes, bytes]
+) -> None:
+    named = {**fields, b"Server-Limit": b"5", b"Server-Leaving": b"1"}
+    assert DIALECT.signals(status, head(named), CALL) is None
+
+
+def test_an_upstream_that_turns_a_call_away_names_its_limit() -> None:
+    fields = {b"X-Not-Executed": b"1", b"Server-Limit": b"5"}
+    assert DIALECT.signals(503, head(fields), CALL) == Signals(5.0)
+
+
+@given(limit=st.binary(max_size=60))
+def test_any_bytes_as_a_limit_break_an_answer(limit: bytes) -> None:
+    signals = DIALECT.signals(200, head({**SIGNED, b"Server-Limit": limit}), CALL)
+    assert signals is not None
+    assert (signals.limit_per_s is None) == bool(signals.fault)
+    if signals.limit_per_s is not None:
+        assert 0.0 <= signals.limit_per_s < 1e12
--- /dev/null
+++ b/tests/unit/delivery/test_owner_signals.py
@@ -0,0 +1,198 @@
+"""An owner keeps to what its upstream says of itself in its answers, also after a restart.
+
+Guards against upstreams that get more calls than they take, or calls after they leave.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from foldhoist.admission.due import DueQueue
+from foldhoist.admission.rate_limit import LIMITED
+from foldhoist.admission.slots import QueueLimits, SlotQueue
+from foldhoist.delivery.dispatch import Complete, SendTo, SignalsChanged, StartCall
+from foldhoist.delivery.owner import Owner
+from foldhoist.delivery.upstream_signals import (
+    Leaving,
+    LimitEnded,
+    LimitNamed,
+    LimitUnreadable,
+    Signals,
+)
+from foldhoist.membership.incarnations import UpstreamIncarnation
+from tests.unit.delivery.test_owner import dispatch, hello
+
+if TYPE_CHECKING:
+    from foldhoist.delivery.dispatch import Action
+    from foldhoist.schema.messages import Announced
+
+LIMITS = QueueLimits(30, 60, 0, 8)
+LIMIT = Signals(5.0)
+"""A limit of five calls a second."""
+HEARD: Any = {"said": {"instance": "i-1", "born_ms": 0, "limit_per_s": 5.0}, "age_ms": 100}
+
+
+def announced(instance: str = "i-1", **fields: Any) -> Announced:
+    plain = {"service": "depo", "slots": 30, "state": "ready", "sequence": 1, "born_ms": 0}
+    found: Any = {"instance": instance, "cold_ms": 0, **plain, **fields}
+    return found
+
+
+def make(queue: SlotQueue | DueQueue | None = None, upstream: str = "i-1") -> Owner:
+    queue = queue if queue is not None else DueQueue(LIMITS)
+    owner = Owner("depo-1", "depo", LIMITS, 600.0, queue)
+    owner.hello(0.0, 1, hello("in-1", 1))
+    if upstream:
+        owner.announce(0.0, announced(upstream))
+    return owner
+
+
+def started(actions: list[Action]) -> list[int]:
+    return [action.ticket for action in actions if isinstance(action, StartCall)]
+
+
+def refusals(actions: list[Action]) -> list[Any]:
+    bodies = [action.frame.body for action in actions if isinstance(action, SendTo)]
+    return [body for body in bodies if "ran" in body]
+
+
+def changes(actions: list[Action]) -> list[Any]:
+    found = [action.changes for action in actions if isinstance(action, SignalsChanged)]
+    return [change for each in found for change in each]
+
+
+def name_limit(owner: Owner, now: float, signals: Signals = LIMIT, seq: int = 900) -> list[Action]:
+    """Send a call, and let the head of its answer say this."""
+    (ticket,) = started(owner.dispatch(now, 0, 1, dispatch(seq)))
+    actions = owner.answer_began(now, ticket, signals)
+    owner.finished(now, ticket, Complete(200, [], b""))
+    return actions
+
+
+@pytest.mark.parametrize("queue", [DueQueue, SlotQueue])
+def test_an_upstream_gets_more_calls_than_it_takes(queue: type[SlotQueue | DueQueue]) -> None:
+    """Calls want to start all the time; each is answered at once."""
+    owner = make(queue(LIMITS))
+    name_limit(owner, 0.0)
+    starts = 0
+    for step in range(1, 1000):
+        now = step / 100
+        tickets = started(owner.dispatch(now, 0, 1, dispatch(step))) + started(owner.tick(now))
+        starts += len(tickets)
+        while tickets:
+            tickets = started(owner.finished(now, tickets.pop(), Complete(200, [], b"")))
+            starts += len(tickets)
+    assert 45 <= starts <= 54
+
+
+def test_a_call_whose_turn_comes_too_late_waits_for_its_deadline() -> None:
+    owner = make()
+    name_limit(owner, 0.0)
+    asked = [owner.dispatch(0.1, 0, 1, dispatch(seq, budget_ms=900)) for seq in range(1, 9)]
+    refused = [body for actions in asked for body in refusals(actions)]
+    assert len(refused) == 3
+    assert {body["reason"] for body in refused} == {LIMITED}
+    assert owner.count.limited == 3
+    assert {body["retry_after_ms"] for body in refused} == {1100}
+    assert not refusals(owner.dispatch(1.2, 0, 1, dispatch(9, budget_ms=900)))
+    (first, *_) = owner.refusals.take()
+    assert (first.limit_per_s, first.limit_age_ms) == (5.0, 100)
+
+
+def test_waiting_calls_outlast_their_deadline_when_the_limit_falls() -> None:
+    owner = make()
+    name_limit(owner, 0.0, Signals(20.0))
+    for seq in range(1, 11):
+        assert not refusals(owner.dispatch(0.01, 0, 1, dispatch(seq, budget_ms=900)))
+    (ticket, *_) = started(owner.tick(0.06))
+    refused = refusals(owner.answer_began(0.07, ticket, Signals(2.0)))
+    assert len(refused) == 7
+    assert owner.queue.queued == 2
+
+
+def test_a_limit_lasts_longer_than_the_upstream_says_so() -> None:
+    owner = make()
+    assert changes(name_limit(owner, 0.0)) == [LimitNamed(5.0, None)]
+    assert changes(name_limit(owner, 1.0, Signals(8.0))) == [LimitNamed(8.0, 5.0)]
+    (ended,) = changes(name_limit(owner, 2.0, Signals(None)))
+    assert ended == LimitEnded(8.0, 2.0)
+    tickets = [started(owner.dispatch(2.0, 0, 1, dispatch(seq))) for seq in range(10)]
+    assert all(tickets)
+    assert owner.load()["said"] == {"instance": "i-1", "born_ms": 0}
+
+
+def test_an_unreadable_limit_ends_or_changes_the_one_before() -> None:
+    owner = make()
+    name_limit(owner, 0.0)
+    (change,) = changes(name_limit(owner, 1.0, Signals(None, False, "soon")))
+    assert change == LimitUnreadable("soon")
+    assert owner.load()["said"]["limit_per_s"] == 5.0
+
+
+def test_an_answer_of_a_former_incarnation_limits_the_next_one() -> None:
+    owner = make()
+    (ticket,) = started(owner.dispatch(0.0, 0, 1, dispatch(1)))
+    owner.announce(0.1, announced("i-2"))
+    assert owner.answer_began(0.2, ticket, Signals(5.0, leaving=True)) == []
+    assert "said" not in owner.load()
+    assert not owner.leaving
+
+
+def test_the_next_incarnation_inherits_a_limit_or_a_leaving() -> None:
+    owner = make()
+    name_limit(owner, 0.0, Signals(5.0, leaving=True))
+    assert owner.leaving
+    owner.announce(1.0, announced("i-2"))
+    assert not owner.leaving
+    assert not owner.queue.rate.active
+    assert "said" not in owner.load()
+    assert started(owner.dispatch(1.0, 0, 1, dispatch(1)))
+
+
+def test_an_upstream_that_says_it_leaves_is_ready_again_with_its_next_heartbeat() -> None:
+    owner = make()
+    found = changes(name_limit(owner, 0.0, Signals(None, leaving=True)))
+    assert found == [Leaving(UpstreamIncarnation("i-1"))]
+    owner.announce(0.5, announced(sequence=2))
+    (refused,) = refusals(owner.dispatch(0.6, 0, 1, dispatch(1)))
+    assert refused["reason"] == "upstream-leaving"
+    assert refused["load"]["state"] == "leaving"
+
+
+@pytest.mark.parametrize("told_first", [False, True])
+def test_a_restarted_owner_sends_freely_to_a_limited_upstream(told_first: bool) -> None:
+    """An ingress tells it, before or after the upstream announces itself."""
+    owner = make(upstream="")
+    if not told_first:
+        owner.announce(0.0, announced())
+    owner.told(0.0, HEARD, -0.1)
+    if told_first:
+        owner.announce(0.1, announced())
+    tickets = [started(owner.dispatch(0.1, 0, 1, dispatch(seq))) for seq in range(10)]
+    assert not any(tickets)
+
+
+def test_an_old_word_of_an_ingress_replaces_a_newer_answer() -> None:
+    owner = make()
+    name_limit(owner, 5.0, Signals(None))
+    assert owner.told(5.05, HEARD, 0.0) == []
+    assert started(owner.dispatch(5.1, 0, 1, dispatch(1)))
+
+
+def test_a_leaving_told_by_one_ingress_is_lost_to_the_word_of_another() -> None:
+    owner = make(upstream="")
+    said: Any = {**HEARD["said"], "leaving": True}
+    owner.told(0.0, {"said": said, "age_ms": 900}, 0.0)
+    owner.told(0.0, HEARD, 0.0)
+    owner.announce(0.1, announced())
+    assert owner.leaving
+
+
+def test_pending_words_of_unknown_incarnations_grow_without_bound() -> None:
+    owner = make()
+    for number in range(100):
+        said: Any = {**HEARD["said"], "instance": f"x-{number}"}
+        owner.told(0.0, {"said": said, "age_ms": 0}, 0.0)
+    assert len(owner.status.signals._pending) <= 16
