--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,7 +12,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from bench import capacity_page, capacity_slopes, capacity_spread
+from bench import capacity_page, capacity_signals, capacity_slopes, capacity_spread
 from bench.figures import RESULTS, write_results
 
 if TYPE_CHECKING:
@@ -27,6 +27,7 @@
     "idle": capacity_slopes.idle,
     "messages": capacity_slopes.messages,
     "keys": capacity_slopes.keys,
+    "signals": capacity_signals.signals,
     "spread": capacity_spread.propagation,
 }
 """Parts in the order of measurement, by their names in the results."""
--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -132,7 +132,7 @@
         picker.members([Member(f"t{i}", "a", 12) for i in range(size)], 0.0)
         for name in picker.tracks:
             picker.linked(name, 0.0, True, fresh=True)
-        spent.append(_best_us(partial(_pick_once, picker)))
+        spent.append(best_us(partial(_pick_once, picker)))
     return {"pick_us": points([float(size) for size in sizes], spent)}
 
 
@@ -143,7 +143,8 @@
     picker.abandoned(choice.name, 1, 10.0)
 
 
-def _best_us(run: Callable[[], object], times: int = 3000, rounds: int = 5) -> float:
+def best_us(run: Callable[[], object], times: int = 3000, rounds: int = 5) -> float:
+    """Return the time of one call of `run` in the best round, microseconds."""
     best = float("inf")
     for _ in range(rounds):
         began = time.perf_counter()
@@ -162,7 +163,7 @@
     snapshot_sizes: list[float] = []
     for size in FLEETS:
         text = large_configuration(size)
-        parse_ms.append(_best_us(partial(parse_fleet, text, "big"), 1, 3) / 1000)
+        parse_ms.append(best_us(partial(parse_fleet, text, "big"), 1, 3) / 1000)
         change_ms.append(_change_ms(text))
         tracemalloc.start()
         fleet, faults = parse_fleet(text, "big")
@@ -179,7 +180,7 @@
             homes(fleet)
             role_of(name, by_centre, "a", 2, 8)
 
-        place_ms.append(_best_us(place, 1, 3) / 1000)
+        place_ms.append(best_us(place, 1, 3) / 1000)
         state = State(1, digest_of(text), text, 1)
         snapshot_sizes.append(float(len(zlib.compress(encode("Snapshot", to_snapshot(state)), 1))))
     sizes = [float(size) for size in FLEETS]
@@ -303,7 +304,7 @@
         memory.append(tracemalloc.get_traced_memory()[0] / 1e6)
         tracemalloc.stop()
         key = "0190-" + "0" * 20
-        claim_us.append(_best_us(partial(table.claim, 0.0, 10_000, key, 9_000, "m"), 2000))
+        claim_us.append(best_us(partial(table.claim, 0.0, 10_000, key, 9_000, "m"), 2000))
     return {
         "memory_mb": points(sizes, memory),
         "claim_us": points(sizes, claim_us),
