Soak and tests: upstreams that are slow while they name a limit, and a checker of both rules

Four callers a daemon instead of two, and half of the limited upstreams answer slowly, so that only ingresses know of the limit for a while.

--- a/soak/run.py
+++ b/soak/run.py
@@ -32,14 +32,14 @@
 
 DATA_CENTRES = 3
 """Number of data centres that the daemons are spread over."""
-CALLERS_PER_DAEMON = 2
+CALLERS_PER_DAEMON = 4
 """Number of callers of each daemon."""
 HEARTBEAT_S = 0.5
 """Interval between two heartbeats of an upstream, seconds."""
 SERVICE_S = 0.02
 """Service time of a request, seconds."""
 SLOW_SERVICE_S = 0.3
-"""Service time of a request during a fault of kind `slow`, seconds."""
+"""Service time of a request at a slow upstream, seconds."""
 LEAVE_S = 2.5
 """Least time for which a leaving upstream still answers, seconds."""
 RECOVERY_TIMEOUT_S = 30.0
@@ -216,12 +216,15 @@
     async def _limit(self, fault: PlannedFault) -> None:
         """Let an upstream name a limit, change it in the middle, and end it."""
         target = self._targets[fault.daemon]
+        # Its answers come late, so that an owner that starts again hears of the limit late.
+        target.work_s = SLOW_SERVICE_S if fault.slow else SERVICE_S
         for per_s in fault.limits:
             began = self.now()
             target.limit = str(per_s)
             await asyncio.sleep(fault.duration / 2)
             self._limits.append(LimitSpan(target.instance, began, self.now(), per_s))
         target.limit = ""
+        target.work_s = SERVICE_S
 
     async def _leave(self, fault: PlannedFault) -> None:
         """Let an upstream say that it is leaving, and put another incarnation in its place."""
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -24,6 +24,8 @@
 """Limits that upstreams name, requests a second."""
 ANNOUNCED_SHARE = 0.5
 """Share of leaving upstreams whose heartbeats say so as well."""
+SLOW_LIMITED_SHARE = 0.5
+"""Share of upstreams that are slow while they name a limit."""
 STORE_FAULTS = ("503", "reset", "silent")
 """How the store fails: status 503, a closed connection, or no answer."""
 PLANNED_ONLY_SHARE = 0.5
@@ -35,8 +37,9 @@
 class PlannedFault(NamedTuple):
     """A scheduled fault; times in seconds since traffic started.
 
-    An upstream names the first of the `limits`, and the second one from the middle on. One that
-    leaves says so in its heartbeats too if it `announces`, else in its answers only.
+    An upstream names the first of the `limits`, and the second one from the middle on; it may be
+    `slow` meanwhile. One that leaves says so in its heartbeats too if it `announces`, else in its
+    answers only.
     """
 
     kind: str
@@ -46,6 +49,7 @@
     store_fault: str
     limits: tuple[float, float] = (5.5, 5.5)
     announces: bool = False
+    slow: bool = False
 
 
 def draw_faults(seed: int, daemons: list[str], length: float) -> list[PlannedFault]:
@@ -61,7 +65,8 @@
         duration = rng.expovariate(1 / mean_s) if mean_s else 0.0
         daemon, store_fault = rng.choice(daemons), rng.choice(STORE_FAULTS)
         limits = (rng.choice(LIMITS_PER_S), rng.choice(LIMITS_PER_S))
-        announces = rng.random() < ANNOUNCED_SHARE
-        faults.append(PlannedFault(kind, daemon, at, duration, store_fault, limits, announces))
+        announces, slow = rng.random() < ANNOUNCED_SHARE, rng.random() < SLOW_LIMITED_SHARE
+        planned = PlannedFault(kind, daemon, at, duration, store_fault, limits, announces, slow)
+        faults.append(planned)
         at += rng.expovariate(1 / MEAN_GAP_S)
     return faults
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -31,6 +31,7 @@
         self.shed = False
         self.cut_share = 0.0
         self.leave_header = False
+        self.limit = ""
         self.executions: Counter[str] = Counter()
         self.cancelled = 0
         self.health_probes = 0
@@ -138,6 +139,8 @@
             if size:
                 answer = answer + b"." * int(size[0])
             more = {"Upstream-State": "leaving"} if behaviour.leave_header else {}
+            if behaviour.limit:
+                more["Upstream-Limit"] = behaviour.limit
             cut = behaviour.rng.random() < behaviour.cut_share
             self.write(status, b"" if method == "HEAD" else answer, more, cut)
         finally:
--- a/tests/adapter/cluster.py
+++ b/tests/adapter/cluster.py
@@ -155,7 +155,7 @@
         """Send a heartbeat of a target to its daemon."""
         self.sequence += 1
         target = self.targets[name]
-        info = {"service": fields.get("service", target.service), "slots": 4}
+        info = {"service": fields.get("service", target.service), "slots": fields.get("slots", 4)}
         status = {"state": state, "sequence": self.sequence, "cold_remaining_s": 0}
         status.update(fields.get("status", {}))
         body = json.dumps({"info": info, "status": status}).encode()
--- a/tests/adapter/test_named_limits.py
+++ b/tests/adapter/test_named_limits.py
@@ -123,6 +123,26 @@
     assert most_in_a_window(target.arrivals, named + NOTICE_S) <= allowed(LIMIT_PER_S)
 
 
+@with_cluster
+async def test_a_slow_upstream_gets_a_burst_when_its_owner_starts_again(cluster: Cluster) -> None:
+    """Nobody answers for a while after the restart, so that only ingresses know of the limit."""
+    await start(cluster, 1)
+    target = cluster.targets["s0"]
+    target.limit = str(LIMIT_PER_S)
+    await cluster.heartbeat("s0", slots=100)
+    traffic = Traffic(cluster, ["a"])
+    await traffic.run_for(NOTICE_S)
+    named = target.arrivals[0]
+    target.work_s = 0.7
+    for _ in range(2):
+        await cluster.daemons["s0"].stop()
+        await cluster.start_daemon("s0")
+        await cluster.heartbeat("s0", slots=100)
+        await traffic.run_for(1.2)
+    await traffic.end()
+    assert most_in_a_window(target.arrivals, named + NOTICE_S) <= allowed(LIMIT_PER_S)
+
+
 @pytest.mark.parametrize("restarts", [0, 1])
 def test_an_upstream_that_says_it_is_leaving_gets_requests(restarts: int) -> None:
     """Its heartbeats say that it is ready all the while, also to an owner that starts again."""
--- a/tests/integration/test_commands.py
+++ b/tests/integration/test_commands.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+import urllib.request
 from typing import TYPE_CHECKING
 
 import pytest
 
+from standins.processes import wait_until
 from tests.integration.harness import make_fleet
 
 if TYPE_CHECKING:
@@ -32,6 +34,23 @@
     assert printed["name"] == "depo-1"
 
 
+def test_status_shows_the_limit_that_the_upstream_names(fleet: LocalFleet) -> None:
+    fleet.control_upstream("depo-1", limit="500")
+    address = fleet.addresses["depo-1"]["callers"]
+
+    def is_shown() -> bool:
+        with urllib.request.urlopen(f"http://{address}/depo/x", timeout=10):
+            printed = fleet.command("status", operators(fleet)).stdout
+            return "the upstream takes 500 calls/s" in printed
+
+    wait_until(is_shown)
+    printed = json.loads(fleet.command("status", operators(fleet), "--json").stdout)
+    assert printed["limit"]["per_s"] == 500
+    rows = {row["name"]: row["limit_per_s"] for row in printed["upstreams"]}
+    assert rows["depo-1"] == 500
+    fleet.control_upstream("depo-1", limit="")
+
+
 def test_config_prints_the_applied_text(fleet: LocalFleet) -> None:
     printed = json.loads(fleet.command("config", operators(fleet), "--json").stdout)
     assert printed["content"] == fleet.configuration()
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -9,11 +9,14 @@
 
 from soak.__main__ import run_seed
 from soak.checker import find_violations
-from soak.schedule import UNPLANNED, draw_faults
+from soak.run import SoakRun
+from soak.schedule import UNPLANNED, PlannedFault, draw_faults
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from soak.history import History
+
 DAEMONS = [f"d{number}" for number in range(4)]
 SECONDS = 6.0
 SEEDS = (1, 3)
@@ -30,6 +33,30 @@
     assert any(found & UNPLANNED for found in kinds)
 
 
+SIGNALS = [
+    PlannedFault("limit", "d1", 0.2, 8.0, "503", (5.5, 5.5)),
+    PlannedFault("limit", "d2", 0.5, 8.0, "503", (8.0, 2.0)),
+    PlannedFault("leave", "d3", 0.5, 1.5, "503"),
+    PlannedFault("kill", "d1", 1.5, 0.1, "503"),
+    PlannedFault("stop", "d2", 2.0, 0.1, "503"),
+    PlannedFault("kill", "d3", 2.2, 0.1, "503"),
+    PlannedFault("pause", "d1", 4.5, 0.8, "503"),
+    PlannedFault("reset", "d2", 5.0, 0.0, "503"),
+]
+"""Upstreams name limits and leave while their owners start again, stand still and are cut."""
+
+
+def test_upstreams_get_more_than_they_take_or_calls_after_they_leave(tmp_path: Path) -> None:
+
+    async def run() -> History:
+        return await SoakRun(5, len(DAEMONS), tmp_path).execute(SIGNALS, 8.5)
+
+    history = asyncio.run(run())
+    assert find_violations(history, check_stop_time=False) == []
+    assert any(each.limit for each in history.asked)
+    assert any(each.leaving for each in history.asked)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_planned_stops_break_no_promise(seed: int, tmp_path: Path) -> None:
     """Nothing is killed or paused, so no interrupted call is excused."""
