The soak's checker counts no time without a limit against one

The trace: its limit of 8 a second ended at 11.31 s, one of 15 was named at 12.85 s, and the window from 11.87 s held 35 requests of the second in which nothing was named. The checker took that second as one that allows nothing, since an earlier limit existed. A window is judged by the limits named without a gap now, and its time before them by the first of these, as at the first naming; 95 were allowed here. A test holds the case, and that a window after the gap is still judged.

--- a/soak/signal_checker.py
+++ b/soak/signal_checker.py
@@ -79,9 +79,10 @@
     told: list[Told],
 ) -> str:
     """Return what is too much in the window that ends now, empty if it is allowed."""
-    if not any(span.began + NOTICE_S <= now < span.ended for span in _joined(named)):
+    current = _named_without_a_gap(named, now)
+    if not current or current[0].began + NOTICE_S > now:
         return ""
-    allowed = OVERAGE * _limit_in_window(named, now) + SLACK
+    allowed = OVERAGE * _limit_in_window(current, now) + SLACK
     bound = {
         each.daemon
         for each in told
@@ -95,26 +96,24 @@
     return f"{got} in 4 s at {now:.2f} s, {allowed:.1f} allowed" if got > allowed else ""
 
 
-def _joined(named: list[LimitSpan]) -> list[LimitSpan]:
-    """Return the spans without a gap between them as one."""
-    joined: list[LimitSpan] = []
+def _named_without_a_gap(named: list[LimitSpan], now: float) -> list[LimitSpan]:
+    """Return the spans up to the one that lasts now, as far back as a limit was always named."""
+    found: list[LimitSpan] = []
     for span in sorted(named, key=lambda each: each.began):
-        if joined and span.began <= joined[-1].ended:
-            joined[-1] = joined[-1]._replace(ended=span.ended)
-            continue
-        joined.append(span)
-    return joined
+        if span.began > now:
+            break
+        if found and span.began > found[-1].ended:
+            found.clear()
+        found.append(span)
+    return found if found and now < found[-1].ended else []
 
 
-def _limit_in_window(named: list[LimitSpan], now: float) -> float:
+def _limit_in_window(spans: list[LimitSpan], now: float) -> float:
     """Return how many requests the limit allows in a window; its first value holds before it."""
-    spans = sorted(named, key=lambda each: each.began)
-    current = [span for span in spans if span.began <= now]
     since = now - WINDOW_S
-    total = 0.0
-    for span in current:
-        began = since if span is current[0] else span.began
-        total += span.per_s * max(0.0, min(now, span.ended) - max(since, began))
+    total = spans[0].per_s * max(0.0, spans[0].began - since)
+    for span in spans:
+        total += span.per_s * max(0.0, min(now, span.ended) - max(since, span.began))
     return total
 
 
--- a/tests/soak/test_signal_checker.py
+++ b/tests/soak/test_signal_checker.py
@@ -78,6 +78,14 @@
     assert promises(history(flood(40, since=15.0), limits=spans)) == [LIMIT]
 
 
+def test_requests_between_two_limits_count_against_neither() -> None:
+    """Nothing was named from 13 s to 14.5 s, where most of these requests are sent."""
+    earlier, later = NAMED._replace(ended=13.0), NAMED._replace(began=14.5)
+    assert promises(history(flood(30, since=15.6), limits=(earlier, later))) == []
+    assert promises(history(flood(60, since=14.0), limits=(earlier, later))) == []
+    assert promises(history(flood(60, since=16.0), limits=(earlier, later))) == [LIMIT]
+
+
 def leaver(sent: float, *faults: Fault) -> History:
     said = request("a1", 5.0, leaving=True)
     return history([said, request("a2", sent)], faults, limits=())
