--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -17,7 +17,7 @@
 KEY_ANSWERS_MB, KEPT_RESULTS_MB, BODIES_MB = 34, 34, 3 * 34
 """Memory bounds, megabytes, 32 MiB each; bodies to callers, to the upstream, and unread answers."""
 LIMIT_CHANGES_PER_S, LIMIT_REPORTS = 1 / 3, 24
-"""A third of the upstreams change their limit each second; the most ingresses that are told."""
+"""A third of the upstreams change their limit each second; the most ingresses updated."""
 HOSTS_POLL_S, KEEP_S, ATTEMPTS, RETRY_SHARE = 2.0, 3600.0, 3, 0.1
 
 
@@ -118,9 +118,9 @@
         ("placing and tracking, ms a target", results["fleet"]["place_ms"]),
         ("a generation on the wire, bytes a target", results["fleet"]["snapshot_bytes"]),
         ("memory, MB an idempotency key", results["keys"]["memory_mb"]),
-        ("a changed limit, bytes sent, an ingress told", results["signals"]["change_bytes"]),
-        ("a changed limit, us, an ingress told", results["signals"]["change_us"]),
-        ("memory, MB a limit remembered", results["signals"]["heard_mb"]),
+        ("a changed limit, bytes sent, an ingress updated", results["signals"]["change_bytes"]),
+        ("a changed limit, us, an ingress updated", results["signals"]["change_us"]),
+        ("memory, MB an upstream with signals", results["signals"]["cache_mb"]),
         ("time to all, s a daemon", results["spread"]["last_s"]),
     ]
     return [
@@ -185,7 +185,7 @@
         limit_reports=LIMIT_REPORTS,
         limit_bytes_per_s=LIMIT_CHANGES_PER_S * at(signals["change_bytes"], LIMIT_REPORTS),
         limit_us_per_s=LIMIT_CHANGES_PER_S * at(signals["change_us"], LIMIT_REPORTS),
-        limit_mb=at(signals["heard_mb"], DAEMONS),
+        limit_mb=at(signals["cache_mb"], DAEMONS),
         limit_start_us=signals["limited_start_us"],
         free_start_us=signals["free_start_us"],
         log_reads=READERS * CENTRES / POLL_S,
--- a/bench/capacity_signals.py
+++ b/bench/capacity_signals.py
@@ -1,4 +1,4 @@
-"""Measures what it costs that upstreams change the limits that they name."""
+"""Measures what it costs that upstreams change the limits that they send."""
 
 from __future__ import annotations
 
@@ -13,9 +13,9 @@
 from foldhoist.admission.slots import QueueLimits
 from foldhoist.delivery.codec import StreamEncoder
 from foldhoist.delivery.dispatch import Complete, SendTo, StartCall
-from foldhoist.delivery.heard_signals import HeardSignals
 from foldhoist.delivery.owner import Owner
-from foldhoist.delivery.upstream_signals import Signals
+from foldhoist.delivery.signal_cache import SignalCache
+from foldhoist.delivery.signal_state import AnswerSignals
 
 if TYPE_CHECKING:
     from foldhoist.delivery.dispatch import Action
@@ -24,7 +24,7 @@
 INGRESSES = [2, 6, 12, 18, 24]
 """Ingresses with recent calls at the owner whose upstream changes its limit."""
 UPSTREAMS = [350, 700, 1050, 1400]
-"""Upstreams whose limit one ingress remembers."""
+"""Upstreams whose limit one ingress caches."""
 LIMITS = QueueLimits(1000, 1000, 0, 8)
 UPSTREAM: Announced = {
     "instance": "i-c1fa7275a5",
@@ -67,7 +67,7 @@
     def change(self) -> list[Action]:
         """Let an answer name another limit."""
         per_s = 100.0 + 0.1 * next(self._limits)
-        return self.owner.answer_began(NOW, self.ticket, Signals(per_s))
+        return self.owner.answer_began(NOW, self.ticket, AnswerSignals(per_s))
 
     def send(self, actions: list[Action]) -> int:
         """Encode the reports; returns their bytes."""
@@ -84,20 +84,20 @@
     owners = [BusyOwner(size) for size in INGRESSES]
     sent = [float(owner.send(owner.change())) for owner in owners]
     spent = [best_us(owner.change, 300) for owner in owners]
-    memory = [_heard_mb(size) for size in UPSTREAMS]
+    memory = [_cache_mb(size) for size in UPSTREAMS]
     return {
         "change_bytes": points(sizes, sent),
         "change_us": points(sizes, spent),
-        "heard_mb": points([float(size) for size in UPSTREAMS], memory),
-        "limited_start_us": _start_us(Signals(HIGH_LIMIT_PER_S)),
-        "free_start_us": _start_us(Signals()),
+        "cache_mb": points([float(size) for size in UPSTREAMS], memory),
+        "limited_start_us": _start_us(AnswerSignals(HIGH_LIMIT_PER_S)),
+        "free_start_us": _start_us(AnswerSignals()),
     }
 
 
-def _start_us(said: Signals) -> float:
-    """Return the time to admit and end a call at an owner whose upstream says this."""
+def _start_us(signals: AnswerSignals) -> float:
+    """Return the time to admit and end a call at an owner whose upstream sends these signals."""
     busy = BusyOwner(1)
-    busy.owner.answer_began(NOW, busy.ticket, said)
+    busy.owner.answer_began(NOW, busy.ticket, signals)
     return best_us(partial(_start, busy, NOW + 10.0), 300)
 
 
@@ -107,14 +107,14 @@
     busy.owner.finished(now, action.ticket, Complete(200, [], b""))
 
 
-def _heard_mb(upstreams: int) -> float:
+def _cache_mb(upstreams: int) -> float:
     tracemalloc.start()
-    heard = HeardSignals()
+    cache = SignalCache()
     for number in range(upstreams):
-        said: Any = {"instance": f"i-{number:010x}", "born_ms": 0, "limit_per_s": number + 0.5}
-        said.update(limit_age_ms=number, wait_ms=number)
-        load: Any = {"said": said}
-        heard.record(NOW + number, f"sidecar-kadikoy-hall-{number}", load)
+        signals: Any = {"instance": f"i-{number:010x}", "born_ms": 0, "limit_per_s": number + 0.5}
+        signals.update(limit_age_ms=number, wait_ms=number)
+        load: Any = {"signals": signals}
+        cache.record(NOW + number, f"sidecar-kadikoy-hall-{number}", load)
     used = tracemalloc.get_traced_memory()[0] / 1e6
     tracemalloc.stop()
     return used
--- a/foldhoist/admission/bucket.py
+++ b/foldhoist/admission/bucket.py
@@ -31,7 +31,7 @@
         return max(0.0, (amount - self._tokens) / self.rate)
 
     def spend(self, now: float, amount: float = 1.0) -> None:
-        """Take `amount` tokens whether the bucket has them or not; it may then owe some."""
+        """Take `amount` tokens; their number may become negative."""
         self._refill(now)
         self._tokens -= amount
 
--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -107,7 +107,7 @@
         """
         if now >= call.deadline:
             return self._refused(now, ticket, call, "deadline-passed", 0.0)
-        # Under a named limit a call that waits is next, also if its timer has not fired yet.
+        # Under a rate limit a waiting call goes first, even if its timer is due but not run.
         is_next = not (self.rate.active and self._waiting)
         if is_next and self._has_room(now) and self._may_start(now, call):
             return self._started(now, ticket, call)
@@ -171,7 +171,7 @@
         ]
 
     def limit_changed(self, now: float) -> list[Decision]:
-        """Refuse the waiting calls whose turn would come too late by the named limit."""
+        """Refuse the waiting calls that could start too late by the new rate limit."""
         decisions: list[Decision] = []
         ahead = 0
         for ticket, call in sorted(self._waiting.items(), key=lambda item: item[1].order):
@@ -212,9 +212,9 @@
         return Refuse(ticket, reason, retry_after_s)
 
     def _limited(self, now: float, ticket: int, call: QueuedCall, ahead: int) -> Refuse:
-        """Refuse a call whose turn by the named limit would come too late."""
-        turn = self.rate.promise_turn(now, ahead, call.deadline)
-        return self._refused(now, ticket, call, LIMITED, turn - now)
+        """Refuse a call that could start too late by the rate limit."""
+        retry_at = self.rate.reserve_start(now, ahead, call.deadline)
+        return self._refused(now, ticket, call, LIMITED, retry_at - now)
 
     def _may_start(self, now: float, call: QueuedCall) -> bool:
         """Return whether the call should start now rather than wait for a faster upstream.
--- a/foldhoist/admission/rate_limit.py
+++ b/foldhoist/admission/rate_limit.py
@@ -1,8 +1,8 @@
-"""Limits the rate of calls to an upstream that names how many it takes; no I/O, no clock.
+"""Limits the rate of calls to an upstream that sends a rate limit; no I/O, no clock.
 
 All calls to an upstream pass through its owner, which therefore counts for all senders. Two bounds
-hold at once: a token bucket starts calls evenly at the named rate, and a sliding window counts the
-calls that started before the limit was named, or while it was higher.
+apply at once: a token bucket starts calls evenly at the limit, and a sliding window also counts the
+calls that started before the limit was set, or while it was higher.
 """
 
 from __future__ import annotations
@@ -12,21 +12,21 @@
 from foldhoist.admission.bucket import TokenBucket
 
 LIMITED = "upstream-limited"
-"""Reason of refusals: the upstream takes no more calls a second."""
+"""Reason of refusals because of the rate limit that the upstream sends."""
 MIN_RATE_PER_S = 0.5
-"""Least rate of calls, per second, whatever is named: only an answer shows that a limit ended."""
+"""Minimum rate of calls, per second, also for a limit of 0: only an answer shows that it ended."""
 MAX_RATE_PER_S = 1e9
-"""Greatest rate that is told from no limit, calls a second."""
+"""Maximum rate that is applied, calls per second."""
 BURST_S = 0.5
-"""Calls that may start at once after a pause, as a time at the named rate, seconds."""
+"""Burst of the token bucket, as a time at the limit, seconds."""
 WINDOW_S = 4.0
 """Length of the sliding window, seconds."""
 WINDOW_OVERAGE = 1.5
-"""Calls that a window may hold, as a multiple of those that the named rate allows."""
+"""Maximum number of calls in a window, as a multiple of those that the limit allows."""
 CELL_S = 0.25
 """Starts are counted in cells of this length, seconds."""
 PRIOR_S = 1.0
-"""Starts at most this long before a limit is first named count against it, seconds."""
+"""Starts at most this long before an upstream's first limit count against it, seconds."""
 
 
 class StartCounts:
@@ -67,25 +67,25 @@
 
 
 class RateLimit:
-    """Limits the starts of calls at one upstream to the rate that it names, if it names one."""
+    """Limits the starts of calls at one upstream to its rate limit, if it has one."""
 
     def __init__(self) -> None:
         self.per_s: float | None = None
         self._starts = StartCounts()
         self._bucket = TokenBucket(0.0, 1.0, 0.0)
-        self._promised_until = float("-inf")
+        self._reserved_until = float("-inf")
 
     @property
     def active(self) -> bool:
-        """Return whether the upstream names a limit."""
+        """Return whether a limit is set."""
         return self.per_s is not None
 
     def set(self, now: float, per_s: float, *, first: bool = False) -> None:
-        """Set the named rate; `first` says that this upstream has named none before."""
+        """Set the limit, calls per second; `first` marks the first one of this upstream."""
         rate = min(MAX_RATE_PER_S, max(MIN_RATE_PER_S, per_s))
         burst = max(1.0, rate * BURST_S)
         if self.per_s is None:
-            # It starts empty: the upstream has just had more calls than it takes.
+            # The bucket starts empty: the upstream has just got more calls than it can take.
             self._bucket = TokenBucket(rate, burst, now)
             self._bucket.take(now, burst)
         else:
@@ -95,17 +95,17 @@
         self.per_s = per_s
 
     def end(self) -> None:
-        """Lift the limit; starts are counted on, as it may be named again."""
+        """Remove the limit; starts are still counted, as it may be set again."""
         self.per_s = None
 
     def reset(self) -> None:
         """Forget everything: another incarnation of the upstream is in place."""
         self.per_s = None
         self._starts = StartCounts()
-        self._promised_until = float("-inf")
+        self._reserved_until = float("-inf")
 
     def assume_starts(self, now: float, until: float) -> None:
-        """Count starts at the named rate up to `until`, by an earlier incarnation of the owner."""
+        """Assume starts at the limit up to `until`, by an earlier incarnation of the owner."""
         if self.per_s is None:
             return
         cell = now - WINDOW_S
@@ -140,17 +140,17 @@
             return paced_at
         return max(paced_at, window_at + ahead / self._bucket.rate)
 
-    def promise_turn(self, now: float, ahead: int, by: float) -> float:
-        """Return when a refused call may come back: after those that wait or were told so before.
+    def reserve_start(self, now: float, ahead: int, by: float) -> float:
+        """Return when a refused call may be retried: after waiting calls and earlier reservations.
 
-        A time after `by`, the deadline of the call, is not kept for it.
+        A time after `by`, the deadline of the call, is not reserved.
         """
         if self.per_s is None:
             return now
-        turn = max(self.ready_at(now, ahead), self._promised_until)
-        if turn < by:
-            self._promised_until = turn + 1.0 / self._bucket.rate
-        return turn
+        start_at = max(self.ready_at(now, ahead), self._reserved_until)
+        if start_at < by:
+            self._reserved_until = start_at + 1.0 / self._bucket.rate
+        return start_at
 
     def used_per_s(self, now: float) -> float:
         """Return the mean rate of starts in the window, calls a second."""
--- a/foldhoist/admission/slots.py
+++ b/foldhoist/admission/slots.py
@@ -82,8 +82,8 @@
             return self._started(now, ticket)
         ahead = len(self._urgent) if urgent else self._queued
         if self.rate.ready_at(now, ahead) > deadline:
-            turn = self.rate.promise_turn(now, ahead, deadline)
-            return Refuse(ticket, LIMITED, turn - now)
+            retry_at = self.rate.reserve_start(now, ahead, deadline)
+            return Refuse(ticket, LIMITED, retry_at - now)
         expected = self.expected_wait(ahead)
         if self._queued >= self.limits.queue:
             return Refuse(ticket, "queue-full", self.expected_wait(self._queued))
@@ -132,7 +132,7 @@
             decisions.append(self._started(now, call.ticket))
 
     def limit_changed(self, now: float) -> list[Decision]:
-        """Refuse the waiting calls whose turn would come too late by the named limit."""
+        """Refuse the waiting calls that could start too late by the new rate limit."""
         decisions: list[Decision] = []
         ahead = 0
         for call in [*self._urgent, *self._ordinary]:
@@ -142,8 +142,8 @@
                 ahead += 1
                 continue
             self.withdraw(call.ticket)
-            turn = self.rate.promise_turn(now, ahead, call.deadline)
-            decisions.append(Refuse(call.ticket, LIMITED, turn - now))
+            retry_at = self.rate.reserve_start(now, ahead, call.deadline)
+            decisions.append(Refuse(call.ticket, LIMITED, retry_at - now))
         return [*decisions, *self.advance(now)]
 
     def expire(self, now: float) -> list[Decision]:
--- a/foldhoist/commands/log_events.py
+++ b/foldhoist/commands/log_events.py
@@ -87,7 +87,7 @@
     if "limit_per_s" not in event:
         return ""
     age_s = event["limit_age_ms"] / 1000
-    return f" that has taken {event['limit_per_s']:g} calls/s for {age_s:.1f} s"
+    return f", rate limit {event['limit_per_s']:g} calls/s for {age_s:.1f} s"
 
 
 def _format_attempt(event: dict[str, Any]) -> str:
--- a/foldhoist/commands/status.py
+++ b/foldhoist/commands/status.py
@@ -37,7 +37,7 @@
     limit = body["limit"]
     if limit["per_s"] >= 0:
         print(
-            f"the upstream takes {limit['per_s']:g} calls/s, named {limit['age_s']:.1f} s ago; "
+            f"rate limit of the upstream: {limit['per_s']:g} calls/s for {limit['age_s']:.1f} s; "
             f"{limit['used_per_s']:g} calls/s are sent"
         )
     for row in body["quotas"]:
--- a/foldhoist/daemon/dialect.py
+++ b/foldhoist/daemon/dialect.py
@@ -28,7 +28,7 @@
 )
 from foldhoist.daemon.request import BadRequest, read_request
 from foldhoist.delivery.dispatch import Complete, Result, Sample, Shed, StartCall
-from foldhoist.delivery.upstream_signals import Signals
+from foldhoist.delivery.signal_state import AnswerSignals
 from foldhoist.delivery.verdict import Answered, Headers, MayHaveRun, NotRun, Verdict, verdict_name
 
 if TYPE_CHECKING:
@@ -36,7 +36,7 @@
     from foldhoist.delivery.call import CallerRequest
 
 MAX_FAULT_CHARS = 40
-"""Longest part of an unreadable limit that is kept for the log, characters."""
+"""Maximum length of an invalid limit in the log, characters."""
 NO_VALUE = "(empty)"
 """Stands for an empty limit in the log."""
 SHED_RETRY_S = 0.5
@@ -69,8 +69,8 @@
     def sample(self, status: int, head: HeadReader) -> Sample:
         """Return the sample in an answer of the health path."""
 
-    def signals(self, status: int, head: HeadReader, call: StartCall) -> Signals | None:
-        """Return what an answer says of the upstream, None if it is not this upstream's answer."""
+    def signals(self, status: int, head: HeadReader, call: StartCall) -> AnswerSignals | None:
+        """Return the signals in an answer, None if it is not an answer of this upstream."""
 
 
 class DefaultDialect:
@@ -137,24 +137,24 @@
         """Return an empty sample, as the default headers carry no pace."""
         return Sample(0)
 
-    def signals(self, status: int, head: HeadReader, call: StartCall) -> Signals | None:
-        """Return what an answer says of the upstream."""
+    def signals(self, status: int, head: HeadReader, call: StartCall) -> AnswerSignals | None:
+        """Return the signals in an answer."""
         leaving = head.values.get(UPSTREAM_STATE) == b"leaving"
         return limit_signals(head.values.get(UPSTREAM_LIMIT), leaving)
 
 
-def limit_signals(limit: bytes | None, leaving: bool) -> Signals:
-    """Return the signals for the value of a limit header, None if the answer has none.
+def limit_signals(limit: bytes | None, leaving: bool) -> AnswerSignals:
+    """Return the signals of an answer; `limit` is the value of its limit header, None without one.
 
-    A limit is a plain decimal number of calls a second.
+    A valid limit is a plain decimal number of calls per second.
     """
     if limit is None:
-        return Signals(None, leaving)
+        return AnswerSignals(None, leaving)
     per_s = parse_decimal(limit)
     if per_s is None:
         value = limit.decode("latin-1")[:MAX_FAULT_CHARS].strip()
-        return Signals(None, leaving, value or NO_VALUE)
-    return Signals(per_s, leaving)
+        return AnswerSignals(None, leaving, value or NO_VALUE)
+    return AnswerSignals(per_s, leaving)
 
 
 def _retry_after(values: dict[bytes, bytes]) -> float:
--- a/foldhoist/daemon/http.py
+++ b/foldhoist/daemon/http.py
@@ -44,7 +44,7 @@
 """Response header with which an upstream says that it is leaving."""
 
 UPSTREAM_LIMIT = b"upstream-limit"
-"""Response header with the calls a second that an upstream takes from all hosts together."""
+"""Response header with the rate limit of an upstream, calls per second from all hosts."""
 
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,9})?")
 """A number in a header: no sign, no exponent, bounded digits."""
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -100,7 +100,7 @@
         self.upstream = UpstreamTask(
             self.owner_task, self._on_upstream_changed, cfg["upstream"]["service"], self._is_service
         )
-        self.owner_task.on_leaving = self.upstream.said_leaving
+        self.owner_task.on_leaving = self.upstream.leaving_signalled
         self.peers = PeersTask(
             self.registry,
             self.links,
--- a/foldhoist/daemon/operators.py
+++ b/foldhoist/daemon/operators.py
@@ -111,12 +111,12 @@
 
 
 def _limit(daemon: Daemon) -> dict[str, float]:
-    """Return the limit that the upstream names, its age and the calls a second sent; -1 if none."""
-    said = daemon.owner.load().get("said", {})
+    """Return the upstream's rate limit, its age and the rate of calls sent; -1 if there is none."""
+    signals = daemon.owner.load().get("signals", {})
     now = daemon.ingress_task.now()
     return {
-        "per_s": _or_unknown(said.get("limit_per_s")),
-        "age_s": said.get("limit_age_ms", -1000) / 1000,
+        "per_s": _or_unknown(signals.get("limit_per_s")),
+        "age_s": signals.get("limit_age_ms", -1000) / 1000,
         "used_per_s": round(daemon.owner.queue.rate.used_per_s(now), 2),
     }
 
@@ -146,7 +146,7 @@
                     "latency_ms": round(stats.latency_s * 1000, 3),
                     "errors": round(stats.errors, 3),
                     "limit_per_s": _or_unknown(stats.limit_per_s),
-                    "turn_s": round(stats.turn_wait_s(now), 3),
+                    "limit_wait_s": round(stats.limit_wait_s(now), 3),
                     "ejected_s": round(max(0.0, stats.ejected_until - now), 3),
                 }
             )
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -27,7 +27,7 @@
     SignalsChanged,
     StartCall,
 )
-from foldhoist.delivery.upstream_signals import Leaving
+from foldhoist.delivery.signal_state import Leaving
 from foldhoist.delivery.upstream_status import EVACUATED
 from foldhoist.membership.incarnations import incarnation_of
 from foldhoist.routing.sampling import SamplePlan
@@ -41,7 +41,7 @@
     from foldhoist.daemon.lost_calls import LostCall
     from foldhoist.delivery.dispatch import Action, Ended, Refused, Result, Sample
     from foldhoist.delivery.owner import Owner
-    from foldhoist.delivery.upstream_signals import SignalChange, Signals
+    from foldhoist.delivery.signal_state import AnswerSignals, SignalChange
     from foldhoist.membership.incarnations import UpstreamIncarnation
     from foldhoist.schema.messages import Announced, Hello, Suspect
     from foldhoist.schema.settings import Settings
@@ -253,8 +253,8 @@
                 self._carry_out(self.owner.withdraw(now, link, body))
             case "FateAsk":
                 self._carry_out(self.owner.fate(now, link, body))
-            case "Heard":
-                self._carry_out(self.owner.told(now, body, self.began))
+            case "SignalUpdate":
+                self._carry_out(self.owner.merge_signals(now, body, self.began))
             case "Goaway":
                 self.goaway.unacked.discard(link)
             case _ if self._on_peer is not None:
@@ -266,7 +266,7 @@
         self.goaway.unacked.discard(conn.number)
         self.owner.link_lost(self._loop.time(), conn.number)
 
-    def _on_signals(self, ticket: int, signals: Signals) -> None:
+    def _on_signals(self, ticket: int, signals: AnswerSignals) -> None:
         self._carry_out(self.owner.answer_began(self._loop.time(), ticket, signals))
 
     def _on_result(self, ticket: int, result: Result) -> None:
--- a/foldhoist/daemon/traffic_metrics.py
+++ b/foldhoist/daemon/traffic_metrics.py
@@ -15,7 +15,7 @@
 
 
 NO_LIMIT = -1.0
-"""Gauge of the named limit while the upstream names none, since 0 is a limit."""
+"""Value of the gauge `limit_per_s` without a limit, since 0 is a limit."""
 
 
 def traffic_counters(
--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -16,7 +16,7 @@
     from collections.abc import Callable
 
     from foldhoist.daemon.dialect import Dialect
-    from foldhoist.delivery.upstream_signals import Signals
+    from foldhoist.delivery.signal_state import AnswerSignals
 
 MAX_IDLE_S = 20.0
 """Maximum idle time after which a connection is still reused, seconds."""
@@ -33,7 +33,7 @@
 class UpstreamConnection(asyncio.Protocol):
     """A connection that runs one call at a time; `on_end` is called once per call.
 
-    `on_signals` is called with what the head of an answer says of the upstream.
+    `on_signals` is called with the signals in the head of an answer.
     """
 
     def __init__(
@@ -41,7 +41,7 @@
         max_body_bytes: int,
         on_end: Callable[[UpstreamConnection, Result], None],
         dialect: Dialect | None = None,
-        on_signals: Callable[[int, Signals], None] | None = None,
+        on_signals: Callable[[int, AnswerSignals], None] | None = None,
     ) -> None:
         dialect = dialect or DefaultDialect()
         self.ticket = 0
@@ -198,7 +198,7 @@
         self._until_close = False
 
     def _pass_signals(self) -> None:
-        """Pass on what the head says of the upstream, long before the end of a large answer."""
+        """Pass on the signals when the head is complete; the end of a large answer may be far."""
         if self._on_signals is None or self._call is None:
             return
         signals = self._dialect.signals(self._status, self.head, self._call)
@@ -233,7 +233,7 @@
         connect_s: float,
         max_body_bytes: int,
         on_result: Callable[[int, Result], None],
-        on_signals: Callable[[int, Signals], None],
+        on_signals: Callable[[int, AnswerSignals], None],
         dialect: Dialect | None = None,
     ) -> None:
         self.dialect = dialect or DefaultDialect()
--- a/foldhoist/daemon/upstream_task.py
+++ b/foldhoist/daemon/upstream_task.py
@@ -173,10 +173,10 @@
         await self._record_departure(UpstreamIncarnation(instance, born_ms))
         return True
 
-    def said_leaving(self, incarnation: UpstreamIncarnation) -> None:
-        """Handle the word in an answer that this incarnation is leaving, as an announcement of it.
+    def leaving_signalled(self, incarnation: UpstreamIncarnation) -> None:
+        """Handle the signal in an answer that this incarnation is leaving, as its announcement.
 
-        Heartbeats that still say it is ready are then late ones; the departure is recorded.
+        Later announcements that it is ready are ignored; the departure is recorded.
         """
         before = self.known.current
         if not self.known.add_ended([incarnation]):
--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -17,7 +17,7 @@
     from foldhoist.routing.picker import Choice
     from foldhoist.routing.policies import Scored
     from foldhoist.routing.routes import RouteMatch
-    from foldhoist.schema.messages import CreditAsk, Dispatch, FateAsk, Heard, Withdraw
+    from foldhoist.schema.messages import CreditAsk, Dispatch, FateAsk, SignalUpdate, Withdraw
 
 
 class CallerRequest(NamedTuple):
@@ -65,7 +65,7 @@
     """A message to an owner, with its kind and its fields."""
 
     kind: str
-    body: CreditAsk | Dispatch | FateAsk | Heard | Withdraw
+    body: CreditAsk | Dispatch | FateAsk | SignalUpdate | Withdraw
 
 
 class SendTo(NamedTuple):
--- a/foldhoist/delivery/codec.py
+++ b/foldhoist/delivery/codec.py
@@ -57,7 +57,7 @@
     "CreditAsk": (21, messages.CreditAsk),
     "Credit": (22, messages.Credit),
     "Piece": (23, messages.Piece),
-    "Heard": (24, messages.Heard),
+    "SignalUpdate": (24, messages.SignalUpdate),
 }
 _NUMBERS = {name: number for name, (number, _) in _KINDS.items()}
 _DECODERS: dict[int, tuple[str, Any]] = {
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -11,7 +11,7 @@
 from foldhoist.routing.routes import NO_RANK
 
 if TYPE_CHECKING:
-    from foldhoist.delivery.upstream_signals import SignalChange
+    from foldhoist.delivery.signal_state import SignalChange
     from foldhoist.delivery.verdict import Headers
     from foldhoist.schema.messages import Answer, Crashes, Dispatch, Refusal, Report, Suspect
 
@@ -68,7 +68,7 @@
 
 
 class SignalsChanged(NamedTuple):
-    """Log what the upstream says in its answers from now on, and record it if it is leaving."""
+    """Log changes of the upstream's signals, and record its departure."""
 
     changes: list[SignalChange]
 
@@ -134,7 +134,7 @@
 class Refused(NamedTuple):
     """The record of a call that the owner refused, with the load at that time.
 
-    `limit_per_s` is the limit that the upstream names, None if it names none.
+    `limit_per_s` is the upstream's rate limit, None if it has none.
     """
 
     request: str
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -25,10 +25,10 @@
 )
 from foldhoist.delivery.call_table import CallTable
 from foldhoist.delivery.dispatch_message import dispatch_message
-from foldhoist.delivery.heard_signals import HeardSignals
 from foldhoist.delivery.quota_gate import Begin, QuotaGate, Refuse
 from foldhoist.delivery.request_intake import UNAUTHORIZED, RejectedRequest, RequestIntake
 from foldhoist.delivery.services import RetrySlack, Services
+from foldhoist.delivery.signal_cache import SignalCache
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response, Verdict
 from foldhoist.quarantine.table import QUARANTINED
 from foldhoist.routing.picker import NO_CONNECTION, NoChoice, Picker
@@ -59,8 +59,8 @@
         self.generation = 0
         self.explain = True
         self.count = Counters()
-        self._heard = HeardSignals()
-        self._services = Services(data_centre, rng, slack, self._heard)
+        self._signal_cache = SignalCache()
+        self._services = Services(data_centre, rng, slack, self._signal_cache)
         self.intake = RequestIntake(self.admission, self._services)
         self._calls = CallTable()
         self.gate = QuotaGate(self._calls, self.count, rng)
@@ -144,7 +144,7 @@
 
     def report(self, now: float, target: str, message: Report) -> None:
         """Handle an unsolicited load report of an owner."""
-        self._heard.record(now, target, message["load"])
+        self._signal_cache.record(now, target, message["load"])
         for state in self._services.all():
             state.picker.reported(target, now, message["load"])
 
@@ -156,7 +156,7 @@
         self.gate.linked(now, target, up=True)
         self._services.linked(now, target, True, fresh)
         return [
-            *self._heard.tell(now, target),
+            *self._signal_cache.update_for(now, target),
             *self._ask_fate(now, target, fresh),
             *self._unpark(now),
         ]
@@ -222,7 +222,7 @@
         self, now: float, target: str, result: Answer | Refusal
     ) -> tuple[Call, PendingAttempt, Picker | None] | None:
         """Remove the attempt that a result is for; returns None if the result is late."""
-        self._heard.record(now, target, result["load"])
+        self._signal_cache.record(now, target, result["load"])
         call = self._calls.by_seq.pop(result["seq"], None)
         if call is None:
             self.count.late += 1
--- a/foldhoist/delivery/load_reports.py
+++ b/foldhoist/delivery/load_reports.py
@@ -66,7 +66,7 @@
         return self._send_to(self._peers.recently_used(now - PACE_KEPT_MS / 1000, MAX_PACE_REPORTS))
 
     def limit_change(self, now: float) -> list[Action]:
-        """Report the load to ingresses with recent calls, as the upstream named another limit."""
+        """Report the load to ingresses with recent calls, as the rate limit has changed."""
         return self._send_to(self._peers.recently_used(now - PACE_KEPT_MS / 1000, MAX_PACE_REPORTS))
 
     def crashes(self, suspects: list[Suspect]) -> list[Action]:
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -53,14 +53,14 @@
     from foldhoist.admission.body_memory import BodyMemory
     from foldhoist.admission.cold import ColdRate
     from foldhoist.delivery.dispatch import Sample
-    from foldhoist.delivery.upstream_signals import Signals
+    from foldhoist.delivery.signal_state import AnswerSignals
     from foldhoist.schema.messages import (
         Announced,
         Dispatch,
         FateAsk,
-        Heard,
         Hello,
         Load,
+        SignalUpdate,
         Suspect,
         Withdraw,
     )
@@ -223,15 +223,15 @@
                 ran = "maybe" if result.sent else "no"
                 return [*self._finisher.refused(ticket_id, ran, result.reason, 0.5), *started]
 
-    def answer_began(self, now: float, ticket_id: int, signals: Signals) -> list[Action]:
-        """Handle what the head of an answer says, unless a former incarnation sent it."""
+    def answer_began(self, now: float, ticket_id: int, signals: AnswerSignals) -> list[Action]:
+        """Handle the signals in the head of an answer, unless a former incarnation sent it."""
         self._reports.now = now
         return self._signals.answer_began(now, self.tickets.get(ticket_id), signals)
 
-    def told(self, now: float, heard: Heard, began: float) -> list[Action]:
-        """Handle what an ingress was told of the upstream; `began` is when this process started."""
+    def merge_signals(self, now: float, update: SignalUpdate, began: float) -> list[Action]:
+        """Merge signals known to an ingress; `began` is when this daemon's process started."""
         self._reports.now = now
-        return self._signals.apply(now, self.status.signals.told(now, heard, began))
+        return self._signals.apply(now, self.status.signals.merge(now, update, began))
 
     def upstream_crashed(self, now: float, tickets: list[int]) -> list[Action]:
         """Handle a crash of the upstream while these calls were running.
@@ -275,7 +275,7 @@
     def announce(
         self, now: float, upstream: Announced, began: float = float("inf")
     ) -> list[Action]:
-        """Handle an announcement; state "gone" means that none is known; see `told` for `began`."""
+        """Handle an announcement, "gone" if none is known; `began` is when this process started."""
         self._reports.now = now
         actions: list[Action] = []
         is_new = self.status.is_new_incarnation(upstream)
--- a/foldhoist/delivery/replies.py
+++ b/foldhoist/delivery/replies.py
@@ -70,7 +70,7 @@
 
 def refused_record(req: Dispatch, reason: str, retry_after_s: float, load: Load) -> Refused:
     """Return the log record of a refusal."""
-    said = load.get("said")
+    signals = load.get("signals")
     return Refused(
         req.get("name", ""),
         req["trace"],
@@ -81,8 +81,8 @@
         load["queued"],
         load["slots"],
         load["state"],
-        said.get("limit_per_s") if said is not None else None,
-        said.get("limit_age_ms", 0) if said is not None else 0,
+        signals.get("limit_per_s") if signals is not None else None,
+        signals.get("limit_age_ms", 0) if signals is not None else 0,
     )
 
 
--- a/foldhoist/delivery/services.py
+++ b/foldhoist/delivery/services.py
@@ -7,7 +7,7 @@
 
 from foldhoist.admission.retries import RetryBudget, SlackPart
 from foldhoist.config.fleet import evacuated
-from foldhoist.delivery.heard_signals import HeardSignals
+from foldhoist.delivery.signal_cache import SignalCache
 from foldhoist.routing.picker import Picker
 from foldhoist.routing.policies import make_policy
 from foldhoist.routing.split import Split
@@ -86,9 +86,9 @@
         data_centre: str,
         rng: Random,
         slack: RetrySlack | None,
-        heard: HeardSignals | None = None,
+        signal_cache: SignalCache | None = None,
     ) -> None:
-        self._heard = heard if heard is not None else HeardSignals()
+        self._signal_cache = signal_cache if signal_cache is not None else SignalCache()
         self._data_centre = data_centre
         self._rng = rng
         self._slack = slack
@@ -152,7 +152,7 @@
             self._data_centre,
             cfg["eject_share"],
             self._rng,
-            self._heard.leaving,
+            self._signal_cache.leaving,
         )
         if old is None:
             return ServiceState(cfg, picker, RetryBudget(cfg["retry_share"], self._rng))
--- a/foldhoist/delivery/signal_effects.py
+++ b/foldhoist/delivery/signal_effects.py
@@ -1,12 +1,12 @@
-"""What follows at an owner from what its upstream says of itself in answers; no I/O."""
+"""Applies changes of the upstream's signals at its owner; no I/O."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from foldhoist.delivery.dispatch import SignalsChanged
-from foldhoist.delivery.upstream_signals import Leaving, LimitEnded, LimitNamed
-from foldhoist.delivery.upstream_status import SAID_LEAVING
+from foldhoist.delivery.signal_state import Leaving, LimitChanged, LimitEnded
+from foldhoist.delivery.upstream_status import LEAVING_SIGNAL
 
 if TYPE_CHECKING:
     from foldhoist.admission.due import DueQueue
@@ -14,12 +14,12 @@
     from foldhoist.delivery.dispatch import Action, Counters, Ticket
     from foldhoist.delivery.load_reports import LoadReports
     from foldhoist.delivery.queue_decisions import QueueDecisions
-    from foldhoist.delivery.upstream_signals import SignalChange, Signals
+    from foldhoist.delivery.signal_state import AnswerSignals, SignalChange
     from foldhoist.delivery.upstream_status import UpstreamStatus
 
 
 class SignalEffects:
-    """Applies changed signals to the queue and reports them to ingresses."""
+    """Applies changed signals to the state and the queue, and reports them to ingresses."""
 
     def __init__(
         self,
@@ -35,7 +35,9 @@
         self._decisions = decisions
         self._count = count
 
-    def answer_began(self, now: float, ticket: Ticket | None, signals: Signals) -> list[Action]:
+    def answer_began(
+        self, now: float, ticket: Ticket | None, signals: AnswerSignals
+    ) -> list[Action]:
         """Apply the head of an answer to a call, unless a former incarnation sent it."""
         if ticket is None or ticket.replacements != self._status.replacements:
             return []
@@ -48,11 +50,11 @@
         actions: list[Action] = [SignalsChanged(changes)]
         for change in changes:
             match change:
-                case LimitNamed() | LimitEnded():
+                case LimitChanged() | LimitEnded():
                     self._count.limit_changes += 1
                     actions += self._decisions.apply(now, self._queue.limit_changed(now))
                     actions += self._reports.limit_change(now)
-                case Leaving() if self._status.set_leaving(SAID_LEAVING):
+                case Leaving() if self._status.set_leaving(LEAVING_SIGNAL):
                     self._status.stop_starting(now)
                     actions += self._reports.to_all()
         return actions
--- a/foldhoist/delivery/upstream_status.py
+++ b/foldhoist/delivery/upstream_status.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from foldhoist.admission.shedding import Shedding
-from foldhoist.delivery.upstream_signals import UpstreamSignals
+from foldhoist.delivery.signal_state import SignalState
 from foldhoist.membership.incarnations import incarnation_of
 from foldhoist.routing.sampling import is_change
 
@@ -31,8 +31,8 @@
 """
 EVACUATED = "data-centre-evacuated"
 """Reason of refusals while the data centre is evacuated."""
-SAID_LEAVING = "answers"
-"""Source of a leaving: the upstream says so in its answers."""
+LEAVING_SIGNAL = "answers"
+"""Source of a departure that the upstream signals in its answers."""
 LEAVING_QUEUE_S = 0.8
 """How long waiting calls may still start after the upstream announces that it leaves, seconds."""
 
@@ -42,7 +42,7 @@
 
     def __init__(self, limit: RateLimit) -> None:
         self.state = "warm"
-        self.signals = UpstreamSignals(limit)
+        self.signals = SignalState(limit)
         self.replacements = 0
         self.upstream: Announced | None = None
         self.pace = 0
@@ -105,7 +105,7 @@
             self.shedding = Shedding()
             self.leaving_sources.pop("upstream", None)
             self.leaving_sources.pop(REPLACED, None)
-            self.leaving_sources.pop(SAID_LEAVING, None)
+            self.leaving_sources.pop(LEAVING_SIGNAL, None)
             self.replacements += 1
             # The deadline applied to the previous incarnation only.
             self.last_start_at = float("inf")
@@ -170,9 +170,9 @@
             load["pace"] = self.pace
             if self.pace_sampled:
                 load["pace_kept_ms"] = PACE_KEPT_MS
-        said = self.signals.said(now, queue.queued)
-        if said is not None:
-            load["said"] = said
+        signals = self.signals.message(now, queue.queued)
+        if signals is not None:
+            load["signals"] = signals
         return load
 
     def _reported_state(self) -> str:
--- a/foldhoist/membership/incarnations.py
+++ b/foldhoist/membership/incarnations.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from foldhoist.schema.messages import Announced, EndedLife, Said
+    from foldhoist.schema.messages import Announced, EndedLife, UpstreamSignals
 
 MAX_ENDED_NAMES = 16
 """Maximum number of upstream names whose ended incarnations are kept."""
@@ -45,9 +45,9 @@
     return UpstreamIncarnation(announced["instance"], announced["born_ms"])
 
 
-def incarnation_of_said(said: Said) -> UpstreamIncarnation:
-    """Return the incarnation that has said this of itself."""
-    return UpstreamIncarnation(said["instance"], said["born_ms"])
+def incarnation_of_signals(signals: UpstreamSignals) -> UpstreamIncarnation:
+    """Return the incarnation that sent these signals."""
+    return UpstreamIncarnation(signals["instance"], signals["born_ms"])
 
 
 def incarnations_from_rows(rows: Iterable[EndedLife]) -> list[UpstreamIncarnation]:
--- a/foldhoist/routing/picker.py
+++ b/foldhoist/routing/picker.py
@@ -91,8 +91,8 @@
 
     `eject_share` is the largest share of the upstreams that may be ejected at a time, `evacuated`
     the data centres that get no calls, and `cold_s` the cost, seconds, that the policy `Mixed` adds
-    to upstreams that report to be cold. `leaving` has the incarnations that have told this daemon
-    that they leave; their owners may have forgotten it.
+    to upstreams that report to be cold. `leaving` has the incarnations known to be
+    leaving, which their owners may not know after a restart.
     """
 
     def __init__(
@@ -151,7 +151,7 @@
         for stats in self.tracks.values():
             if not self._may_get_calls(stats, excluded):
                 continue
-            if stats.backoff_until > now or stats.turn_at > start_by:
+            if stats.backoff_until > now or stats.earliest_start > start_by:
                 continue
             if stats.ejected_until > now:
                 ejected.append(stats)
@@ -167,7 +167,7 @@
         scores: list[float] | None = None
         if not candidates:
             candidates = ejected or self._trial_upstreams(excluded)
-            candidates = [stats for stats in candidates if stats.turn_at <= start_by]
+            candidates = [stats for stats in candidates if stats.earliest_start <= start_by]
             reason = "only-ejected-left"
         if not candidates:
             return self._no_choice(now, excluded)
@@ -252,14 +252,14 @@
     def refused(self, name: str, seq: int, now: float, retry_after_s: float, load: Load) -> None:
         """Record a refusal, and skip the upstream for `retry_after_s` seconds, within bounds.
 
-        Under a limit that the upstream names, the load itself says when a call's turn comes.
+        An upstream with a rate limit is not skipped: its load has the earliest start of a call.
         """
         stats = self.tracks.get(name)
         if stats is None:
             return
         stats.ended(seq)
         stats.update_load(load, now)
-        if stats.turn_at > now:
+        if stats.earliest_start > now:
             return
         pause_s = min(MAX_REFUSAL_PAUSE_S, max(MIN_REFUSAL_PAUSE_S, retry_after_s))
         stats.backoff_until = max(stats.backoff_until, now + pause_s)
@@ -383,7 +383,7 @@
         ]
         if busy:
             first = min(busy, key=lambda stats: stats.open_at)
-            is_limited = first.turn_at > first.backoff_until
+            is_limited = first.earliest_start > first.backoff_until
             return NoChoice(LIMITED if is_limited else "all-upstreams-full", first.open_at - now)
         upstreams = [stats for stats in self.tracks.values() if stats.connected]
         if upstreams and all(stats.data_centre in self.evacuated for stats in upstreams):
--- a/foldhoist/routing/policies.py
+++ b/foldhoist/routing/policies.py
@@ -153,7 +153,7 @@
 ) -> list[float]:
     """Return the expected time of one more call at each candidate, with penalties, seconds.
 
-    A wait for a turn by the limit that an upstream names is included.
+    The wait for the rate limit of an upstream is included.
 
     `trust` weights the calls of other daemons, `remote_s` is added for another data centre, and
     `cold_s` is added for a cold upstream.
@@ -181,8 +181,8 @@
             cost += remote_s
         if stats.load is not None and stats.load["state"] == "cold":
             cost += cold_s
-        if stats.turn_at > now:
-            cost += stats.turn_wait_s(now)
+        if stats.earliest_start > now:
+            cost += stats.limit_wait_s(now)
         costs.append(cost)
     return costs
 
--- a/foldhoist/routing/upstream_stats.py
+++ b/foldhoist/routing/upstream_stats.py
@@ -37,7 +37,7 @@
 
     `errors` is the running share of failed calls, and `other_calls` the calls of other daemons by
     the last load report. `trial_left` counts the trial calls that must still succeed after an
-    ejection. `turn_at` is when a call sent now starts by the limit that the upstream names.
+    ejection. `earliest_start` is when a call sent now may start by the upstream's rate limit.
     """
 
     __slots__ = (
@@ -45,6 +45,7 @@
         "backoff_until",
         "connected",
         "data_centre",
+        "earliest_start",
         "ejected_until",
         "ejections",
         "errors",
@@ -64,7 +65,6 @@
         "sent_calls",
         "slots",
         "trial_left",
-        "turn_at",
     )
 
     def __init__(self, name: str, data_centre: str, slots: int, now: float) -> None:
@@ -91,13 +91,15 @@
         self.trial_left = 0
         self.incarnation = UNNAMED
         self.limit_per_s: float | None = None
-        self.turn_at = 0.0
+        self.earliest_start = 0.0
 
     def sent(self, seq: int, now: float) -> None:
         """Record a call that was just sent, with the load estimated at that time."""
         self.sent_calls[seq] = SentCall(now, self.in_flight, self.decayed_other_calls(now))
         if self.limit_per_s is not None:
-            self.turn_at = max(now, self.turn_at) + 1.0 / max(MIN_RATE_PER_S, self.limit_per_s)
+            self.earliest_start = max(now, self.earliest_start) + 1.0 / max(
+                MIN_RATE_PER_S, self.limit_per_s
+            )
         self.in_flight += 1
 
     def ended(self, seq: int) -> SentCall | None:
@@ -115,19 +117,19 @@
         self.pace = load.get("pace", 0)
         self.pace_kept_s = load.get("pace_kept_ms", 0) / 1000
         self.slots = load["slots"] or self.slots
-        said = load.get("said")
-        self.limit_per_s = said.get("limit_per_s") if said is not None else None
-        self.turn_at = now + said.get("wait_ms", 0) / 1000 if said is not None else 0.0
+        signals = load.get("signals")
+        self.limit_per_s = signals.get("limit_per_s") if signals is not None else None
+        self.earliest_start = now + signals.get("wait_ms", 0) / 1000 if signals is not None else 0.0
         self.other_calls = max(0, load["busy"] + load["queued"] - self.in_flight)
 
     @property
     def open_at(self) -> float:
-        """Return when a call may be sent: after the pause for a refusal, and with a turn."""
-        return max(self.backoff_until, self.turn_at)
+        """Return when a call may be sent: after the pause for a refusal, and by the rate limit."""
+        return max(self.backoff_until, self.earliest_start)
 
-    def turn_wait_s(self, now: float) -> float:
-        """Return how long a call sent now waits for its turn by the named limit, seconds."""
-        return max(0.0, self.turn_at - now)
+    def limit_wait_s(self, now: float) -> float:
+        """Return how long a call sent now waits for the upstream's rate limit, seconds."""
+        return max(0.0, self.earliest_start - now)
 
     def record_result(self, now: float, latency_s: float, failed: bool) -> None:
         """Add one result to the running means; `latency_s` is the time of the attempt, seconds."""
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -11,9 +11,9 @@
     """
 
 
-class Said(TypedDict):
+class UpstreamSignals(TypedDict):
     """
-    What one incarnation of an upstream says of itself in its answers.
+    Signals that one incarnation of an upstream sends in its answers.
     """
 
     instance: str
@@ -26,19 +26,19 @@
     """
     limit_per_s: NotRequired[float]
     """
-    Calls a second that it takes from all hosts together; absent if it names no limit now.
+    Rate limit for all hosts together, calls per second; absent if it has none now.
     """
     limit_age_ms: NotRequired[int]
     """
-    Time since it named this limit, milliseconds; absent without a limit.
+    Time since this limit was set, milliseconds; absent without a limit.
     """
     wait_ms: NotRequired[int]
     """
-    How long a call that comes to the owner now waits for its turn by the limit, milliseconds; absent if it does not wait.
+    How long a call that arrives at the owner now waits for the rate limit, milliseconds; absent if it does not wait.
     """
     leaving: NotRequired[bool]
     """
-    It has said that it is leaving, which holds for good. Absent if it has not.
+    It is leaving, which cannot be taken back. Absent if it is not.
     """
 
 
@@ -79,7 +79,7 @@
     """
     How long that pace holds if the owner tells of no other, milliseconds; absent if the owner does not watch it.
     """
-    said: NotRequired[Said]
+    signals: NotRequired[UpstreamSignals]
 
 
 class Hello(TypedDict):
@@ -640,15 +640,15 @@
     """
 
 
-class Heard(TypedDict):
+class SignalUpdate(TypedDict):
     """
-    Ingress to owner, first on a connection: what the ingress was told of the owner's upstream, by which it is bound. An owner that has started again knows it only so.
+    Ingress to owner, first on a connection: the latest signals of the owner's upstream that the ingress knows. A restarted owner has no other source until an answer.
     """
 
-    said: Said
+    signals: UpstreamSignals
     age_ms: int
     """
-    Time since the ingress was told, milliseconds.
+    Time since the ingress received them, milliseconds.
     """
 
 
--- a/soak/signal_checker.py
+++ b/soak/signal_checker.py
@@ -30,8 +30,8 @@
 """Kinds of faults after which a daemon need not know what it has passed on."""
 
 
-class Told(NamedTuple):
-    """A daemon has passed on a signal of an upstream's incarnation, first at `at`."""
+class PassedOn(NamedTuple):
+    """A daemon passed a signal of an incarnation to a caller, first at `at`."""
 
     daemon: str
     instance: str
@@ -61,9 +61,11 @@
         spans[span.instance].append(span)
     found: list[Violation] = []
     for instance, named in spans.items():
-        told = _told(history, instance, leaving=False)
+        passed_on = _first_passed_on(history, instance, leaving=False)
         for last in arrivals[instance]:
-            evidence = _excess_at(history, last.at, named, arrivals[instance], by_attempt, told)
+            evidence = _excess_at(
+                history, last.at, named, arrivals[instance], by_attempt, passed_on
+            )
             if evidence:
                 found.append(Violation("a-named-limit-is-kept", f"{instance}: {evidence}"))
                 break
@@ -76,7 +78,7 @@
     named: list[LimitSpan],
     arrivals: list[Arrival],
     by_attempt: dict[str, RequestResult],
-    told: list[Told],
+    passed_on: list[PassedOn],
 ) -> str:
     """Return what is too much in the window that ends now, empty if it is allowed."""
     current = _named_without_a_gap(named, now)
@@ -85,7 +87,7 @@
     allowed = OVERAGE * _limit_in_window(current, now) + SLACK
     bound = {
         each.daemon
-        for each in told
+        for each in passed_on
         if each.at + PASSED_ON_S <= now and not _forgot(history, each.daemon, each.at, now)
     }
     got = sum(
@@ -125,10 +127,12 @@
     found: list[Violation] = []
     instances = {each.signals_of for each in history.asked if each.leaving}
     for instance in sorted(instances):
-        told = {(each.daemon, each.at) for each in _told(history, instance, leaving=True)}
+        passed_on = {
+            (each.daemon, each.at) for each in _first_passed_on(history, instance, leaving=True)
+        }
         for arrival in arrivals[instance]:
             result = by_attempt[arrival.attempt]
-            for daemon, at in told:
+            for daemon, at in passed_on:
                 if daemon != result.daemon or result.sent <= at + DRAIN_S:
                     continue
                 if _forgot(history, daemon, at, arrival.at):
@@ -139,9 +143,9 @@
     return found
 
 
-def _told(history: History, instance: str, leaving: bool) -> list[Told]:
-    """Return when each daemon has passed on the signal: at first, and after each restart."""
-    told: list[Told] = []
+def _first_passed_on(history: History, instance: str, leaving: bool) -> list[PassedOn]:
+    """Return when each daemon passed the signal on first, and first after each interruption."""
+    passed_on: list[PassedOn] = []
     last: dict[str, float] = {}
     for result in sorted(history.asked, key=lambda each: each.ended):
         if result.signals_of != instance or not (result.leaving if leaving else result.limit):
@@ -150,8 +154,8 @@
         if before is not None and not _forgot(history, result.daemon, before, result.ended):
             continue
         last[result.daemon] = result.ended
-        told.append(Told(result.daemon, instance, result.ended))
-    return told
+        passed_on.append(PassedOn(result.daemon, instance, result.ended))
+    return passed_on
 
 
 def _forgot(history: History, daemon: str, since: float, until: float) -> bool:
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -11,7 +11,7 @@
 from foldhoist.daemon.request import BadRequest
 from foldhoist.delivery.call import CallerRequest
 from foldhoist.delivery.dispatch import Complete, Incomplete, Replaced, Shed, StartCall
-from foldhoist.delivery.upstream_signals import Signals
+from foldhoist.delivery.signal_state import AnswerSignals
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response
 from foldhoist_adapter.headers import PlatformDialect
 from tests.unit.daemon.calls import dispatch_of, head_of
@@ -115,23 +115,21 @@
 @pytest.mark.parametrize(
     ("fields", "signals"),
     [
-        ({}, Signals()),
-        ({b"Server-Limit": b"5.9"}, Signals(5.9)),
-        ({b"server-limit": b" 0 "}, Signals(0.0)),
-        ({b"Server-Leaving": b"1"}, Signals(None, leaving=True)),
-        ({b"Server-Leaving": b"0"}, Signals()),
-        ({b"Server-Limit": b"3", b"Server-Leaving": b"1"}, Signals(3.0, leaving=True)),
-        ({b"Server-Limit": b"-3"}, Signals(None, False, "-3")),
-        ({b"Server-Limit": b"1e3"}, Signals(None, False, "1e3")),
-        ({b"Server-Limit": b"nan"}, Signals(None, False, "nan")),
-        ({b"Server-Limit": b""}, Signals(None, False, "(empty)")),
-        ({b"Server-Limit": b"9" * 100}, Signals(None, False, "9" * 40)),
-        ({b"Server-Limit": b"5", b"server-limit": b"6"}, Signals(None, False, "5, 6")),
+        ({}, AnswerSignals()),
+        ({b"Server-Limit": b"5.9"}, AnswerSignals(5.9)),
+        ({b"server-limit": b" 0 "}, AnswerSignals(0.0)),
+        ({b"Server-Leaving": b"1"}, AnswerSignals(None, leaving=True)),
+        ({b"Server-Leaving": b"0"}, AnswerSignals()),
+        ({b"Server-Limit": b"3", b"Server-Leaving": b"1"}, AnswerSignals(3.0, leaving=True)),
+        ({b"Server-Limit": b"-3"}, AnswerSignals(None, False, "-3")),
+        ({b"Server-Limit": b"1e3"}, AnswerSignals(None, False, "1e3")),
+        ({b"Server-Limit": b"nan"}, AnswerSignals(None, False, "nan")),
+        ({b"Server-Limit": b""}, AnswerSignals(None, False, "(empty)")),
+        ({b"Server-Limit": b"9" * 100}, AnswerSignals(None, False, "9" * 40)),
+        ({b"Server-Limit": b"5", b"server-limit": b"6"}, AnswerSignals(None, False, "5, 6")),
     ],
 )
-def test_an_answer_says_what_its_upstream_takes(
-    fields: dict[bytes, bytes], signals: Signals
-) -> None:
+def test_signals_in_an_answer(fields: dict[bytes, bytes], signals: AnswerSignals) -> None:
     assert DIALECT.signals(200, head({**SIGNED, **fields}), CALL) == signals
 
 
@@ -144,22 +142,22 @@
         (503, {b"X-Attempt-Id": b"of-another", b"X-Not-Executed": b"1"}),
     ],
 )
-def test_a_signal_of_another_upstream_or_answer_counts(
+def test_signals_of_another_upstream_or_answer_are_applied(
     status: int, fields: dict[bytes, bytes]
 ) -> None:
     named = {**fields, b"Server-Limit": b"5", b"Server-Leaving": b"1"}
     assert DIALECT.signals(status, head(named), CALL) is None
 
 
-def test_an_upstream_that_turns_a_call_away_names_its_limit() -> None:
+def test_signals_in_a_shed_call() -> None:
     fields = {b"X-Not-Executed": b"1", b"Server-Limit": b"5"}
-    assert DIALECT.signals(503, head(fields), CALL) == Signals(5.0)
+    assert DIALECT.signals(503, head(fields), CALL) == AnswerSignals(5.0)
 
 
 @given(limit=st.binary(max_size=60))
 def test_any_bytes_as_a_limit_break_an_answer(limit: bytes) -> None:
     signals = DIALECT.signals(200, head({**SIGNED, b"Server-Limit": limit}), CALL)
     assert signals is not None
-    assert (signals.limit_per_s is None) == bool(signals.fault)
+    assert (signals.limit_per_s is None) == bool(signals.invalid_limit)
     if signals.limit_per_s is not None:
         assert 0.0 <= signals.limit_per_s < 1e12
--- a/tests/integration/test_commands.py
+++ b/tests/integration/test_commands.py
@@ -41,7 +41,7 @@
     def is_shown() -> bool:
         with urllib.request.urlopen(f"http://{address}/depo/x", timeout=10):
             printed = fleet.command("status", operators(fleet)).stdout
-            return "the upstream takes 500 calls/s" in printed
+            return "rate limit of the upstream: 500 calls/s" in printed
 
     wait_until(is_shown)
     printed = json.loads(fleet.command("status", operators(fleet), "--json").stdout)
--- a/tests/model/signals_spec.py
+++ b/tests/model/signals_spec.py
@@ -1,9 +1,7 @@
-"""An upstream names a limit and leaves in its answers, while its owner starts again.
+"""An upstream sends a limit and its departure in its answers, while its owner restarts.
 
-`UpstreamSignals` of the owner and `HeardSignals` of two ingresses are the product's own classes,
-built for each step. A call from an ingress that was told must not start at an owner that does not
-know the limit, nor reach an incarnation that was told to leave; and no incarnation inherits what
-another one said. Time stands still: the model is about who knows what, not about rates.
+`SignalState` of the owner and `SignalCache` of two ingresses are the product's own classes, built
+for each step. Time stands still: the model checks who knows which signals, not rates.
 """
 
 from __future__ import annotations
@@ -11,40 +9,40 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from foldhoist.admission.rate_limit import RateLimit
-from foldhoist.delivery.heard_signals import HeardSignals
-from foldhoist.delivery.upstream_signals import Signals, UpstreamSignals
+from foldhoist.delivery.signal_cache import SignalCache
+from foldhoist.delivery.signal_state import AnswerSignals, SignalState
 from foldhoist.membership.incarnations import UNNAMED, UpstreamIncarnation
 from tests.model.checking import protocol
 
 if TYPE_CHECKING:
     from minicheck import Protocol
 
-    from foldhoist.schema.messages import Heard, Load
+    from foldhoist.schema.messages import Load, SignalUpdate
 
 NOW = 10.0
-"""Time of every step, seconds; what an ingress was told is as old as the owner's process."""
+"""Time of every step, seconds; the first answers of an owner are older."""
 LIMIT_PER_S = 5.0
-"""The limit that an upstream names, calls a second."""
+"""The limit of the upstream, calls per second."""
 MAX_OWNERS = 3
 """Incarnations of the owner in a run."""
 MAX_UPSTREAMS = 2
 """Incarnations of the upstream in a run."""
-MAX_NAMINGS = 2
-"""Times that one incarnation of the upstream names a limit anew."""
+MAX_LIMITS = 2
+"""Number of times that one incarnation of the upstream sets a limit."""
 
-Word = tuple[int, bool, bool]
-"""What is known of an upstream's incarnation: its number, 0 for none, has a limit, is leaving."""
-NOTHING: Word = (0, False, False)
+Known = tuple[int, bool, bool]
+"""Known signals: the number of the incarnation (0: none), has a limit, is leaving."""
+NOTHING: Known = (0, False, False)
 Passed = tuple[int, bool]
-"""What an ingress has passed on of the current incarnation: a naming of a limit, its leaving."""
+"""What an ingress has passed to callers: the number of the limit (0: none), the departure."""
 
 
 class Rules(NamedTuple):
     """The rules of the protocol; a mutant turns one off."""
 
-    tell_on_connecting: bool = True
-    keep_word_until_announced: bool = True
-    silence_changes_nothing: bool = True
+    update_on_connecting: bool = True
+    keep_until_announced: bool = True
+    ignore_loads_without_signals: bool = True
     match_incarnation: bool = True
     ignore_former_incarnation: bool = True
 
@@ -52,95 +50,103 @@
 class World(NamedTuple):
     """State of the upstream, its owner and two ingresses.
 
-    `namings` counts the times that the upstream has named a limit anew. `late` is the word in an
-    answer that is still under way while its upstream is replaced. `pending` is what ingresses told
-    the owner of each incarnation while it did not know it. `heard` is what ingresses remember;
-    `passed_on` is the naming of a limit that they have passed on, 0 for none, and whether they have
-    passed on that this incarnation is leaving.
+    `limit_number` counts the limits that this incarnation of the upstream has set. `owner_upstream`
+    is the incarnation that the owner knows, `owner_signals` its signals there, and `pending` those
+    of incarnations that are not announced yet. `cached` is what the ingresses know, and `passed_on`
+    what they have passed to callers of the current incarnation. `late` are the signals of an answer
+    that is in transit while its upstream is replaced.
     """
 
     upstream: int = 1
-    limits: bool = False
-    namings: int = 0
-    leaves: bool = False
+    limited: bool = False
+    limit_number: int = 0
+    leaving: bool = False
     owner: int = 1
-    known: int = 1
-    word: Word = NOTHING
-    pending: tuple[Word, Word] = (NOTHING, NOTHING)
+    owner_upstream: int = 1
+    owner_signals: Known = NOTHING
+    pending: tuple[Known, Known] = (NOTHING, NOTHING)
     passed_on: tuple[Passed, Passed] = ((0, False), (0, False))
-    heard: tuple[Word, Word] = (NOTHING, NOTHING)
+    cached: tuple[Known, Known] = (NOTHING, NOTHING)
     connected: tuple[bool, bool] = (True, True)
-    late: Word = NOTHING
-    unbound_call: bool = False
-    call_after_leaving: bool = False
+    late: Known = NOTHING
+    unlimited_call: bool = False
+    call_after_departure: bool = False
     inherited: bool = False
 
 
 Step = tuple[str, World]
 
 
-def name_of(number: int) -> UpstreamIncarnation:
-    """Return the incarnation of this number."""
+def incarnation(number: int) -> UpstreamIncarnation:
+    """Return the incarnation with this number."""
     return UpstreamIncarnation(f"i-{number}") if number else UNNAMED
 
 
-def signals_of(word: Word) -> Signals:
-    """Return the signals of an answer that says this."""
-    return Signals(LIMIT_PER_S if word[1] else None, word[2])
+def answer_signals(known: Known) -> AnswerSignals:
+    """Return the signals of an answer with this limit and departure."""
+    return AnswerSignals(LIMIT_PER_S if known[1] else None, known[2])
 
 
-def owner_of(world: World) -> UpstreamSignals:
-    """Return the owner's knowledge as the product's object."""
-    signals = UpstreamSignals(RateLimit())
-    signals.replaced(0.0, name_of(world.known), 0.0)
-    if world.word[0]:
-        signals.answered(0.0, Signals(LIMIT_PER_S))
-        signals.answered(0.0, signals_of(world.word))
-    for word in world.pending:
-        if word[0]:
-            signals.told(NOW, heard_of(word), NOW)
-    return signals
+def state_of(world: World) -> SignalState:
+    """Return the owner's state as the product's object."""
+    state = SignalState(RateLimit())
+    state.replaced(0.0, incarnation(world.owner_upstream), 0.0)
+    if world.owner_signals[0]:
+        state.answered(0.0, AnswerSignals(LIMIT_PER_S))
+        state.answered(0.0, answer_signals(world.owner_signals))
+    for known in world.pending:
+        if known[0]:
+            state.merge(NOW, update_of(known), NOW)
+    return state
 
 
-def heard_of(word: Word) -> Heard:
-    """Return the message of an ingress that was told this."""
-    ingress = HeardSignals()
-    ingress.record(NOW, "o", load_of(word))
-    (told,) = ingress.tell(NOW, "o")
-    heard: Any = told.frame.body
-    return heard
+def update_of(known: Known) -> SignalUpdate:
+    """Return the message of an ingress that knows these signals."""
+    cache = SignalCache()
+    cache.record(NOW, "o", load_of(known))
+    (sent,) = cache.update_for(NOW, "o")
+    update: Any = sent.frame.body
+    return update
 
 
-def load_of(word: Word) -> Load:
-    """Return a load whose signals are these, none for a word of no incarnation."""
+def load_of(known: Known) -> Load:
+    """Return a load with these signals, without any for NOTHING."""
     load: Any = {}
-    if word[0]:
-        load["said"] = {"instance": name_of(word[0]).instance, "born_ms": 0}
-        if word[1]:
-            load["said"]["limit_per_s"] = LIMIT_PER_S
-        if word[2]:
-            load["said"]["leaving"] = True
+    if known[0]:
+        load["signals"] = {"instance": incarnation(known[0]).instance, "born_ms": 0}
+        if known[1]:
+            load["signals"]["limit_per_s"] = LIMIT_PER_S
+        if known[2]:
+            load["signals"]["leaving"] = True
     return load
 
 
-def pending_of(signals: UpstreamSignals) -> tuple[Word, Word]:
-    """Return what the owner keeps of incarnations that it does not know."""
-    kept = {incarnation: said for incarnation, (said, _) in signals._pending.items()}
-    words: list[Word] = []
-    for number in (1, 2):
-        said = kept.get(name_of(number))
-        word = NOTHING
-        if said is not None:
-            word = (number, "limit_per_s" in said, said.get("leaving", False))
-        words.append(word)
-    return words[0], words[1]
+def known_from(signals: Any) -> Known:
+    """Return the signals of a message as the model keeps them."""
+    number = int(signals["instance"].partition("-")[2])
+    return (number, "limit_per_s" in signals, signals.get("leaving", False))
 
 
-def word_of(signals: UpstreamSignals, known: int) -> Word:
-    """Return what the owner knows of its upstream."""
-    if signals.said(NOW, 0) is None:
+def pending_of(state: SignalState) -> tuple[Known, Known]:
+    """Return the signals that the owner keeps for incarnations not announced yet."""
+    kept = {each: known_from(signals) for each, (signals, _) in state._pending.items()}
+    return kept.get(incarnation(1), NOTHING), kept.get(incarnation(2), NOTHING)
+
+
+def known_by(state: SignalState, number: int) -> Known:
+    """Return the signals that the owner knows of its upstream."""
+    if state.message(NOW, 0) is None:
         return NOTHING
-    return (known, signals.limit.active, signals.leaving)
+    return (number, state.limit.active, state.leaving)
+
+
+def cached_in(cache: SignalCache) -> Known:
+    """Return what an ingress sends to a restarted owner."""
+    sent = cache.update_for(NOW, "o")
+    if not sent:
+        return NOTHING
+    update: Any = sent[0].frame.body
+    return known_from(update["signals"])
 
 
 class Spec:
@@ -158,137 +164,121 @@
         return [(label, tuple(after)) for label, after in steps]
 
     def upstream_steps(self, world: World) -> list[Step]:
-        """The upstream names or ends a limit, leaves, or is replaced by another incarnation."""
+        """The upstream sets or ends a limit, leaves, or is replaced by another incarnation."""
         steps: list[Step] = []
-        if world.limits:
-            steps.append(("upstream ends its limit", world._replace(limits=False)))
-        elif world.namings < MAX_NAMINGS:
-            after = world._replace(limits=True, namings=world.namings + 1)
-            steps.append(("upstream names a limit", after))
-        if not world.leaves:
-            steps.append(("upstream is leaving", world._replace(leaves=True)))
+        if world.limited:
+            steps.append(("upstream ends its limit", world._replace(limited=False)))
+        elif world.limit_number < MAX_LIMITS:
+            after = world._replace(limited=True, limit_number=world.limit_number + 1)
+            steps.append(("upstream sets a limit", after))
+        if not world.leaving:
+            steps.append(("upstream is leaving", world._replace(leaving=True)))
         if world.upstream < MAX_UPSTREAMS:
-            late = (world.upstream, world.limits, world.leaves)
             after = world._replace(
-                upstream=2,
-                limits=False,
-                namings=0,
-                leaves=False,
+                upstream=world.upstream + 1,
+                limited=False,
+                limit_number=0,
+                leaving=False,
                 passed_on=((0, False), (0, False)),
-                late=late,
+                late=(world.upstream, world.limited, world.leaving),
             )
             steps.append(("upstream is replaced", after))
         return steps
 
     def owner_steps(self, world: World) -> list[Step]:
-        """The owner starts again, learns its upstream, or gets a late answer of a former one."""
+        """The owner restarts, gets an announcement, or gets a late answer of a former upstream."""
         steps: list[Step] = []
         if world.owner < MAX_OWNERS:
-            steps.append(
-                (
-                    "owner starts again",
-                    world._replace(
-                        owner=world.owner + 1,
-                        known=0,
-                        word=NOTHING,
-                        pending=(NOTHING, NOTHING),
-                        connected=(False, False),
-                        late=NOTHING,
-                    ),
-                )
+            after = world._replace(
+                owner=world.owner + 1,
+                owner_upstream=0,
+                owner_signals=NOTHING,
+                pending=(NOTHING, NOTHING),
+                connected=(False, False),
+                late=NOTHING,
+            )
+            steps.append(("owner restarts", after))
+        if world.owner_upstream != world.upstream:
+            state = state_of(world)
+            state.replaced(NOW, incarnation(world.upstream), NOW)
+            after = world._replace(
+                owner_upstream=world.upstream,
+                owner_signals=known_by(state, world.upstream),
+                pending=(NOTHING, NOTHING),
             )
-        if world.known != world.upstream:
-            owner = owner_of(world)
-            owner.replaced(NOW, name_of(world.upstream), NOW)
-            word = word_of(owner, world.upstream)
-            after = world._replace(known=world.upstream, word=word, pending=(NOTHING, NOTHING))
             steps.append(("upstream announces itself", with_inherited(after)))
-        if world.late[0] and (
-            not self.rules.ignore_former_incarnation or world.known == world.late[0]
-        ):
-            owner = owner_of(world)
-            owner.answered(NOW, signals_of(world.late))
-            after = world._replace(word=word_of(owner, world.known), late=NOTHING)
+        accepts_late = world.owner_upstream == world.late[0]
+        if world.late[0] and (accepts_late or not self.rules.ignore_former_incarnation):
+            state = state_of(world)
+            state.answered(NOW, answer_signals(world.late))
+            signals = known_by(state, world.owner_upstream)
+            after = world._replace(owner_signals=signals, late=NOTHING)
             steps.append(("late answer arrives", with_inherited(after)))
         return steps
 
     def ingress_steps(self, world: World, ingress: int) -> list[Step]:
-        """An ingress connects to the owner and is given its load, or sends a call."""
+        """An ingress connects to the owner, or sends a call that the owner admits."""
         if not world.connected[ingress]:
             return [(f"ingress {ingress} connects", self.connect(world, ingress))]
-        if world.known != world.upstream or world.word[2]:
+        if world.owner_upstream != world.upstream or world.owner_signals[2]:
             return []
         return [(f"ingress {ingress} sends a call", self.call(world, ingress))]
 
     def connect(self, world: World, ingress: int) -> World:
-        """The ingress tells what it was told; the owner's first load may be from before that."""
+        """The ingress sends its update; the owner's first load may have been sent before that."""
         after = world._replace(connected=with_item(world.connected, ingress, True))
-        first_load = world.word
-        heard = world.heard[ingress]
-        is_word = heard[0] and (heard[1] or heard[2])
-        if self.rules.tell_on_connecting and is_word:
-            after = self.tell(after, heard)
-        return self.record(after, ingress, first_load)
-
-    def tell(self, world: World, heard: Word) -> World:
-        """The owner gets the word of an ingress."""
-        message = heard_of(heard)
+        cached = world.cached[ingress]
+        if self.rules.update_on_connecting and cached[0]:
+            after = self.update_owner(after, cached)
+        return self.record(after, ingress, world.owner_signals)
+
+    def update_owner(self, world: World, cached: Known) -> World:
+        """The owner merges the signals of an ingress."""
+        update = update_of(cached)
         if not self.rules.match_incarnation:
-            message["said"]["instance"] = name_of(world.known).instance
-        owner = owner_of(world)
-        owner.told(NOW, message, NOW)
-        after = world._replace(word=word_of(owner, world.known))
-        if self.rules.keep_word_until_announced:
-            after = after._replace(pending=pending_of(owner))
+            update["signals"]["instance"] = incarnation(world.owner_upstream).instance
+        state = state_of(world)
+        state.merge(NOW, update, NOW)
+        after = world._replace(owner_signals=known_by(state, world.owner_upstream))
+        if self.rules.keep_until_announced:
+            after = after._replace(pending=pending_of(state))
         return with_inherited(after)
 
-    def record(self, world: World, ingress: int, load: Word) -> World:
+    def record(self, world: World, ingress: int, load: Known) -> World:
         """The ingress gets a load of the owner."""
-        if not self.rules.silence_changes_nothing and not load[0]:
-            return world._replace(heard=with_item(world.heard, ingress, NOTHING))
-        memory = HeardSignals()
-        for word in (world.heard[ingress], load):
-            memory.record(NOW, "o", load_of(word))
-        return world._replace(heard=with_item(world.heard, ingress, remembered(memory)))
+        if not self.rules.ignore_loads_without_signals and not load[0]:
+            return world._replace(cached=with_item(world.cached, ingress, NOTHING))
+        cache = SignalCache()
+        for known in (world.cached[ingress], load):
+            cache.record(NOW, "o", load_of(known))
+        return world._replace(cached=with_item(world.cached, ingress, cached_in(cache)))
 
     def call(self, world: World, ingress: int) -> World:
-        """A call starts, and its answer passes the owner and the ingress."""
-        named, left = world.passed_on[ingress]
-        owner = owner_of(world)
-        owner.answered(NOW, Signals(LIMIT_PER_S if world.limits else None, world.leaves))
-        is_unbound = world.limits and named == world.namings and not knows_limit(world)
-        passed: Passed = (world.namings if world.limits else named, left or world.leaves)
+        """A call starts, and its answer passes through the owner and the ingress."""
+        limit_number, left = world.passed_on[ingress]
+        state = state_of(world)
+        state.answered(NOW, AnswerSignals(LIMIT_PER_S if world.limited else None, world.leaving))
+        is_bound = world.limited and limit_number == world.limit_number
+        knows_limit = world.owner_signals[0] == world.upstream
+        passed: Passed = (
+            world.limit_number if world.limited else limit_number,
+            left or world.leaving,
+        )
         after = world._replace(
-            word=word_of(owner, world.known),
+            owner_signals=known_by(state, world.owner_upstream),
             passed_on=with_item(world.passed_on, ingress, passed),
-            unbound_call=world.unbound_call or is_unbound,
-            call_after_leaving=world.call_after_leaving or left,
+            unlimited_call=world.unlimited_call or (is_bound and not knows_limit),
+            call_after_departure=world.call_after_departure or left,
         )
-        return self.record(after, ingress, after.word)
-
-
-def remembered(memory: HeardSignals) -> Word:
-    """Return what an ingress remembers."""
-    told = memory.tell(NOW, "o")
-    if not told:
-        return NOTHING
-    heard: Any = told[0].frame.body
-    said = heard["said"]
-    number = int(said["instance"].partition("-")[2])
-    return (number, "limit_per_s" in said, said.get("leaving", False))
-
-
-def knows_limit(world: World) -> bool:
-    """Return whether the owner has heard of the limit, also if it has ended since."""
-    return world.word[0] == world.upstream
+        return self.record(after, ingress, after.owner_signals)
 
 
 def with_inherited(world: World) -> World:
-    """Return the world, marked if the owner holds what its upstream's incarnation never said."""
-    limited_never = world.word[1] and not world.namings
-    left_never = world.word[2] and not world.leaves
-    is_false = world.known == world.upstream and (limited_never or left_never)
-    return world._replace(inherited=world.inherited or is_false)
+    """Return the world, marked if the owner holds signals that its upstream never sent."""
+    has_limit, is_leaving = world.owner_signals[1:]
+    never_sent = (has_limit and not world.limit_number) or (is_leaving and not world.leaving)
+    is_current = world.owner_upstream == world.upstream
+    return world._replace(inherited=world.inherited or (is_current and never_sent))
 
 
 def with_item(items: tuple[Any, Any], at: int, item: Any) -> tuple[Any, Any]:
@@ -303,12 +293,12 @@
         World(),
         Spec(rules).transitions,
         {
-            "an ingress that was told of a limit sends through no owner that was not": lambda w: (
-                not w["unbound_call"]
+            "an owner starts no call of a bound ingress without the limit": lambda w: (
+                not w["unlimited_call"]
             ),
-            "an ingress that was told of a leaving sends nothing there": lambda w: (
-                not w["call_after_leaving"]
+            "an ingress sends no call after it has passed on the departure": lambda w: (
+                not w["call_after_departure"]
             ),
-            "no incarnation inherits what another one said": lambda w: not w["inherited"],
+            "no incarnation inherits the signals of another one": lambda w: not w["inherited"],
         },
     )
--- a/tests/model/test_signals_model.py
+++ b/tests/model/test_signals_model.py
@@ -1,4 +1,4 @@
-"""What an upstream says of itself binds ingresses over its owner's restarts, and nobody else."""
+"""The signals of an upstream outlast restarts of its owner, and apply to no other incarnation."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from tests.model.signals_spec import Rules, specification
 
 
-def test_what_an_upstream_said_is_kept_over_its_owners_restarts() -> None:
+def test_signals_outlast_restarts_of_the_owner() -> None:
     assert holds(specification("signals", Rules()))
 
 
--- a/tests/unit/admission/test_rate_limit.py
+++ b/tests/unit/admission/test_rate_limit.py
@@ -1,6 +1,6 @@
-"""An upstream gets no more calls than the limit that it names allows, in any window.
+"""An upstream gets no more calls than its rate limit allows, in any window.
 
-Guards against bursts after a pause, and against calls that came before the limit was named.
+Guards against bursts after a pause, and against calls that came before the limit was set.
 """
 
 from __future__ import annotations
@@ -43,7 +43,7 @@
 def test_a_window_holds_more_than_the_limit_allows(
     per_s: float, before_s: float, pauses: list[float]
 ) -> None:
-    """Calls start freely before the limit is named, and want to all the time after each pause."""
+    """Calls start freely before the limit is set, and are always waiting after each pause."""
     limit = RateLimit()
     now = before_s
     starts = start_all(limit, 0.0, before_s)
@@ -57,7 +57,7 @@
 
 
 @pytest.mark.parametrize("per_s", [2.0, 6.5, 30.0])
-def test_half_of_the_named_rate_is_left_unused(per_s: float) -> None:
+def test_half_of_the_limit_is_left_unused(per_s: float) -> None:
     limit = RateLimit()
     limit.set(0.0, per_s, first=True)
     starts = start_all(limit, 0.0, 20.0)
@@ -107,12 +107,12 @@
     assert len([at for at in starts if at >= 10.2]) >= 0.9 * 10.0 * 9.8
 
 
-def test_refused_calls_are_told_the_same_time() -> None:
+def test_refused_calls_get_the_same_retry_time() -> None:
     limit = RateLimit()
     limit.set(0.0, 2.0, first=True)
-    turns = [limit.promise_turn(0.0, 1, 10.0) for _ in range(4)]
-    assert [round(turn, 3) for turn in turns] == [1.0, 1.5, 2.0, 2.5]
-    assert limit.promise_turn(0.0, 1, 2.0) == limit.promise_turn(0.0, 1, 2.0) == 3.0
+    starts = [limit.reserve_start(0.0, 1, 10.0) for _ in range(4)]
+    assert [round(at, 3) for at in starts] == [1.0, 1.5, 2.0, 2.5]
+    assert limit.reserve_start(0.0, 1, 2.0) == limit.reserve_start(0.0, 1, 2.0) == 3.0
 
 
 @pytest.mark.parametrize("per_s", [float("nan"), float("inf"), -1.0, 1e300])
--- a/tests/unit/delivery/test_owner_signals.py
+++ b/tests/unit/delivery/test_owner_signals.py
@@ -1,4 +1,4 @@
-"""An owner keeps to what its upstream says of itself in its answers, also after a restart.
+"""An owner applies the signals of its upstream, also after a restart.
 
 Guards against upstreams that get more calls than they take, or calls after they leave.
 """
@@ -14,12 +14,12 @@
 from foldhoist.admission.slots import QueueLimits, SlotQueue
 from foldhoist.delivery.dispatch import Complete, SendTo, SignalsChanged, StartCall
 from foldhoist.delivery.owner import Owner
-from foldhoist.delivery.upstream_signals import (
+from foldhoist.delivery.signal_state import (
+    AnswerSignals,
     Leaving,
+    LimitChanged,
     LimitEnded,
-    LimitNamed,
-    LimitUnreadable,
-    Signals,
+    LimitInvalid,
 )
 from foldhoist.membership.incarnations import UpstreamIncarnation
 from tests.unit.delivery.test_owner import dispatch, hello
@@ -29,9 +29,9 @@
     from foldhoist.schema.messages import Announced
 
 LIMITS = QueueLimits(30, 60, 0, 8)
-LIMIT = Signals(5.0)
+LIMIT = AnswerSignals(5.0)
 """A limit of five calls a second."""
-HEARD: Any = {"said": {"instance": "i-1", "born_ms": 0, "limit_per_s": 5.0}, "age_ms": 100}
+UPDATE: Any = {"signals": {"instance": "i-1", "born_ms": 0, "limit_per_s": 5.0}, "age_ms": 100}
 
 
 def announced(instance: str = "i-1", **fields: Any) -> Announced:
@@ -63,8 +63,10 @@
     return [change for each in found for change in each]
 
 
-def name_limit(owner: Owner, now: float, signals: Signals = LIMIT, seq: int = 900) -> list[Action]:
-    """Send a call, and let the head of its answer say this."""
+def answer_with(
+    owner: Owner, now: float, signals: AnswerSignals = LIMIT, seq: int = 900
+) -> list[Action]:
+    """Send a call and answer it with these signals."""
     (ticket,) = started(owner.dispatch(now, 0, 1, dispatch(seq)))
     actions = owner.answer_began(now, ticket, signals)
     owner.finished(now, ticket, Complete(200, [], b""))
@@ -75,7 +77,7 @@
 def test_an_upstream_gets_more_calls_than_it_takes(queue: type[SlotQueue | DueQueue]) -> None:
     """Calls want to start all the time; each is answered at once."""
     owner = make(queue(LIMITS))
-    name_limit(owner, 0.0)
+    answer_with(owner, 0.0)
     starts = 0
     for step in range(1, 1000):
         now = step / 100
@@ -87,9 +89,9 @@
     assert 45 <= starts <= 54
 
 
-def test_a_call_whose_turn_comes_too_late_waits_for_its_deadline() -> None:
+def test_a_call_that_could_start_too_late_waits_for_its_deadline() -> None:
     owner = make()
-    name_limit(owner, 0.0)
+    answer_with(owner, 0.0)
     asked = [owner.dispatch(0.1, 0, 1, dispatch(seq, budget_ms=900)) for seq in range(1, 9)]
     refused = [body for actions in asked for body in refusals(actions)]
     assert len(refused) == 3
@@ -103,57 +105,57 @@
 
 def test_waiting_calls_outlast_their_deadline_when_the_limit_falls() -> None:
     owner = make()
-    name_limit(owner, 0.0, Signals(20.0))
+    answer_with(owner, 0.0, AnswerSignals(20.0))
     for seq in range(1, 11):
         assert not refusals(owner.dispatch(0.01, 0, 1, dispatch(seq, budget_ms=900)))
     (ticket, *_) = started(owner.tick(0.06))
-    refused = refusals(owner.answer_began(0.07, ticket, Signals(2.0)))
+    refused = refusals(owner.answer_began(0.07, ticket, AnswerSignals(2.0)))
     assert len(refused) == 7
     assert owner.queue.queued == 2
 
 
-def test_a_limit_lasts_longer_than_the_upstream_says_so() -> None:
+def test_a_limit_lasts_longer_than_the_upstream_sends_it() -> None:
     owner = make()
-    assert changes(name_limit(owner, 0.0)) == [LimitNamed(5.0, None)]
-    assert changes(name_limit(owner, 1.0, Signals(8.0))) == [LimitNamed(8.0, 5.0)]
-    (ended,) = changes(name_limit(owner, 2.0, Signals(None)))
+    assert changes(answer_with(owner, 0.0)) == [LimitChanged(5.0, None)]
+    assert changes(answer_with(owner, 1.0, AnswerSignals(8.0))) == [LimitChanged(8.0, 5.0)]
+    (ended,) = changes(answer_with(owner, 2.0, AnswerSignals(None)))
     assert ended == LimitEnded(8.0, 2.0)
     tickets = [started(owner.dispatch(2.0, 0, 1, dispatch(seq))) for seq in range(10)]
     assert all(tickets)
-    assert owner.load()["said"] == {"instance": "i-1", "born_ms": 0}
+    assert owner.load()["signals"] == {"instance": "i-1", "born_ms": 0}
 
 
-def test_an_unreadable_limit_ends_or_changes_the_one_before() -> None:
+def test_an_invalid_limit_ends_or_changes_the_one_before() -> None:
     owner = make()
-    name_limit(owner, 0.0)
-    (change,) = changes(name_limit(owner, 1.0, Signals(None, False, "soon")))
-    assert change == LimitUnreadable("soon")
-    assert owner.load()["said"]["limit_per_s"] == 5.0
+    answer_with(owner, 0.0)
+    (change,) = changes(answer_with(owner, 1.0, AnswerSignals(None, False, "soon")))
+    assert change == LimitInvalid("soon")
+    assert owner.load()["signals"]["limit_per_s"] == 5.0
 
 
 def test_an_answer_of_a_former_incarnation_limits_the_next_one() -> None:
     owner = make()
     (ticket,) = started(owner.dispatch(0.0, 0, 1, dispatch(1)))
     owner.announce(0.1, announced("i-2"))
-    assert owner.answer_began(0.2, ticket, Signals(5.0, leaving=True)) == []
-    assert "said" not in owner.load()
+    assert owner.answer_began(0.2, ticket, AnswerSignals(5.0, leaving=True)) == []
+    assert "signals" not in owner.load()
     assert not owner.leaving
 
 
 def test_the_next_incarnation_inherits_a_limit_or_a_leaving() -> None:
     owner = make()
-    name_limit(owner, 0.0, Signals(5.0, leaving=True))
+    answer_with(owner, 0.0, AnswerSignals(5.0, leaving=True))
     assert owner.leaving
     owner.announce(1.0, announced("i-2"))
     assert not owner.leaving
     assert not owner.queue.rate.active
-    assert "said" not in owner.load()
+    assert "signals" not in owner.load()
     assert started(owner.dispatch(1.0, 0, 1, dispatch(1)))
 
 
-def test_an_upstream_that_says_it_leaves_is_ready_again_with_its_next_heartbeat() -> None:
+def test_an_upstream_that_signals_its_departure_is_ready_again_after_a_heartbeat() -> None:
     owner = make()
-    found = changes(name_limit(owner, 0.0, Signals(None, leaving=True)))
+    found = changes(answer_with(owner, 0.0, AnswerSignals(None, leaving=True)))
     assert found == [Leaving(UpstreamIncarnation("i-1"))]
     owner.announce(0.5, announced(sequence=2))
     (refused,) = refusals(owner.dispatch(0.6, 0, 1, dispatch(1)))
@@ -161,38 +163,38 @@
     assert refused["load"]["state"] == "leaving"
 
 
-@pytest.mark.parametrize("told_first", [False, True])
-def test_a_restarted_owner_sends_freely_to_a_limited_upstream(told_first: bool) -> None:
-    """An ingress tells it, before or after the upstream announces itself."""
+@pytest.mark.parametrize("updated_first", [False, True])
+def test_a_restarted_owner_sends_freely_to_a_limited_upstream(updated_first: bool) -> None:
+    """An ingress sends it the limit, before or after the upstream announces itself."""
     owner = make(upstream="")
-    if not told_first:
+    if not updated_first:
         owner.announce(0.0, announced())
-    owner.told(0.0, HEARD, -0.1)
-    if told_first:
+    owner.merge_signals(0.0, UPDATE, -0.1)
+    if updated_first:
         owner.announce(0.1, announced())
     tickets = [started(owner.dispatch(0.1, 0, 1, dispatch(seq))) for seq in range(10)]
     assert not any(tickets)
 
 
-def test_an_old_word_of_an_ingress_replaces_a_newer_answer() -> None:
+def test_older_signals_of_an_ingress_replace_a_newer_answer() -> None:
     owner = make()
-    name_limit(owner, 5.0, Signals(None))
-    assert owner.told(5.05, HEARD, 0.0) == []
+    answer_with(owner, 5.0, AnswerSignals(None))
+    assert owner.merge_signals(5.05, UPDATE, 0.0) == []
     assert started(owner.dispatch(5.1, 0, 1, dispatch(1)))
 
 
-def test_a_leaving_told_by_one_ingress_is_lost_to_the_word_of_another() -> None:
+def test_a_departure_known_to_one_ingress_is_lost_to_the_signals_of_another() -> None:
     owner = make(upstream="")
-    said: Any = {**HEARD["said"], "leaving": True}
-    owner.told(0.0, {"said": said, "age_ms": 900}, 0.0)
-    owner.told(0.0, HEARD, 0.0)
+    signals: Any = {**UPDATE["signals"], "leaving": True}
+    owner.merge_signals(0.0, {"signals": signals, "age_ms": 900}, 0.0)
+    owner.merge_signals(0.0, UPDATE, 0.0)
     owner.announce(0.1, announced())
     assert owner.leaving
 
 
-def test_pending_words_of_unknown_incarnations_grow_without_bound() -> None:
+def test_pending_signals_of_unknown_incarnations_grow_without_bound() -> None:
     owner = make()
     for number in range(100):
-        said: Any = {**HEARD["said"], "instance": f"x-{number}"}
-        owner.told(0.0, {"said": said, "age_ms": 0}, 0.0)
+        signals: Any = {**UPDATE["signals"], "instance": f"x-{number}"}
+        owner.merge_signals(0.0, {"signals": signals, "age_ms": 0}, 0.0)
     assert len(owner.status.signals._pending) <= 16
--- a/tests/unit/routing/test_picker_limits.py
+++ b/tests/unit/routing/test_picker_limits.py
@@ -1,4 +1,4 @@
-"""The picker sends calls where named limits leave room, and takes no limit for slowness."""
+"""The picker considers rate limits, and does not take them for slowness."""
 
 from __future__ import annotations
 
@@ -16,8 +16,8 @@
 
 
 def limited(wait_s: float, per_s: float = 5.0) -> Any:
-    said = {"instance": "i", "born_ms": 0, "limit_per_s": per_s, "wait_ms": int(wait_s * 1000)}
-    return {**LOAD, "said": said}
+    signals = {"instance": "i", "born_ms": 0, "limit_per_s": per_s, "wait_ms": int(wait_s * 1000)}
+    return {**LOAD, "signals": signals}
 
 
 def make(*names: str, leaving: dict[str, UpstreamIncarnation] | None = None) -> Picker:
@@ -77,7 +77,7 @@
     assert isinstance(picker.pick(10.0, ()), Choice)
 
 
-def test_an_incarnation_that_was_heard_leaving_gets_a_call() -> None:
+def test_an_incarnation_known_to_be_leaving_gets_a_call() -> None:
     leaving = {"a": UpstreamIncarnation("i")}
     picker = make("a", "b", leaving=leaving)
     names = {choice.name for _ in range(20) if isinstance(choice := picker.pick(10.0, ()), Choice)}
