Answer 504 when an owner notices a passed deadline before the ingress does

What callers saw: 502 in place of 504 for a call whose deadline had passed while its upstream was at work, if the owner's timer fired first: "may have run: deadline-passed". A caller takes 502 for a lost connection.

Cause: the ingress's own timer answers 504, the owner's refusal went through the default of may-have-run, 502.

The test failed before (502).

--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -298,7 +298,7 @@
                 return self._park(now, call)
             return self._give_up(now, call, first_reason or pick.reason, pick.retry_after_s)
         if call.deadline - now < rules.MIN_BUDGET_S:
-            return self._give_up(now, call, "deadline-passed", 0.0)
+            return self._give_up(now, call, rules.DEADLINE_PASSED, 0.0)
         seq = self._calls.next_seq()
         call.dispatches += 1
         call.arrivals += 1
@@ -338,8 +338,8 @@
 
     def _expire(self, now: float, call: Call) -> list[Action]:
         if call.failure is None and (call.pending or call.may_have_run_reason):
-            return self._finish(now, call, MayHaveRun("deadline-passed", status=504))
-        not_run = NotRun("deadline-passed", 0.0, status=504)
+            return self._finish(now, call, MayHaveRun(rules.DEADLINE_PASSED, status=504))
+        not_run = NotRun(rules.DEADLINE_PASSED, 0.0, status=504)
         return self._finish(now, call, rules.last_verdict(call, not_run))
 
     def _finish(self, now: float, call: Call, verdict: Verdict) -> list[Action]:
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -20,6 +20,8 @@
     from foldhoist.routing.routes import RouteMatch
     from foldhoist.schema.messages import Answer, Refusal
 
+DEADLINE_PASSED = "deadline-passed"
+"""Reason of a call whose deadline passed, at the ingress or at the owner."""
 MAX_REFUSALS = 3
 """Refusals by owners after which a call may still be retried."""
 SERVER_ERROR = 500
@@ -116,9 +118,10 @@
     """Return the final answer of a call that is not retried: `not_run` if it did not run."""
     if call.failure is not None:
         return Answered(call.failure)
-    if call.may_have_run_reason:
-        return MayHaveRun(call.may_have_run_reason)
-    return not_run
+    reason = call.may_have_run_reason
+    if reason == DEADLINE_PASSED:
+        return MayHaveRun(reason, status=504)
+    return MayHaveRun(reason) if reason else not_run
 
 
 def remote_cost_s(call: Call, state: ServiceState) -> float:
--- a/tests/unit/delivery/test_ingress.py
+++ b/tests/unit/delivery/test_ingress.py
@@ -144,6 +144,15 @@
     assert ingress.count.late == 1
 
 
+def test_a_deadline_noticed_by_the_owner_first_looks_like_a_lost_connection() -> None:
+    ingress = make()
+    (dispatch,) = sent(ingress.arrive(0.0, 1, request("POST")))
+    body: Any = dispatch.frame.body
+    message = {**refusal(body["seq"], "maybe"), "reason": "deadline-passed"}
+    ended = ingress.refusal(0.5, dispatch.target, message)
+    assert replies(ended) == [MayHaveRun("deadline-passed", status=504)]
+
+
 def test_a_parked_call_is_sent_when_a_connection_is_made() -> None:
     ingress = make(linked=False)
     assert replies(ingress.arrive(1.0, 1, request())) == []
