Send a call that is late to a limited upstream that can start it at once

What callers saw: nothing yet; found in reading. A call whose latest useful start had passed was not sent to an upstream with a limit, though a turn was free: the ingress compared the earliest start, which lies in the past then, with the latest one. Without a limit such a call is sent, since the expected time may be wrong. The test failed before.

--- a/foldhoist/routing/picker.py
+++ b/foldhoist/routing/picker.py
@@ -142,8 +142,8 @@
         """Choose an upstream for one call, other than the excluded ones.
 
         `remote_s` is the cost that the policy `Mixed` adds to upstreams in another data centre,
-        seconds of a call of `route`. An upstream whose named limit lets the call start only after
-        `start_by` is skipped. Without `explain` the choice lists no candidates.
+        seconds of a call of `route`. An upstream whose rate limit lets the call start only after
+        `start_by`, and not now, is skipped. Without `explain` the choice lists no candidates.
         """
         candidates: list[UpstreamStats] = []
         ejected: list[UpstreamStats] = []
@@ -151,7 +151,7 @@
         for stats in self.tracks.values():
             if not self._may_get_calls(stats, excluded):
                 continue
-            if stats.backoff_until > now or stats.earliest_start > start_by:
+            if stats.backoff_until > now or stats.earliest_start > max(now, start_by):
                 continue
             if stats.ejected_until > now:
                 ejected.append(stats)
@@ -167,7 +167,8 @@
         scores: list[float] | None = None
         if not candidates:
             candidates = ejected or self._trial_upstreams(excluded)
-            candidates = [stats for stats in candidates if stats.earliest_start <= start_by]
+            latest = max(now, start_by)
+            candidates = [stats for stats in candidates if stats.earliest_start <= latest]
             reason = "only-ejected-left"
         if not candidates:
             return self._no_choice(now, excluded)
@@ -234,7 +235,7 @@
         `ahead` is the number of calls that were at the upstream before this one, -1 if unknown.
         `size` is the bytes of both bodies. `served_s` is the service time without queueing, used
         for the route's mean; if it is 0, unknown, the latency is used. `waited_s` is the wait at
-        the owner, which does not show that an upstream with a named limit is slow.
+        the owner, which does not show that an upstream with a rate limit is slow.
         """
         stats = self.tracks.get(name)
         if stats is None:
--- a/tests/unit/routing/test_picker_limits.py
+++ b/tests/unit/routing/test_picker_limits.py
@@ -46,6 +46,12 @@
     assert isinstance(picker.pick(10.6, (), start_by=11.6), Choice)
 
 
+def test_a_late_call_is_refused_by_an_upstream_that_could_start_it_now() -> None:
+    picker = make("a")
+    picker.reported("a", 10.0, limited(0.0))
+    assert isinstance(picker.pick(10.1, (), start_by=9.9), Choice)
+
+
 def test_own_calls_are_not_counted_until_the_next_report() -> None:
     picker = make("a")
     picker.reported("a", 10.0, limited(0.0))
