Count what an earlier owner may have started before the limit that a restarted owner learns

The limit was named at 5.97 s, beside 90 requests a second; the owner was stopped at once and started again within 2 s, learnt the limit from an ingress, and assumed that the rate had been kept all the while. What came before the limit was in the window still (it counts from 3 s after the naming on), and the new owner started calls into it.

Change: the age of the limit is in the word of the ingress; an owner that learns it so starts nothing until the time before the limit has left the window, at most 4 s after the limit was set. Why it works: no start of the new owner shares a window with starts that nobody counted.

--- a/foldhoist/admission/rate_limit.py
+++ b/foldhoist/admission/rate_limit.py
@@ -104,12 +104,18 @@
         self._starts = StartCounts()
         self._reserved_until = float("-inf")
 
-    def assume_starts(self, now: float, until: float) -> None:
-        """Assume starts at the limit up to `until`, by an earlier incarnation of the owner."""
+    def assume_starts(self, now: float, limited_at: float, until: float) -> None:
+        """Assume the starts of an earlier incarnation of the owner, which ended at `until`.
+
+        It kept to the limit since `limited_at`; before, it may have started any number of calls, so
+        that none starts until that time has left the window.
+        """
         if self.per_s is None:
             return
-        cell = now - WINDOW_S
+        cell = max(now - WINDOW_S, limited_at)
         counts = StartCounts()
+        if limited_at > now - WINDOW_S:
+            counts.add(limited_at, self._max_starts)
         left = 0.0
         while cell < until:
             left += self._bucket.rate * CELL_S
@@ -133,9 +139,8 @@
         """Return the time at which a call with `ahead` others before it may start."""
         if self.per_s is None:
             return now
-        most = max(1, int(WINDOW_OVERAGE * WINDOW_S * self._bucket.rate))
         paced_at = now + self._bucket.wait(now, ahead + 1.0)
-        window_at = self._starts.room_at(now, most)
+        window_at = self._starts.room_at(now, self._max_starts)
         if window_at <= now:
             return paced_at
         return max(paced_at, window_at + ahead / self._bucket.rate)
@@ -152,6 +157,11 @@
             self._reserved_until = start_at + 1.0 / self._bucket.rate
         return start_at
 
+    @property
+    def _max_starts(self) -> int:
+        """Return how many calls may start in a window."""
+        return max(1, int(WINDOW_OVERAGE * WINDOW_S * self._bucket.rate))
+
     def used_per_s(self, now: float) -> float:
         """Return the mean rate of starts in the window, calls a second."""
         return self._starts.total(now) / WINDOW_S
--- a/foldhoist/delivery/signal_state.py
+++ b/foldhoist/delivery/signal_state.py
@@ -162,7 +162,8 @@
         self._had_limit = True
         changes += self._set_limit(now, limit_per_s)
         if not was_active:
-            self.limit.assume_starts(now, min(now, began))
+            limited_at = at - signals.get("limit_age_ms", 0) / 1000
+            self.limit.assume_starts(now, limited_at, min(now, began))
         return changes
 
     def _set_limit(self, now: float, per_s: float) -> list[SignalChange]:
--- a/tests/unit/admission/test_rate_limit.py
+++ b/tests/unit/admission/test_rate_limit.py
@@ -101,12 +101,26 @@
     starts = start_all(earlier, 0.0, 10.0)
     later = RateLimit()
     later.set(10.2, 10.0)
-    later.assume_starts(10.2, 10.0)
+    later.assume_starts(10.2, 0.0, 10.0)
     starts += start_all(later, 10.2, 20.0)
     assert most_in_a_window(starts) <= OVERAGE * WINDOW_S * 10.0 + SLACK
     assert len([at for at in starts if at >= 10.2]) >= 0.9 * 10.0 * 9.8
 
 
+@pytest.mark.parametrize("limited_at", [7.0, 9.0, 9.9])
+def test_calls_from_before_the_limit_are_forgotten_by_a_restarted_owner(limited_at: float) -> None:
+    earlier = RateLimit()
+    starts = start_all(earlier, 0.0, limited_at)
+    earlier.set(limited_at, 2.0, first=True)
+    starts += start_all(earlier, limited_at, 10.0)
+    later = RateLimit()
+    later.set(10.2, 2.0)
+    later.assume_starts(10.2, limited_at, 10.0)
+    after = start_all(later, 10.2, 20.0)
+    assert most_in_a_window(starts + after, limited_at + 3.0) <= OVERAGE * WINDOW_S * 2.0 + SLACK
+    assert after[0] < limited_at + WINDOW_S + 1.0
+
+
 def test_refused_calls_get_the_same_retry_time() -> None:
     limit = RateLimit()
     limit.set(0.0, 2.0, first=True)
