Lines for each step of a shutdown; the soak keeps its own clock's delays

- One GracefulShutdown for both kinds of daemon (Daemon.drain was a second copy of the steps); the order that differs is matched on NoticeFirst and LeaveFirst.
The end of the copy is the mesh daemon's: idle connections are closed one by one, it does not wait until all are idle at once. begin_shutdown now also binds a daemon without an adapter.
- Lines: SIGTERM received, the end of each step with its time and what is open, tasks left, event loop closed.
- The soak notes when a stopped daemon wrote its last line (wall clock) and how late its own loop ran; the evidence of a stop that takes too long names both.
The check and its bound are as they were.

--- a/foldhoist/commands/daemon.py
+++ b/foldhoist/commands/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import sys
+import threading
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -41,7 +42,9 @@
         return EXIT_FAULTS
     cfg = loaded.ok
     set_up_logs(cfg["observe"], cfg["daemon"]["name"])
-    return asyncio.run(_run(cfg, settings, began))
+    code = asyncio.run(_run(cfg, settings, began))
+    logger.info("event loop closed, {} threads left", threading.active_count() - 1)
+    return code
 
 
 async def _run(cfg: Settings, path: str, began: float) -> int:
@@ -53,13 +56,19 @@
         return EXIT_UNREACHABLE
     loop = asyncio.get_running_loop()
     stops: set[asyncio.Task[None]] = set()
+
+    def stop(signum: signal.Signals) -> None:
+        logger.info("{} received", signum.name)
+        stops.add(loop.create_task(running.drain()))
+
     for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, lambda: stops.add(loop.create_task(running.drain())))
+        loop.add_signal_handler(signum, stop, signum)
     loop.add_signal_handler(signal.SIGHUP, _reload, running, path)
     ready = {"ready": running.name, "addresses": running.addresses}
     sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
     sys.stdout.flush()
     await running.stopped.wait()
+    logger.info("process ends, {} tasks left", len(asyncio.all_tasks()) - 1)
     return EXIT_OK
 
 
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -19,6 +19,7 @@
 from foldhoist.daemon.callers import CallerConnection, ServerState
 from foldhoist.daemon.configuration import ConfigurationTask
 from foldhoist.daemon.control import Control
+from foldhoist.daemon.graceful_shutdown import GracefulShutdown, LeaveFirst
 from foldhoist.daemon.handover import HandoverTask
 from foldhoist.daemon.ingress_task import IngressTask
 from foldhoist.daemon.links import LinkEvents, Links
@@ -42,8 +43,6 @@
 from foldhoist.quarantine.table import Quarantine
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from foldhoist.configlog.fold import State
     from foldhoist.delivery.dispatch import Ended
     from foldhoist.schema.fleet import Fleet
@@ -54,12 +53,6 @@
 """Up to this number of tracked upstreams, connections are opened before the first call."""
 INITIAL_QUEUE_LIMITS = QueueLimits(slots=1, queue=0, urgent_slots=0, urgent_run=1)
 """Queue limits of the owner before a configuration lists its target."""
-DRAIN_CHECK_S = 0.02
-"""Interval at which calls in flight are checked while draining, seconds."""
-LAST_REQUEST_S = 1.0
-"""Time for callers to send a last request on an open connection while draining, seconds."""
-REPLY_GRACE_S = 0.05
-"""Time for callers to read their last answer while draining, seconds."""
 
 
 class Daemon:
@@ -71,7 +64,6 @@
         self.incarnation = secrets.token_hex(8)
         self.rng = rng or random.Random()
         self.started = time.time()
-        self.draining = False
         self._targets: frozenset[str] = frozenset()
         self.stopped = asyncio.Event()
         self.addresses: dict[str, str] = {}
@@ -128,6 +120,7 @@
             lambda hosts: self.links.connect(hosts - {self.name}),
         )
         await self._listen()
+        self.shutdown = GracefulShutdown(self, LeaveFirst())
         self.control = Control(cfg["listen"]["control"], cfg["measuring"], self._on_control)
         self.addresses["control"] = self.control.address
         self.configuration = ConfigurationTask(
@@ -145,28 +138,8 @@
         logger.info("daemon {} started, incarnation {}", self.name, self.incarnation)
 
     async def drain(self) -> None:
-        """Shut down gracefully: refuse calls to the upstream, finish those in flight, then stop.
-
-        Callers are served until the calls at the upstream are done, as these may make calls here.
-        """
-        if self.draining:
-            return
-        self.draining = True
-        logger.info("draining")
-        self.owner_task.set_leaving("drain")
-        self.callers.closing = True
-        loop = asyncio.get_running_loop()
-        limit = loop.time() + self.cfg["limits"]["drain_ms"] / 1000
-        await self._wait_until(lambda: not self.owner.calls, limit)
-        self._servers[0].close()
-        last_request_until = min(limit, loop.time() + LAST_REQUEST_S)
-        await self._wait_until(lambda: not self.callers.open, last_request_until)
-        await self._wait_until(lambda: all(conn.idle for conn in self.callers.open), limit)
-        for conn in list(self.callers.open):
-            conn.close()
-        await self.owner_task.send_goaway(limit)
-        await asyncio.sleep(REPLY_GRACE_S)
-        await self.stop()
+        """Shut down gracefully."""
+        await self.shutdown.run()
 
     def reload(self, cfg: Settings) -> None:
         """Apply changed limits; other settings need a restart."""
@@ -178,6 +151,15 @@
         self.ingress_task.ingress.admission.max_calls = limits["calls"]
         self._bodies.limit = limits["held_bytes"]
 
+    @property
+    def draining(self) -> bool:
+        """Return whether a graceful shutdown has begun."""
+        return self.shutdown.started
+
+    def stop_accepting(self) -> None:
+        """Stop accepting connections of callers."""
+        self._servers[0].close()
+
     async def stop(self) -> None:
         """Close every socket and end every task."""
         self._counters_task.cancel()
@@ -302,11 +284,6 @@
         self.latencies.record("queue", call.waited_us)
         self.latencies.record("upstream", call.served_us)
 
-    async def _wait_until(self, is_done: Callable[[], bool], limit: float) -> None:
-        loop = asyncio.get_running_loop()
-        while not is_done() and loop.time() < limit:
-            await asyncio.sleep(DRAIN_CHECK_S)
-
     async def _log_counters(self) -> None:
         every = self.cfg["observe"]["counters_s"]
         while every > 0:
--- a/foldhoist/daemon/graceful_shutdown.py
+++ b/foldhoist/daemon/graceful_shutdown.py
@@ -1,57 +1,123 @@
-"""Graceful shutdown: closes callers' connections, waits for calls to the upstream, then stops."""
+"""Graceful shutdown of a daemon: its steps in order, each with a log line on how long it took."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple, Protocol, TypeAlias
 
 from loguru import logger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from foldhoist.daemon.mesh import MeshDaemon
+    from foldhoist.daemon.callers import ServerState
+    from foldhoist.daemon.ingress_task import IngressTask
+    from foldhoist.daemon.owner_task import OwnerTask
+    from foldhoist.schema.settings import Settings
 
 NOTICE_S = 2.3
 """Time for which the daemon reports that it is not ready but still serves, seconds."""
 CLOSE_IDLE_AFTER_S = 3.2
 """Time from the start after which idle connections are closed, seconds."""
+LAST_REQUEST_S = 1.0
+"""Time for callers to send a last request on an open connection, seconds."""
 CHECK_INTERVAL_S = 0.02
 """Interval at which open connections and calls are checked, seconds."""
 REPLY_GRACE_S = 0.05
 """Time left to callers to read their last answer, seconds."""
 
 
+class NoticeFirst(NamedTuple):
+    """Serve on for a while, not ready any more, so that callers go elsewhere; then leave."""
+
+
+class LeaveFirst(NamedTuple):
+    """Leave at once, and serve callers until the calls at the upstream are done.
+
+    These calls may make calls here.
+    """
+
+
+ShutdownOrder: TypeAlias = NoticeFirst | LeaveFirst
+
+
+class Stoppable(Protocol):
+    """What a graceful shutdown needs of a daemon."""
+
+    cfg: Settings
+    callers: ServerState
+    ingress_task: IngressTask
+    owner_task: OwnerTask
+
+    def stop_accepting(self) -> None:
+        """Stop accepting connections of callers."""
+
+    async def stop(self) -> None:
+        """Close every socket and end every task."""
+
+
 class GracefulShutdown:
     """The steps of a graceful shutdown, limited by the setting `drain_ms`."""
 
-    def __init__(self, daemon: MeshDaemon) -> None:
+    def __init__(self, daemon: Stoppable, order: ShutdownOrder) -> None:
         self.started = False
         self._daemon = daemon
+        self._order = order
+        self._loop = asyncio.get_running_loop()
+        self._started_at = 0.0
+        self._step_at = 0.0
 
     async def run(self) -> None:
         """Shut down the daemon; a second call does nothing."""
         if self.started:
             return
         self.started = True
-        daemon = self._daemon
+        self._started_at = self._step_at = self._loop.time()
+        limit = self._started_at + self._daemon.cfg["limits"]["drain_ms"] / 1000
         logger.info("draining")
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        limit = started_at + daemon.cfg["limits"]["drain_ms"] / 1000
-        await self._wait_until(lambda: False, started_at + NOTICE_S)
+        match self._order:
+            case NoticeFirst():
+                await self._leave_after_notice(limit)
+            case LeaveFirst():
+                await self._leave_at_once(limit)
+        await self._wait_until(self._close_idle, limit)
+        for conn in list(self._daemon.callers.open):
+            conn.close()
+        self._log_step("connections of callers")
+        await self._wait_until(self._owner_is_idle, limit)
+        self._log_step("calls at the upstream")
+        await self._daemon.owner_task.send_goaway(limit)
+        self._log_step("goaway")
+        await asyncio.sleep(REPLY_GRACE_S)
+        await self._daemon.stop()
+        self._log_step("close")
+
+    async def _leave_after_notice(self, limit: float) -> None:
+        daemon = self._daemon
+        await self._wait_until(lambda: False, self._started_at + NOTICE_S)
         daemon.callers.closing = True
         daemon.ingress_task.ingress.admission.begin_shutdown(limit)
-        await self._wait_until(lambda: not daemon.callers.open, started_at + CLOSE_IDLE_AFTER_S)
+        self._log_step("notice")
+        until = self._started_at + CLOSE_IDLE_AFTER_S
+        await self._wait_until(lambda: not daemon.callers.open, until)
         daemon.owner_task.set_leaving("drain")
         daemon.stop_accepting()
-        await self._wait_until(self._close_idle, limit)
-        for conn in list(daemon.callers.open):
-            conn.close()
-        await self._wait_until(lambda: not daemon.owner.calls, limit)
-        await daemon.owner_task.send_goaway(limit)
-        await asyncio.sleep(REPLY_GRACE_S)
-        await daemon.stop()
+        self._log_step("last requests")
+
+    async def _leave_at_once(self, limit: float) -> None:
+        daemon = self._daemon
+        daemon.owner_task.set_leaving("drain")
+        daemon.callers.closing = True
+        daemon.ingress_task.ingress.admission.begin_shutdown(limit)
+        await self._wait_until(self._owner_is_idle, limit)
+        daemon.stop_accepting()
+        self._log_step("first calls at the upstream")
+        until = min(limit, self._loop.time() + LAST_REQUEST_S)
+        await self._wait_until(lambda: not daemon.callers.open, until)
+        self._log_step("last requests")
+
+    def _owner_is_idle(self) -> bool:
+        return not self._daemon.owner_task.owner.calls
 
     def _close_idle(self) -> bool:
         """Close the idle connections; returns whether none is left.
@@ -64,6 +130,21 @@
         return not self._daemon.callers.open
 
     async def _wait_until(self, is_done: Callable[[], bool], limit: float) -> None:
-        loop = asyncio.get_running_loop()
-        while not is_done() and loop.time() < limit:
+        while not is_done() and self._loop.time() < limit:
             await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def _log_step(self, step: str) -> None:
+        """Log the end of a step and what is still open."""
+        now = self._loop.time()
+        daemon = self._daemon
+        logger.info(
+            "shutdown: {} took {:.3f} s, {:.3f} s in all; {} connections of callers, {} calls of"
+            " callers and {} at the upstream are open",
+            step,
+            now - self._step_at,
+            now - self._started_at,
+            len(daemon.callers.open),
+            daemon.ingress_task.ingress.calls,
+            daemon.owner_task.owner.calls,
+        )
+        self._step_at = now
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -18,7 +18,7 @@
 from foldhoist.config.reload import RELOADABLE_LIMITS, merge_reloadable
 from foldhoist.configlog.versions import ReaderElection
 from foldhoist.daemon.callers import CallerConnection, ServerState
-from foldhoist.daemon.graceful_shutdown import GracefulShutdown
+from foldhoist.daemon.graceful_shutdown import GracefulShutdown, NoticeFirst
 from foldhoist.daemon.ingress_task import IngressTask
 from foldhoist.daemon.links import LinkEvents, Links
 from foldhoist.daemon.owner_task import OwnerTask
@@ -124,7 +124,7 @@
             self.rng,
         )
         await self._listen()
-        self.shutdown = GracefulShutdown(self)
+        self.shutdown = GracefulShutdown(self, NoticeFirst())
         self.endpoints = self.adapter.listen(self.upstream, self._is_ready, self.metrics)
         self.addresses.update(self.endpoints.addresses)
         self.upstream.start(self.peers, first=cfg["platform"]["first_start"])
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -13,7 +13,7 @@
 from soak.signal_checker import signal_violations
 
 if TYPE_CHECKING:
-    from soak.history import History, RequestResult
+    from soak.history import History, PlannedStop, RequestResult
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run and never will."""
@@ -42,8 +42,7 @@
             found.append(Violation("planned-stop-cuts-nothing", evidence))
     for stop in history.stops:
         if stop.code != 0 or (check_stop_time and stop.took > MAX_STOP_S):
-            evidence = f"{stop.daemon}: code {stop.code} after {stop.took:.1f} s"
-            found.append(Violation("planned-stop-ends", evidence))
+            found.append(Violation("planned-stop-ends", _stop_evidence(stop)))
     found += signal_violations(history)
     found += [Violation("served-again", f"{daemon} did not answer") for daemon in history.unserved]
     return found
@@ -62,6 +61,14 @@
     return found
 
 
+def _stop_evidence(stop: PlannedStop) -> str:
+    """Return the times of a stop by the soak's clock and by the daemon's last line."""
+    return (
+        f"{stop.daemon}: code {stop.code} after {stop.took:.1f} s; its last line came after"
+        f" {stop.last_line:.1f} s, the soak's own loop was late by up to {stop.stalled:.2f} s"
+    )
+
+
 def _is_interrupted(result: RequestResult) -> bool:
     return result.status in (0, 502)
 
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -77,7 +77,7 @@
             **self.addresses,
         )
         path.write_text(text)
-        with (self.folder / f"{self.name}.log").open("ab") as log_file:
+        with self._log_path.open("ab") as log_file:
             self.process = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", "foldhoist", "daemon", str(path)),
                 stdout=asyncio.subprocess.PIPE,
@@ -90,6 +90,14 @@
         self.addresses = {name: json.loads(line)["addresses"][name] for name in PORTS}
         self.first_start = False
 
+    def last_line_at(self) -> float:
+        """Return when the daemon last wrote to its log, wall-clock seconds."""
+        return self._log_path.stat().st_mtime
+
+    @property
+    def _log_path(self) -> Path:
+        return self.folder / f"{self.name}.log"
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal if the process is running."""
         if self.process is not None and self.process.returncode is None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import signal
+import time
 from contextlib import suppress
 from random import Random
 from typing import TYPE_CHECKING
@@ -20,6 +21,7 @@
     RequestResult,
 )
 from soak.processes import DaemonProcess
+from soak.stalls import StallMonitor
 from standins.ports import AddressPool
 from tests.adapter.cluster import call
 from tests.adapter.keyed_log import KeyedLog
@@ -70,6 +72,7 @@
         self._daemons: dict[str, DaemonProcess] = {}
         self._folder = folder
         self._pool = AddressPool()
+        self._stalls = StallMonitor()
 
     def now(self) -> float:
         """Return the time since traffic started, seconds."""
@@ -240,16 +243,22 @@
 
     async def _restart(self, fault: PlannedFault) -> None:
         daemon = self._daemons[fault.daemon]
-        began = self.now()
         if fault.kind == "kill":
             daemon.send_signal(signal.SIGKILL)
             await daemon.wait()
         else:
-            code = await daemon.stop()
-            self._stops.append(PlannedStop(fault.daemon, self.now() - began, code))
+            self._stops.append(await self._stop(daemon))
         await asyncio.sleep(fault.duration)
         await daemon.start()
 
+    async def _stop(self, daemon: DaemonProcess) -> PlannedStop:
+        """Stop a daemon and return the stop with its times."""
+        began, began_wall = self._loop.time(), time.time()
+        code = await daemon.stop()
+        took = self._loop.time() - began
+        last_line = daemon.last_line_at() - began_wall
+        return PlannedStop(daemon.name, took, code, last_line, self._stalls.longest_since(began))
+
     def _history(self, callers: list[Caller], unserved: list[str]) -> History:
         results: list[RequestResult] = [each for caller in callers for each in caller.results]
         executions = [
@@ -274,6 +283,7 @@
 
     async def _terminate(self) -> None:
         """Kill the daemons and close the stand-ins."""
+        self._stalls.close()
         for daemon in self._daemons.values():
             daemon.send_signal(signal.SIGCONT)
             daemon.send_signal(signal.SIGKILL)
