Let no call start that may not end before its daemon stops

Cause: begin_shutdown let a call in if five times its usual time ended before the stop, and a route without a known time always. The time that a call waits at its owner (for a named limit, a queue, a cold upstream) is in no usual time, and nothing bounded its start: it started at any time before its own deadline, which may lie beyond the end of the process. At drain_ms the connections were closed, whatever their calls did, and the upstream's work cancelled.

Change: from SIGTERM on every call whose deadline lies beyond the stop has a latest start: 1 s, or five times its usual time, before the end; without a known time, the end of the notice. - The ingress tells the owner (start_ms): the owner refuses at once what can't start by then, and never starts it. - A call sent before SIGTERM is withdrawn at that time if it still waits (Withdraw, only_waiting), and refused as not run. Elsewhere, the same: an owner that stops refuses what still waits (it said nothing, and its ingresses told their callers that it may have run; a slot that was freed by the stop itself even started a call), and ends what runs with a result in place of a lost connection; an owner whose upstream is leaving or whose data centre is evacuated refuses what waits once it may not start any more; the daemon without an adapter stops by the same steps.

Tests, failing on: the three in tests/adapter/test_stopping.py ({0, 503} for calls that never ran; status 0 in place of 502; five calls started in four slots).

--- a/foldhoist/admission/completion.py
+++ b/foldhoist/admission/completion.py
@@ -8,6 +8,10 @@
 
 TIME_MARGIN = 1.4
 """Factor on the expected service time: some calls take longer."""
+MAX_SLOWDOWN = 5.0
+"""A call is assumed to take up to this many times its usual time when a shutdown is due."""
+MIN_RUN_S = 1.0
+"""Least time that a call gets at an upstream before a process ends, seconds."""
 
 
 def latest_start(now: float, due: float, deadline: float, expect_s: float) -> float:
@@ -31,3 +35,11 @@
     if not objective_s:
         return 0.0
     return max(objective_s - expect_s * TIME_MARGIN, expect_s * TIME_MARGIN)
+
+
+def longest_run(usual_s: float) -> float:
+    """Return the time that a call may take at an upstream before a process ends, seconds.
+
+    `usual_s` is its usual time.
+    """
+    return max(MIN_RUN_S, usual_s * MAX_SLOWDOWN)
--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -71,7 +71,12 @@
         return len(self._waiting)
 
     def queued_call(
-        self, now: float, req: Dispatch, start_by: float, deadline: float
+        self,
+        now: float,
+        req: Dispatch,
+        start_by: float,
+        deadline: float,
+        last_start: float = float("inf"),
     ) -> QueuedCall:
         """Return a new call with its times and priority; records which service it comes from.
 
@@ -80,8 +85,9 @@
         priority, and so have calls of a rank that `RefusalRates` puts behind more urgent ones.
 
         A nested call takes the rank of its parent. If it is refused, the parent's work is lost, so
-        it may wait longer and counts as on time until its deadline. A nested call of low priority
-        waits no longer than other calls, since it would keep the slot of its parent occupied.
+        it may wait longer, but not beyond `last_start`, and counts as on time until its deadline. A
+        nested call of low priority waits no longer than other calls, since it would keep the slot
+        of its parent occupied.
         """
         route = req.get("route", "")
         self._callers.record(route, req.get("caller", ""))
@@ -96,7 +102,8 @@
         if not nested or call.low_priority:
             return call
         useful = latest_start(now, deadline, deadline, expect_s)
-        return call._replace(start_by=max(start_by, useful), on_time_by=deadline)
+        start_by = min(max(start_by, useful), last_start)
+        return call._replace(start_by=start_by, on_time_by=deadline)
 
     def submit(self, now: float, ticket: int, call: QueuedCall) -> Decision:
         """Decide on a new call.
--- a/foldhoist/daemon/graceful_shutdown.py
+++ b/foldhoist/daemon/graceful_shutdown.py
@@ -19,6 +19,8 @@
 """Time for which the daemon reports that it is not ready but still serves, seconds."""
 CLOSE_IDLE_AFTER_S = 3.2
 """Time from the start after which idle connections are closed, seconds."""
+LONG_CALLS_SHARE = 0.5
+"""Share of the shutdown in which calls start that may take longer; a daemon that leaves first."""
 LAST_REQUEST_S = 1.0
 """Time for callers to send a last request on an open connection, seconds."""
 CHECK_INTERVAL_S = 0.02
@@ -26,6 +28,9 @@
 REPLY_GRACE_S = 0.05
 """Time left to callers to read their last answer, seconds."""
 
+OWNER_STOPPED = "owner-stopped"
+"""Reason of a call that was at the upstream when this process had to end."""
+
 
 class NoticeFirst(NamedTuple):
     """Serve on for a while, not ready any more, so that callers go elsewhere; then leave."""
@@ -75,17 +80,18 @@
         self._started_at = self._step_at = self._loop.time()
         limit = self._started_at + self._daemon.cfg["limits"]["drain_ms"] / 1000
         logger.info("draining")
+        owner = self._daemon.owner_task.owner
+        owner.status.begin_shutdown(limit, owner.queue.service_s)
         match self._order:
             case NoticeFirst():
                 await self._leave_after_notice(limit)
             case LeaveFirst():
                 await self._leave_at_once(limit)
         await self._wait_until(self._close_idle, limit)
-        for conn in list(self._daemon.callers.open):
-            conn.close()
         self._log_step("connections of callers")
         await self._wait_until(self._owner_is_idle, limit)
         self._log_step("calls at the upstream")
+        await self._end_calls()
         await self._daemon.owner_task.send_goaway(limit)
         self._log_step("goaway")
         await asyncio.sleep(REPLY_GRACE_S)
@@ -94,9 +100,10 @@
 
     async def _leave_after_notice(self, limit: float) -> None:
         daemon = self._daemon
-        await self._wait_until(lambda: False, self._started_at + NOTICE_S)
+        notice_until = self._started_at + NOTICE_S
+        daemon.ingress_task.begin_shutdown(limit, notice_until)
+        await self._wait_until(lambda: False, notice_until)
         daemon.callers.closing = True
-        daemon.ingress_task.ingress.admission.begin_shutdown(limit)
         self._log_step("notice")
         until = self._started_at + CLOSE_IDLE_AFTER_S
         await self._wait_until(lambda: not daemon.callers.open, until)
@@ -108,7 +115,8 @@
         daemon = self._daemon
         daemon.owner_task.set_leaving("drain")
         daemon.callers.closing = True
-        daemon.ingress_task.ingress.admission.begin_shutdown(limit)
+        long_calls_until = self._started_at + LONG_CALLS_SHARE * (limit - self._started_at)
+        daemon.ingress_task.begin_shutdown(limit, long_calls_until)
         await self._wait_until(self._owner_is_idle, limit)
         daemon.stop_accepting()
         self._log_step("first calls at the upstream")
@@ -116,6 +124,17 @@
         await self._wait_until(lambda: not daemon.callers.open, until)
         self._log_step("last requests")
 
+    async def _end_calls(self) -> None:
+        """Give the calls that are still open their final answer, as the limit has come."""
+        daemon = self._daemon
+        if daemon.ingress_task.ingress.calls or daemon.owner_task.owner.calls:
+            logger.warning("shutdown: calls are cut off, as drain_ms has passed")
+        daemon.owner_task.pool.cancel_all(OWNER_STOPPED)
+        await asyncio.sleep(0)
+        daemon.ingress_task.end_shutdown()
+        for conn in list(daemon.callers.open):
+            conn.close()
+
     def _owner_is_idle(self) -> bool:
         return not self._daemon.owner_task.owner.calls
 
--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -115,6 +115,15 @@
         """Set the upstreams to choose from."""
         self._carry_out(self.ingress.track(self._loop.time(), tracked, daemons))
 
+    def begin_shutdown(self, by: float, long_calls_until: float) -> None:
+        """Let no call start that may not end by then; see `Ingress.begin_shutdown`."""
+        self.ingress.begin_shutdown(by, long_calls_until)
+        self._set_timer()
+
+    def end_shutdown(self) -> None:
+        """Give every call its final answer."""
+        self._carry_out(self.ingress.end_shutdown(self._loop.time()))
+
     def local_up(self, incarnation: str) -> None:
         """Connect to the owner of this process; this connection cannot be lost."""
         self._owner_task.local_hello()
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -172,6 +172,7 @@
             return
         if evacuated:
             self.set_leaving(EVACUATED)
+            self.owner.status.stop_starting(self._loop.time())
             return
         self._change_state(lambda: self.owner.end_evacuation(self._loop.time()))
         self.sampler.request_sample()
@@ -185,12 +186,12 @@
 
         Calls that arrive meanwhile are refused. `limit` is when to be done, monotonic seconds.
         """
-        links = [link for link in self._accepted_links if link != LOCAL_LINK]
+        links = self._accepted_links - {LOCAL_LINK}
         await self.goaway.run(links, lambda link: self._send(link, "Goaway", GOAWAY), limit)
 
     def ingresses(self) -> list[tuple[int, str]]:
         """Return the connections from other daemons, each with the name of the daemon."""
-        links = [link for link in self._accepted_links if link != LOCAL_LINK]
+        links = sorted(self._accepted_links - {LOCAL_LINK})
         return [(link, self.owner.peer_name(link)) for link in links]
 
     def send_to(self, name: str, kind: str, body: Any) -> None:
@@ -346,8 +347,7 @@
         if link == LOCAL_LINK:
             self._loop.call_soon(self._on_local, kind, body)
             return
-        conn = self._conns.get(link)
-        if conn is not None:
+        if (conn := self._conns.get(link)) is not None:
             conn.send(kind, body)
 
     def _start_reconnecting(self) -> None:
--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -286,6 +286,11 @@
         if conn is not None:
             conn.abort(reason)
 
+    def cancel_all(self, reason: str) -> None:
+        """Cancel every call."""
+        for ticket in (*self._connecting, *self._busy):
+            self.cancel(ticket, reason)
+
     def close(self) -> None:
         """Close every connection."""
         for task in self._connecting.values():
--- a/foldhoist/delivery/admission_checks.py
+++ b/foldhoist/delivery/admission_checks.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from foldhoist.admission.completion import longest_run
 from foldhoist.delivery.verdict import NotRun
 from foldhoist.quarantine.table import Quarantine
 
@@ -13,8 +14,10 @@
 
 DEFAULT_MAX_HOPS = 32
 """Deepest nesting of calls until a configuration sets it."""
-MAX_SLOWDOWN = 5.0
-"""A call is assumed to take up to this many times its usual time when a shutdown is due."""
+DAEMON_LEAVING = "daemon-leaving"
+"""Reason of a call that did not start early enough to end before this process does."""
+DAEMON_STOPPED = "daemon-stopped"
+"""Reason of a call that was at an upstream when this process had to end."""
 
 
 class AdmissionChecks:
@@ -25,14 +28,17 @@
         self._quarantine = quarantine if quarantine is not None else Quarantine()
         self.max_hops = DEFAULT_MAX_HOPS
         self._stop_by = float("inf")
+        self._long_calls_until = float("inf")
 
-    def begin_shutdown(self, by: float) -> None:
-        """Refuse calls from now on that may not end before the process does.
+    def begin_shutdown(self, by: float, long_calls_until: float = float("-inf")) -> None:
+        """Limit when calls may start, so that they end before the process does at `by`.
 
         A call that is cut off by the shutdown may have run, so that its caller cannot safely
-        repeat it; one refused before its first attempt can be sent elsewhere.
+        repeat it; one that did not start can be sent elsewhere. Until `long_calls_until`, calls may
+        start even if they may take longer, since most of them end in time.
         """
         self._stop_by = by
+        self._long_calls_until = long_calls_until
 
     def refusal(
         self, req: CallerRequest, routes: RouteTable | None, routed: RouteMatch | None, calls: int
@@ -63,6 +69,14 @@
         """Return whether a crash during a call of this identity is not refuted by an answer."""
         return self._quarantine.is_suspect(call.identity)
 
-    def may_outlast_process(self, now: float, usual_s: float, budget_s: float) -> bool:
-        """Return whether a call may outlast this process; `usual_s` is 0 if it is not known."""
-        return now + min(budget_s, usual_s * MAX_SLOWDOWN) > self._stop_by
+    def last_start(self, usual_s: float, deadline: float) -> float:
+        """Return the latest time at which a call may start at an upstream, infinity for any time.
+
+        `usual_s` is the usual time of such a call, 0 if it is not known. A call whose deadline
+        comes before the end of the process may start at any time: its answer comes by then.
+        """
+        if deadline <= self._stop_by:
+            return float("inf")
+        if usual_s <= 0.0:
+            return self._long_calls_until
+        return max(self._long_calls_until, self._stop_by - longest_run(usual_s))
--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -164,6 +164,7 @@
     HEDGE = 1
     FATE_TIMEOUT = 2
     PARK_TIMEOUT = 3
+    LAST_START = 4
 
 
 class PendingAttempt:
--- a/foldhoist/delivery/call_table.py
+++ b/foldhoist/delivery/call_table.py
@@ -29,6 +29,10 @@
         """Return whether this call has no final answer yet."""
         return call_id in self._calls
 
+    def __iter__(self) -> Iterator[Call]:
+        """Iterate over a copy of the calls without a final answer."""
+        return iter(list(self._calls.values()))
+
     def add(self, call: Call) -> None:
         """Add a call."""
         self._calls[call.call_id] = call
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -209,7 +209,8 @@
 class Ticket:
     """A call that waits or runs at this owner; times are monotonic seconds.
 
-    `start_by` is its latest useful start. `ahead` counts the calls that ran or waited when it
+    `start_by` is its latest useful start, `last_start` the latest that a process that stops allows.
+    `ahead` counts the calls that ran or waited when it
     arrived, `running_at_start` the busy slots when it started, its own included, `replacements` the
     upstream's incarnations until then. `repeat` is the probability that it is a repeat, 0 to 1.
     """
@@ -220,6 +221,7 @@
         "deadline",
         "incarnation",
         "key",
+        "last_start",
         "rank",
         "repeat",
         "replacements",
@@ -238,6 +240,8 @@
         due = now + request.get("due_ms", request["budget_ms"]) / 1000
         expect_s = request.get("expect_ms", 0) / 1000
         self.start_by = latest_start(now, due, self.deadline, expect_s)
+        start_ms = request.get("start_ms")
+        self.last_start = float("inf") if start_ms is None else now + start_ms / 1000
         self.running = False
         self.started = 0.0
         self.ahead = 0
@@ -247,6 +251,11 @@
         self.rank = request.get("rank", NO_RANK)
         self.repeat = 1.0 if request["retried"] else request.get("repeat_percent", 0) / 100
 
+    def limit_start(self, at: float) -> None:
+        """Do not let the call start after this time."""
+        self.last_start = min(self.last_start, at)
+        self.start_by = min(self.start_by, self.last_start)
+
     @property
     def identity(self) -> str:
         """Return the identity that the quarantine uses for this request."""
--- a/foldhoist/delivery/dispatch_message.py
+++ b/foldhoist/delivery/dispatch_message.py
@@ -16,11 +16,18 @@
 
 
 def dispatch_message(
-    now: float, call: Call, seq: int, acked: int, generation: int, expected_s: float
+    now: float,
+    call: Call,
+    seq: int,
+    acked: int,
+    generation: int,
+    expected_s: float,
+    last_start: float = float("inf"),
 ) -> Dispatch:
     """Return the message of an attempt; `expected_s` is the usual time at an upstream, seconds.
 
-    The ingress has the results of all attempts below `acked`.
+    The ingress has the results of all attempts below `acked`. `last_start` is when the attempt must
+    have started at the upstream, monotonic seconds.
     """
     req = call.req
     left_s = call.deadline - now
@@ -59,6 +66,8 @@
         message["scarce"] = True
     if call.bulk:
         message["bulk"] = True
+    if last_start != float("inf"):
+        message["start_ms"] = max(0, int((last_start - now) * 1000))
     if call.objective_s:
         _add_objective(message, now, call, expected_s)
     return message
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -9,7 +9,8 @@
 from typing import TYPE_CHECKING
 
 from foldhoist.delivery import rules
-from foldhoist.delivery.admission_checks import AdmissionChecks
+from foldhoist.delivery.admission_checks import DAEMON_LEAVING, DAEMON_STOPPED, AdmissionChecks
+from foldhoist.delivery.attempt_fates import AttemptFates
 from foldhoist.delivery.call import (
     Action,
     Call,
@@ -28,6 +29,7 @@
 from foldhoist.delivery.quota_gate import Begin, QuotaGate, Refuse
 from foldhoist.delivery.request_intake import UNAUTHORIZED, RejectedRequest, RequestIntake
 from foldhoist.delivery.services import RetrySlack, Services
+from foldhoist.delivery.shutdown_limits import ShutdownLimits, withdraw_waiting
 from foldhoist.delivery.signal_cache import SignalCache
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response, Verdict
 from foldhoist.quarantine.table import QUARANTINED
@@ -63,6 +65,8 @@
         self._services = Services(data_centre, rng, slack, self._signal_cache)
         self.intake = RequestIntake(self.admission, self._services)
         self._calls = CallTable()
+        self._shutdown = ShutdownLimits(self.admission, self._services, self._calls)
+        self._fates = AttemptFates(self._calls, self._services, self.count, self._retry)
         self.gate = QuotaGate(self._calls, self.count, rng)
         self._incarnations: dict[str, str] = {}
         self._connected: set[str] = set()
@@ -103,6 +107,7 @@
         call = entry.call
         self._calls.add(call)
         self._calls.schedule(call.deadline, call, Timer.EXPIRE)
+        self._shutdown.schedule(call)
         return self._apply_gate(now, self.gate.enter(now, call))
 
     def credited(self, now: float, message: Credit) -> list[Action]:
@@ -157,7 +162,7 @@
         self._services.linked(now, target, True, fresh)
         return [
             *self._signal_cache.update_for(now, target),
-            *self._ask_fate(now, target, fresh),
+            *self._fates.link_up(now, target, fresh),
             *self._unpark(now),
         ]
 
@@ -169,20 +174,11 @@
 
     def link_lost(self, now: float, target: str) -> list[Action]:
         """Handle the loss of the connection to an owner."""
-        actions = self.link_closing(now, target)
-        for call, attempt in self._calls.attempts_at(target):
-            if attempt.fate_due:
-                continue
-            if call.repeatable and not call.req.key:
-                actions += self._attempt_lost(now, call, attempt, "owner-connection-lost")
-                continue
-            attempt.fate_due = now + rules.FATE_TIMEOUT_S
-            self._calls.schedule(min(attempt.fate_due, call.deadline), call, Timer.FATE_TIMEOUT)
-        return actions
+        return [*self.link_closing(now, target), *self._fates.link_lost(now, target)]
 
     def link_refused(self, now: float, target: str) -> list[Action]:
         """Handle the end of an owner's process: the outcome of its calls stays unknown."""
-        return self._end_awaiting_fate(now, target, "owner-gone")
+        return self._fates.owner_ended(now, target, "owner-gone")
 
     def caller_disconnected(self, now: float, call_id: int) -> list[Action]:
         """Withdraw a call whose caller has closed its connection."""
@@ -193,6 +189,21 @@
         self.gate.ended(now, call, ran=True)
         return self._withdraw_all(now, call)
 
+    def begin_shutdown(self, by: float, long_calls_until: float) -> None:
+        """Let no call start that may not end before the process does at `by`.
+
+        See `AdmissionChecks.begin_shutdown`. Calls that still wait then are refused as not run.
+        """
+        self._shutdown.begin(by, long_calls_until)
+
+    def end_shutdown(self, now: float) -> list[Action]:
+        """Give every call its final answer: the process ends, also while calls are at upstreams."""
+        actions: list[Action] = []
+        not_run = NotRun(DAEMON_LEAVING, 0.0)
+        for call in self._calls:
+            actions += self._end(now, call, not_run, MayHaveRun(DAEMON_STOPPED))
+        return actions
+
     def tick(self, now: float) -> list[Action]:
         """Run the timers that are due: deadlines, hedges and waits."""
         actions = self._apply_gate(now, self.gate.tick(now))
@@ -237,7 +248,9 @@
             case Timer.HEDGE:
                 return self._hedge(now, call)
             case Timer.FATE_TIMEOUT:
-                return self._end_fate_timeouts(now, call)
+                return self._fates.end_overdue(now, call)
+            case Timer.LAST_START:
+                return self._withdraw_waiting(now, call)
             case Timer.PARK_TIMEOUT if self._calls.unpark(call.call_id):
                 return self._give_up(now, call, NO_CONNECTION, 1.0)
         return []
@@ -299,6 +312,9 @@
             return self._give_up(now, call, first_reason or pick.reason, pick.retry_after_s)
         if call.deadline - now < rules.MIN_BUDGET_S:
             return self._give_up(now, call, rules.DEADLINE_PASSED, 0.0)
+        last_start = self._shutdown.last_start(call)
+        if now > last_start:
+            return self._give_up(now, call, first_reason or DAEMON_LEAVING, 0.0)
         seq = self._calls.next_seq()
         call.dispatches += 1
         call.arrivals += 1
@@ -309,7 +325,7 @@
             state.picker.sent(pick.name, seq, now)
         acked = self._calls.oldest_seq(seq)
         expected_s = state.picker.times.mean(call.route) if state is not None else 0.0
-        message = dispatch_message(now, call, seq, acked, self.generation, expected_s)
+        message = dispatch_message(now, call, seq, acked, self.generation, expected_s, last_start)
         return [SendTo(pick.name, OwnerFrame("Dispatch", message))]
 
     def _retry(self, now: float, call: Call, reason: str, retry_after_s: float) -> list[Action]:
@@ -317,6 +333,8 @@
             return []
         if quarantined_s := self.admission.quarantined_s(now, call):
             return self._give_up(now, call, QUARANTINED, quarantined_s)
+        if now > self._shutdown.last_start(call):
+            return self._give_up(now, call, DAEMON_LEAVING, 0.0)
         if not rules.may_retry(now, call, self._services.get(call.service), self.count):
             return self._give_up(now, call, reason, retry_after_s)
         self.count.retried += 1
@@ -326,6 +344,8 @@
         # A call that may have crashed an upstream is not sent to a second one meanwhile.
         if len(call.pending) != 1 or self.admission.is_suspect(call):
             return []
+        if now > self._shutdown.last_start(call):
+            return []
         if not rules.may_retry(now, call, self._services.get(call.service), self.count):
             return []
         self.count.hedged += 1
@@ -337,11 +357,23 @@
         return self._finish(now, call, rules.last_verdict(call, NotRun(reason, retry_after_s)))
 
     def _expire(self, now: float, call: Call) -> list[Action]:
-        if call.failure is None and (call.pending or call.may_have_run_reason):
-            return self._finish(now, call, MayHaveRun(rules.DEADLINE_PASSED, status=504))
         not_run = NotRun(rules.DEADLINE_PASSED, 0.0, status=504)
+        return self._end(now, call, not_run, MayHaveRun(rules.DEADLINE_PASSED, status=504))
+
+    def _end(
+        self, now: float, call: Call, not_run: NotRun, may_have_run: MayHaveRun
+    ) -> list[Action]:
+        """End a call without waiting for its attempts; one that is at an owner may have run."""
+        if call.failure is None and (call.pending or call.may_have_run_reason):
+            return self._finish(now, call, may_have_run)
         return self._finish(now, call, rules.last_verdict(call, not_run))
 
+    def _withdraw_waiting(self, now: float, call: Call) -> list[Action]:
+        """End a call that has not started: at this daemon at once, at owners by a message."""
+        if not call.pending:
+            return self._give_up(now, call, DAEMON_LEAVING, 0.0)
+        return withdraw_waiting(call)
+
     def _finish(self, now: float, call: Call, verdict: Verdict) -> list[Action]:
         if self._calls.remove(call.call_id) is None:
             return []
@@ -362,38 +394,3 @@
             actions.append(SendTo(attempt.target, OwnerFrame("Withdraw", {"seq": seq})))
         call.pending = {}
         return actions
-
-    def _ask_fate(self, now: float, target: str, fresh: bool) -> list[Action]:
-        asked = self._calls.awaiting_fate(target)
-        if not asked:
-            return []
-        if fresh:
-            return self._end_awaiting_fate(now, target, "owner-restarted")
-        self.count.fate_asked += len(asked)
-        seqs = [attempt.seq for _, attempt in asked]
-        return [SendTo(target, OwnerFrame("FateAsk", {"seqs": seqs}))]
-
-    def _end_awaiting_fate(self, now: float, target: str, reason: str) -> list[Action]:
-        actions: list[Action] = []
-        for call, attempt in self._calls.awaiting_fate(target):
-            actions += self._attempt_lost(now, call, attempt, reason)
-        return actions
-
-    def _end_fate_timeouts(self, now: float, call: Call) -> list[Action]:
-        actions: list[Action] = []
-        for attempt in list(call.pending.values()):
-            if attempt.fate_due and now >= attempt.fate_due:
-                actions += self._attempt_lost(now, call, attempt, "owner-unreachable")
-        return actions
-
-    def _attempt_lost(
-        self, now: float, call: Call, attempt: PendingAttempt, reason: str
-    ) -> list[Action]:
-        call.pending.pop(attempt.seq, None)
-        self._calls.by_seq.pop(attempt.seq, None)
-        state = self._services.get(call.service)
-        if state is not None:
-            state.picker.lost(attempt.target, attempt.seq, now)
-        call.may_have_run_reason = reason
-        call.add_attempt(now, attempt, f"maybe:{reason}", 0, 0)
-        return self._retry(now, call, reason, 0.5)
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -16,7 +16,6 @@
 from foldhoist.delivery.claims import Claims
 from foldhoist.delivery.dispatch import (
     Action,
-    CancelCall,
     CloseLink,
     Complete,
     Counters,
@@ -46,6 +45,7 @@
     UpstreamStatus,
 )
 from foldhoist.delivery.waiting_calls import WaitingCalls
+from foldhoist.delivery.withdrawals import Withdrawals
 from foldhoist.membership.incarnations import incarnation_of
 from foldhoist.quarantine.table import Quarantine
 
@@ -99,6 +99,7 @@
         self.refusals = self._finisher.refusals
         self._claims = Claims(self.keys, self._finisher, self.count)
         self._slots = SlotLimits()
+        self._withdrawals = Withdrawals(self.queue, self.tickets, self._finisher, self.count)
         self._waiting = WaitingCalls(self.queue, self.tickets, self._finisher)
         self._decided = QueueDecisions(
             self.status, self.queue, self.tickets, self._finisher, self.count
@@ -152,20 +153,7 @@
     def withdraw(self, now: float, link: int, message: Withdraw) -> list[Action]:
         """Drop or cancel a call that its ingress has given up; one with a key goes on."""
         peer = self._peers.at(link)
-        if peer is None:
-            return []
-        ticket_id = peer.live.get(message["seq"])
-        if ticket_id is None:
-            return []
-        ticket = self.tickets[ticket_id]
-        if ticket.key:
-            return []
-        if not ticket.running:
-            self.queue.withdraw(ticket_id)
-            self.count.withdrawn += 1
-            return self._finisher.refused(ticket_id, "no", "withdrawn", 0.0)
-        self.count.cancelled += 1
-        return [CancelCall(ticket_id)]
+        return self._withdrawals.apply(peer, message) if peer is not None else []
 
     def fate(self, now: float, link: int, message: FateAsk) -> list[Action]:
         """Send the results of calls sent over a lost connection, except those that wait or run."""
@@ -319,6 +307,8 @@
         """Expire calls, peers and keys, start calls that may start now, and invite trial calls."""
         self._reports.now = now
         actions = self._update_cold(now)
+        if now > self.status.last_start_at and self.queue.queued:
+            actions += self._waiting.refuse(self.tickets.ids(), self.status.refusal)
         actions += self._decided.apply(now, self.queue.expire(now))
         actions += self._decided.apply(now, self.queue.advance(now))
         actions += self._shed_guard.tick(now)
@@ -385,6 +375,7 @@
 
     def _admit(self, now: float, peer: Peer, req: Dispatch) -> list[Action]:
         ticket = Ticket(peer.incarnation, req, now)
+        ticket.limit_start(self.status.last_start_at)
         ticket.ahead = self.queue.busy + self.queue.queued
         ticket_id = self.tickets.add(ticket)
         peer.used_at = now
@@ -393,7 +384,9 @@
             case SlotQueue() as queue:
                 decision = queue.submit(now, ticket_id, req["urgent"], ticket.start_by)
             case DueQueue() as queue:
-                new_call = queue.queued_call(now, req, ticket.start_by, ticket.deadline)
+                new_call = queue.queued_call(
+                    now, req, ticket.start_by, ticket.deadline, ticket.last_start
+                )
                 ticket.rank = new_call.rank
                 decision = queue.submit(now, ticket_id, new_call)
         return self._decided.apply(now, [decision])
--- a/foldhoist/delivery/queue_decisions.py
+++ b/foldhoist/delivery/queue_decisions.py
@@ -16,6 +16,9 @@
     from foldhoist.delivery.tickets import Tickets
     from foldhoist.delivery.upstream_status import UpstreamStatus
 
+INGRESS_LEAVING = "ingress-leaving"
+"""Reason of refusals of calls that could outlast the process of their ingress."""
+
 
 class QueueDecisions:
     """Starts and refuses the calls of one owner; times are monotonic seconds."""
@@ -40,8 +43,9 @@
         for decision in decisions:
             match decision:
                 case Start(ticket_id) if now > self._status.last_start_at:
-                    actions += self.apply(now, self._queue.release(now, None))
-                    actions += self._finisher.refused(ticket_id, "no", "upstream-leaving", 0.0)
+                    actions += self._refuse_started(now, ticket_id, "upstream-leaving")
+                case Start(ticket_id) if now > self._tickets[ticket_id].last_start:
+                    actions += self._refuse_started(now, ticket_id, INGRESS_LEAVING)
                 case Start(ticket_id):
                     actions.append(self._start(now, ticket_id))
                 case Refuse(ticket_id, reason, retry_after_s):
@@ -60,6 +64,11 @@
             *started,
         ]
 
+    def _refuse_started(self, now: float, ticket_id: int, reason: str) -> list[Action]:
+        """Refuse a call that the queue has given a slot, and pass the slot on."""
+        started = self.apply(now, self._queue.release(now, None))
+        return [*started, *self._finisher.refused(ticket_id, "no", reason, 0.0)]
+
     def _start(self, now: float, ticket_id: int) -> Action:
         ticket = self._tickets.start(ticket_id, now)
         ticket.running_at_start = self._queue.busy
--- a/foldhoist/delivery/request_intake.py
+++ b/foldhoist/delivery/request_intake.py
@@ -6,6 +6,7 @@
 
 from foldhoist.customers.directory import Directory, Identified
 from foldhoist.delivery import rules
+from foldhoist.delivery.admission_checks import DAEMON_LEAVING
 from foldhoist.delivery.call import Call
 from foldhoist.delivery.verdict import NotRun
 from foldhoist.quarantine.table import QUARANTINED
@@ -87,8 +88,9 @@
             verdict = NotRun("service-removed", 1.0)
             return _rejected(now, call_id, req, routed, verdict)
         budget = rules.budget_s(req, routed, state)
-        if self._admission.may_outlast_process(now, state.picker.times.mean(routed.route), budget):
-            verdict = NotRun("daemon-leaving", 0.0)
+        usual_s = state.picker.times.mean(routed.route)
+        if now > self._admission.last_start(usual_s, now + budget):
+            verdict = NotRun(DAEMON_LEAVING, 0.0)
             return _rejected(now, call_id, req, routed, verdict)
         call = Call(call_id, req, routed, now, now + budget, identified.customer)
         if quarantined_s := self._admission.quarantined_s(now, call):
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -33,8 +33,6 @@
 REMOTE_COST_SHARE_PER_KB = 0.08
 """Added to that share for each kilobyte of the bodies of the route's calls."""
 
-FATE_TIMEOUT_S = 1.0
-"""Longest wait for the outcome of a call after the connection to its owner is lost, seconds."""
 MAX_PARK_S = 0.3
 """Longest wait of a parked call for a connection to an owner, seconds."""
 
--- a/foldhoist/delivery/upstream_status.py
+++ b/foldhoist/delivery/upstream_status.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from foldhoist.admission.completion import longest_run
 from foldhoist.admission.shedding import Shedding
 from foldhoist.delivery.signal_state import SignalState
 from foldhoist.membership.incarnations import incarnation_of
@@ -117,6 +118,13 @@
         """Let waiting calls start for `LEAVING_QUEUE_S` more, as the upstream is leaving."""
         self.last_start_at = min(self.last_start_at, now + LEAVING_QUEUE_S)
 
+    def begin_shutdown(self, by: float, service_s: float) -> None:
+        """Let no call start that may not end before this process does at `by`.
+
+        `service_s` is the usual time of a call at the upstream.
+        """
+        self.last_start_at = min(self.last_start_at, by - longest_run(service_s))
+
     def set_leaving(self, source: str) -> bool:
         """Add a source that reports the upstream as leaving; returns whether it is a new one."""
         if self.leaving_sources.get(source):
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -191,6 +191,10 @@
     """
     How long such a call takes at an upstream, as the ingress has seen it, milliseconds.
     """
+    start_ms: NotRequired[int]
+    """
+    Time left until the call must have started at the upstream, as the ingress stops, milliseconds; absent without such a limit.
+    """
     customer: NotRequired[str]
     """
     Customer whose call it is; absent if it has none.
@@ -278,6 +282,10 @@
     """
 
     seq: int
+    only_waiting: NotRequired[bool]
+    """
+    A call that has started goes on, and its result is still wanted. Absent if not.
+    """
 
 
 class FateAsk(TypedDict):
--- a/tests/adapter/test_stopping.py
+++ b/tests/adapter/test_stopping.py
@@ -5,7 +5,15 @@
 import asyncio
 from typing import NamedTuple
 
-from tests.adapter.cluster import Cluster, read_answer, request_bytes, route, until, with_cluster
+from tests.adapter.cluster import (
+    Answer,
+    Cluster,
+    read_answer,
+    request_bytes,
+    route,
+    until,
+    with_cluster,
+)
 
 CONNECTIONS = 12
 """Number of connections that stay open until they are used."""
@@ -79,3 +87,88 @@
     answer = await cluster.send("a", method="POST", body=b"x")
     assert (answer.status, answer.body) == (503, b"not run: daemon-leaving\n")
     assert len(cluster.targets["b"].ran) == ran
+
+
+CALLERS = 4
+"""Callers that send one call after the other until the daemon takes no more connections."""
+WARM_UP_CALLS = 12
+"""Calls after which a new target is offered as many at once as it has slots."""
+
+
+async def warm_up(cluster: Cluster) -> None:
+    """Let the targets of daemon a's calls answer until they count as warm."""
+    for number in range(WARM_UP_CALLS):
+        await cluster.send("a", method="POST", body=b"x", attempt=f"aa{number:02x}")
+
+
+async def send_until_closed(cluster: Cluster, number: int) -> list[SentRequest]:
+    """Send one call after the other, each on a new connection, until none is accepted."""
+    sent: list[SentRequest] = []
+    while True:
+        attempt = f"{number:02x}{len(sent):04x}"
+        try:
+            answer = await cluster.send("a", method="POST", body=b"x", attempt=attempt)
+        except ConnectionRefusedError:
+            return sent
+        sent.append(SentRequest(attempt, answer.status))
+        await asyncio.sleep(USE_INTERVAL_S)
+
+
+@with_cluster
+async def test_a_stop_answers_every_call_that_waits_at_a_limited_upstream(cluster: Cluster) -> None:
+    """A call whose wait ended just before the stop was started, cut off and left unanswered."""
+    await cluster.add("a", service="web")
+    await cluster.add("b")
+    await cluster.configure(1, [route(route_type="unsafe", attempts=1)])
+    await cluster.settle(1)
+    await warm_up(cluster)
+    target = cluster.targets["b"]
+    target.limit, target.work_s = "1", 0.9
+    callers = [asyncio.create_task(send_until_closed(cluster, number)) for number in range(CALLERS)]
+    await until(lambda: cluster.daemons["b"].owner.queue.queued > 1)
+    await cluster.daemons["a"].drain()
+    sent = [each for task in callers for each in await task]
+    ran = {req.headers["x-attempt-id"] for req in target.ran}
+    assert {each.status for each in sent if each.attempt in ran} == {200}
+    assert {each.status for each in sent if each.attempt not in ran} == {503}
+
+
+@with_cluster
+async def test_a_call_that_outlasts_the_stop_is_told_that_it_may_have_run(cluster: Cluster) -> None:
+    """The caller of such a call got a closed connection, though its daemon knew better."""
+    await cluster.add("a", service="web")
+    await cluster.add("b")
+    await cluster.configure(1, [route(route_type="unsafe", attempts=1)])
+    await cluster.settle(1)
+    target = cluster.targets["b"]
+    target.gate = asyncio.Event()
+    running = asyncio.create_task(cluster.send("a", method="POST", body=b"x"))
+    await until(lambda: len(target.ran) == 1)
+    await cluster.daemons["a"].drain()
+    answer = await running
+    assert (answer.status, answer.body) == (502, b"may have run: daemon-stopped\n")
+
+
+@with_cluster
+async def test_a_stopping_owner_refuses_the_calls_that_it_can_not_start(cluster: Cluster) -> None:
+    """Their ingress learned nothing of them, and told their callers that they may have run."""
+    await cluster.add("a", service="web")
+    await cluster.add("b")
+    await cluster.configure(1, [route(route_type="unsafe", attempts=1)])
+    await cluster.settle(1)
+    await warm_up(cluster)
+    target, owner = cluster.targets["b"], cluster.daemons["b"].owner
+    target.gate = asyncio.Event()
+    slots = owner.queue.limits.slots
+    calls: dict[str, asyncio.Task[Answer]] = {}
+    while not owner.queue.queued:
+        attempt = f"{len(calls):04x}"
+        sending = cluster.send("a", method="POST", body=b"x", attempt=attempt)
+        calls[attempt] = asyncio.create_task(sending)
+        await asyncio.sleep(USE_INTERVAL_S / 10)
+    await cluster.daemons["b"].drain()
+    answers = {attempt: await task for attempt, task in calls.items()}
+    ran = {req.headers["x-attempt-id"] for req in target.ran} & set(calls)
+    assert len(ran) == slots
+    for attempt, answer in answers.items():
+        assert answer.status == (502 if attempt in ran else 503), answer
--- a/tests/unit/delivery/test_ingress.py
+++ b/tests/unit/delivery/test_ingress.py
@@ -8,6 +8,7 @@
 from bench.stages import fleet_text
 from foldhoist.admission.completion import TIME_MARGIN
 from foldhoist.config.fleet import parse_fleet
+from foldhoist.delivery.admission_checks import DAEMON_LEAVING, DAEMON_STOPPED
 from foldhoist.delivery.call import CallerRequest, Reply, SendTo
 from foldhoist.delivery.ingress import Ingress
 from foldhoist.delivery.rules import MAX_PARK_S
@@ -260,3 +261,52 @@
         if suspected:
             quarantine.merge(2.0, [suspect(identity_of("GET", "/depo/x", [], b"", ""), "a/1")])
         assert bool(sent(ingress.tick(2.03))) is not suspected
+
+
+def stopping(stop_at: float) -> tuple[Ingress, SendTo]:
+    """Return an ingress that stops, with a call of 100 s that it sent before; stops at `stop_at`.
+
+    Its calls usually take 10 ms.
+    """
+    ingress = make()
+    for state in ingress._services.all():
+        state.cfg["deadline_ms"] = 100_000
+    for number in range(10):
+        (first,) = sent(ingress.arrive(0.0, number, request()))
+        answer = {"seq": first.frame.body["seq"], "status": 200, "headers": [], "body": b""}
+        times = {"waited_us": 0, "served_us": 10_000, "ahead": 0, "load": LOAD}
+        ingress.answer(0.01, first.target, {**answer, **times})  # type: ignore[typeddict-item]
+    (before,) = sent(ingress.arrive(1.0, 100, request("POST", budget_s=100.0)))
+    ingress.begin_shutdown(stop_at, 3.0)
+    return ingress, before
+
+
+def test_a_stopping_ingress_limits_the_start_of_calls_and_withdraws_those_that_wait() -> None:
+    """A call that started just before the end of the process was cut off."""
+    ingress, before = stopping(10.0)
+    (later,) = sent(ingress.arrive(2.0, 101, request("POST", budget_s=100.0)))
+    assert later.frame.body["start_ms"] == 7000
+    assert ingress.next_at() == 9.0
+    withdrawn = sent(ingress.tick(9.0))
+    assert [each.frame.kind for each in withdrawn] == ["Withdraw", "Withdraw"]
+    assert all(each.frame.body["only_waiting"] for each in withdrawn)
+    ended = ingress.refusal(9.01, before.target, refusal(before.frame.body["seq"], "no"))
+    assert replies(ended) == [NotRun(DAEMON_LEAVING, 0.0)]
+    assert replies(ingress.arrive(9.02, 102, request(budget_s=100.0))) == [
+        NotRun(DAEMON_LEAVING, 0.0)
+    ]
+
+
+def test_a_call_that_ends_before_the_process_is_neither_limited_nor_withdrawn() -> None:
+    ingress, _ = stopping(10.0)
+    (sent_late,) = sent(ingress.arrive(9.5, 101, request("POST", budget_s=0.4)))
+    assert "start_ms" not in sent_late.frame.body
+
+
+def test_every_call_has_its_final_answer_when_the_process_ends() -> None:
+    """Callers got a closed connection, though the daemon knew whether their calls had run."""
+    ingress, _ = stopping(10.0)
+    assert replies(ingress.end_shutdown(10.0)) == [MayHaveRun(DAEMON_STOPPED)]
+    unconnected = make(linked=False)
+    assert not replies(unconnected.arrive(0.5, 1, request()))
+    assert replies(unconnected.end_shutdown(0.6)) == [NotRun(DAEMON_LEAVING, 0.0)]
--- a/tests/unit/delivery/test_owner.py
+++ b/tests/unit/delivery/test_owner.py
@@ -366,3 +366,35 @@
         owner.quarantine.merge(0.0, [{**EMPTY, "call": call, "crashes": ["a/1"]}])
         owner.finished(0.1, started.ticket, Complete(status, [], b""))
         assert owner.quarantine.is_suspect(call) is (status == 504)
+
+
+def test_a_withdrawal_of_waiting_calls_leaves_a_running_one() -> None:
+    owner = make(slots=1)
+    owner.dispatch(0.2, 0, 1, dispatch(1))
+    owner.dispatch(0.2, 0, 1, dispatch(2))
+    assert owner.withdraw(0.3, 1, {"seq": 1, "only_waiting": True}) == []
+    withdrawn = owner.withdraw(0.3, 1, {"seq": 2, "only_waiting": True})
+    assert sent_results(withdrawn) == [(2, "Refusal", "no")]
+    assert owner.calls == 1
+
+
+def test_a_call_is_not_started_after_the_last_start_that_its_ingress_allows() -> None:
+    """The ingress stops: a call that starts late at a busy upstream would be cut off."""
+    owner = make(slots=1)
+    (first,) = owner.dispatch(0.2, 0, 1, dispatch(1))
+    assert isinstance(first, StartCall)
+    owner.dispatch(0.2, 0, 1, dispatch(2, start_ms=300))
+    ended = owner.finished(0.51, first.ticket, ANSWER)
+    assert sent_results(ended) == [(1, "Answer", ""), (2, "Refusal", "no")]
+    assert not [each for each in ended if isinstance(each, StartCall)]
+
+
+def test_a_stopping_owner_refuses_the_calls_that_still_wait() -> None:
+    """They waited until the process ended, and their callers were told that they may have run."""
+    owner = make(slots=1)
+    owner.dispatch(0.2, 0, 1, dispatch(1, budget_ms=60_000))
+    owner.dispatch(0.2, 0, 1, dispatch(2, budget_ms=60_000))
+    owner.status.begin_shutdown(5.0, 0.01)
+    assert sent_results(owner.tick(3.9)) == []
+    assert sent_results(owner.tick(4.1)) == [(2, "Refusal", "no")]
+    assert owner.calls == 1
