A stop also waits for connections that appear while it ends

Callers saw: 502 for a request that ran, in a stop that was long before drain_ms.

Cause: the shutdown looked once whether connections of callers are left, then waited for the calls at its upstream. A connection that the kernel had accepted before the daemon stopped listening appears later, the more so beside load; its request was taken, started, and cut when the upstream's calls had ended.

Change: one step waits until there is no connection and no call at the upstream, closing idle connections all the while; once it has ended, connections that still appear are closed before anything is read from them, which callers may take as not run.

--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -49,7 +49,11 @@
 
 
 class ServerState:
-    """The limits, callbacks and open connections that all caller connections of a daemon share."""
+    """The limits, callbacks and open connections that all caller connections of a daemon share.
+
+    While `closing`, each connection is closed after its next answer; while `refusing`, new ones are
+    closed before anything is read from them.
+    """
 
     def __init__(
         self,
@@ -67,6 +71,7 @@
         self.open: set[CallerConnection] = set()
         self.slow_readers: set[CallerConnection] = set()
         self.closing = False
+        self.refusing = False
 
     def set_limits(self, limits: Limits) -> None:
         """Apply new limits; bodies that are already held stay."""
@@ -120,8 +125,11 @@
         self._reset()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Accept the connection, or refuse it if there are too many."""
+        """Accept the connection; refuse it if there are too many, or none is taken any more."""
         assert isinstance(transport, asyncio.Transport)
+        if self._state.refusing:
+            transport.abort()
+            return
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
         state = self._state
--- a/foldhoist/daemon/graceful_shutdown.py
+++ b/foldhoist/daemon/graceful_shutdown.py
@@ -87,10 +87,8 @@
                 await self._leave_after_notice(limit)
             case LeaveFirst():
                 await self._leave_at_once(limit)
-        await self._wait_until(self._close_idle, limit)
-        self._log_step("connections of callers")
-        await self._wait_until(self._owner_is_idle, limit)
-        self._log_step("calls at the upstream")
+        await self._wait_until(self._is_finished, limit)
+        self._log_step("last calls")
         await self._end_calls()
         await self._daemon.owner_task.send_goaway(limit)
         self._log_step("goaway")
@@ -127,7 +125,8 @@
     async def _end_calls(self) -> None:
         """Give the calls that are still open their final answer, as the limit has come."""
         daemon = self._daemon
-        if daemon.ingress_task.ingress.calls or daemon.owner_task.owner.calls:
+        daemon.callers.refusing = True
+        if daemon.ingress_task.ingress.calls or not self._owner_is_idle():
             logger.warning("shutdown: calls are cut off, as drain_ms has passed")
         daemon.owner_task.pool.cancel_all(OWNER_STOPPED)
         await asyncio.sleep(0)
@@ -138,15 +137,16 @@
     def _owner_is_idle(self) -> bool:
         return not self._daemon.owner_task.owner.calls
 
-    def _close_idle(self) -> bool:
-        """Close the idle connections; returns whether none is left.
+    def _is_finished(self) -> bool:
+        """Close idle connections; returns whether no connection of a caller and no call is left.
 
         It does not wait until all are idle at once, which may never happen under load: requests
-        would still be taken just before the end and then be cut off.
+        would still be taken just before the end and then be cut off. Connections may still appear:
+        the kernel had accepted them before the daemon stopped listening.
         """
         for conn in [conn for conn in self._daemon.callers.open if conn.idle]:
             conn.close()
-        return not self._daemon.callers.open
+        return not self._daemon.callers.open and self._owner_is_idle()
 
     async def _wait_until(self, is_done: Callable[[], bool], limit: float) -> None:
         while not is_done() and self._loop.time() < limit:
--- a/tests/adapter/test_stopping.py
+++ b/tests/adapter/test_stopping.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import NamedTuple
 
+from foldhoist.daemon.callers import CallerConnection
 from tests.adapter.cluster import (
     Answer,
     Cluster,
     read_answer,
     request_bytes,
     route,
+    start_two,
     until,
     with_cluster,
 )
@@ -172,3 +175,37 @@
     assert len(ran) == slots
     for attempt, answer in answers.items():
         assert answer.status == (502 if attempt in ran else 503), answer
+
+
+@with_cluster
+async def test_a_connection_that_appears_late_is_served_before_the_stop(cluster: Cluster) -> None:
+    """The daemon looked once for connections, then waited for its upstream, and cut later ones."""
+    await start_two(cluster)
+    for _ in range(WARM_UP_CALLS):
+        await asyncio.gather(cluster.send("a"), cluster.send("b"))
+    daemon = cluster.daemons["a"]
+    for target in cluster.targets.values():
+        target.gate = asyncio.Event()
+    running: list[asyncio.Task[Answer]] = []
+    while not daemon.owner.calls:
+        running.append(asyncio.create_task(cluster.send("b", attempt=f"{len(running):x}")))
+        await asyncio.sleep(USE_INTERVAL_S)
+    drained = asyncio.create_task(daemon.drain())
+    await until(lambda: daemon.owner.leaving)
+    ours, theirs = socket.socketpair()
+    await asyncio.get_running_loop().connect_accepted_socket(
+        lambda: CallerConnection(daemon.callers), theirs
+    )
+    reader, writer = await asyncio.open_connection(sock=ours)
+    writer.write(request_bytes("GET", "/a/1", headers={"X-Attempt-Id": "late"}))
+    await until(lambda: daemon.ingress_task.ingress.calls == 1)
+    for name in ("a", "b"):
+        gate = cluster.targets[name].gate
+        assert gate is not None
+        gate.set()
+        await asyncio.sleep(USE_INTERVAL_S)
+    answer = await read_answer(reader)
+    writer.close()
+    assert (answer.status, answer.closed) == (200, True)
+    await drained
+    assert {(await each).status for each in running} == {200}
