Spend no start on a call that can not be answered before its deadline

Callers saw: 504 for requests that were started tens of milliseconds before their deadline, at upstreams that take 0.3 s or 1 s; each start counted against the named limit and was lost to a call that could have been served.

Cause: the ingress told the owner the usual time of a call only for routes with an objective; without it the owner took it for 0 s. And under a limit there are few answers, so that the mean follows late when an upstream gets slower.

Change: expect_ms goes with every call. Under a limit a call is also assumed to take as long as the shortest of the last three answers; one that could not end by its deadline is refused at once, or when its turn comes, unless the upstream is idle: only a start shows that it became faster. A queue without due times starts a call at once if a slot is free, also if it is expected to be late, as the other queue does.

--- a/foldhoist/admission/due.py
+++ b/foldhoist/admission/due.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from heapq import heappop, heappush
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -24,6 +25,8 @@
 
 RANK_DELAY_S = 0.02
 """Added to the due time of a call once per rank, seconds; rank 0 adds nothing."""
+LAST_ANSWERS = 3
+"""Answers whose shortest time is the least that a call takes under a rate limit."""
 
 
 class QueuedCall(NamedTuple):
@@ -60,6 +63,7 @@
         self.cold = ColdStart()
         self.rate = RateLimit()
         self._callers = RouteCallers()
+        self._last_served_s: deque[float] = deque(maxlen=LAST_ANSWERS)
         self._waiting: dict[int, QueuedCall] = {}
         self._refusal_rates = RefusalRates()
         self._on_time: list[tuple[tuple[bool, float], int]] = []
@@ -110,17 +114,22 @@
 
         A call that finds a free slot starts even if it is expected to be late, since the expected
         service time may be wrong; it waits only if a slow upstream is likely to speed up soon. A
-        call that has to wait must be able to start by `start_by`.
+        call that has to wait must be able to start by `start_by`. Under a rate limit each start
+        counts: a call that is expected to miss its deadline starts only at an idle upstream, which
+        shows whether it has become faster.
         """
         if now >= call.deadline:
             return self._refused(now, ticket, call, "deadline-passed", 0.0)
+        if self.rate.active and self.busy and now + self._least_s(call) >= call.deadline:
+            return self._refused(now, ticket, call, "no-slot-in-time", self.service_s)
         # Under a rate limit a waiting call goes first, even if its timer is due but not run.
         is_next = not (self.rate.active and self._waiting)
         if is_next and self._has_room(now) and self._may_start(now, call):
             return self._started(now, ticket, call)
         if self.rate.active:
             ahead = sum(1 for other in self._waiting.values() if other.order <= call.order)
-            if self.rate.ready_at(now, ahead) > call.start_by:
+            start_by = min(call.start_by, call.deadline - self._least_s(call))
+            if self.rate.ready_at(now, ahead) > start_by:
                 return self._limited(now, ticket, call, ahead)
         expected = self.expected_wait(now, call)
         if len(self._waiting) >= self.limits.queue:
@@ -151,6 +160,7 @@
         self.busy -= 1
         if served_s is not None:
             self.service_s += SMOOTHING * (served_s - self.service_s)
+            self._last_served_s.append(served_s)
         return self.advance(now)
 
     def advance(self, now: float) -> list[Decision]:
@@ -161,7 +171,7 @@
             if ticket is None:
                 return decisions
             call = self._waiting.pop(ticket)
-            if now + call.expect_s >= call.deadline:
+            if now + self._least_s(call) >= call.deadline:
                 reason, retry_after_s = "no-slot-in-time", self.service_s
                 decisions.append(self._refused(now, ticket, call, reason, retry_after_s))
                 continue
@@ -200,6 +210,16 @@
         ready_at = max(self.cold.ready_at(now), self.rate.ready_at(now))
         return min(late_at, ready_at) if ready_at > now else late_at
 
+    def _least_s(self, call: QueuedCall) -> float:
+        """Return the least time that a call is expected to take, seconds.
+
+        Under a rate limit there are few answers, so that the expected time follows late when the
+        upstream becomes slower; a call takes at least as long as each of the last answers did.
+        """
+        if not self.rate.active or len(self._last_served_s) < LAST_ANSWERS:
+            return call.expect_s
+        return max(call.expect_s, min(self._last_served_s))
+
     def _has_room(self, now: float) -> bool:
         if self.busy >= self.cold.usable_slots(self.limits.slots):
             return False
--- a/foldhoist/delivery/dispatch_message.py
+++ b/foldhoist/delivery/dispatch_message.py
@@ -68,12 +68,9 @@
         message["bulk"] = True
     if last_start != float("inf"):
         message["start_ms"] = max(0, int((last_start - now) * 1000))
+    if expected_s:
+        message["expect_ms"] = int(expected_s * 1000)
     if call.objective_s:
-        _add_objective(message, now, call, expected_s)
+        message["due_ms"] = int((call.arrived + call.objective_s - now) * 1000)
+        message["route"] = call.route
     return message
-
-
-def _add_objective(message: Dispatch, now: float, call: Call, expected_s: float) -> None:
-    message["due_ms"] = int((call.arrived + call.objective_s - now) * 1000)
-    message["route"] = call.route
-    message["expect_ms"] = int(expected_s * 1000)
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -67,6 +67,8 @@
 
 SERVER_ERROR = 500
 """Answers from this status on do not show that the upstream can complete a call."""
+AT_ONCE_S = 0.001
+"""Within this time a call may start even if it is expected to miss its deadline, seconds."""
 
 
 class Owner:
@@ -382,7 +384,8 @@
         peer.live[req["seq"]] = ticket_id
         match self.queue:
             case SlotQueue() as queue:
-                decision = queue.submit(now, ticket_id, req["urgent"], ticket.start_by)
+                start_by = max(ticket.start_by, now + AT_ONCE_S)
+                decision = queue.submit(now, ticket_id, req["urgent"], start_by)
             case DueQueue() as queue:
                 new_call = queue.queued_call(
                     now, req, ticket.start_by, ticket.deadline, ticket.last_start
--- a/tests/adapter/test_named_limits.py
+++ b/tests/adapter/test_named_limits.py
@@ -158,3 +158,44 @@
         assert cluster.targets["s1"].arrivals[-1] > since + DRAIN_S
 
     run()
+
+
+SLOW_S = 0.5
+"""Service time of a target whose limit many calls wait for, in seconds."""
+BUDGET_MS = 3000
+"""Deadline of these calls, in milliseconds."""
+CALLERS = 12
+"""Callers that send such calls at once, one after the other."""
+
+
+@with_cluster
+async def test_no_start_is_spent_on_a_call_that_can_not_end_in_time(cluster: Cluster) -> None:
+    """Calls of routes without an objective were started just before their deadlines.
+
+    Such a start counted against the limit, and a call that could have been served lost it.
+    """
+    ingresses = ("a", "b", "c")
+    await cluster.add("a", service="web")
+    await cluster.add("b")
+    await cluster.add("c", service="web")
+    await cluster.configure(1, [route(route_type="unsafe", attempts=1)])
+    await cluster.settle(1)
+    target = cluster.targets["b"]
+    target.work_s, target.limit = SLOW_S, "2"
+    for number in range(6):
+        for name in ingresses:
+            await cluster.send(name, method="POST", body=b"x", attempt=f"{name}a{number:02x}")
+    target.ran.clear()
+
+    async def call_often(caller: int) -> None:
+        headers = {"X-Deadline-Ms": str(BUDGET_MS)}
+        for number in range(4):
+            attempt = f"{caller:02x}{number:02x}"
+            name = ingresses[caller % len(ingresses)]
+            await cluster.send(name, method="POST", body=b"x", attempt=attempt, headers=headers)
+            await asyncio.sleep(PAUSE_S)
+
+    await asyncio.gather(*(call_often(caller) for caller in range(CALLERS)))
+    left_ms = [int(req.headers["x-deadline-ms"]) for req in target.ran]
+    assert len(left_ms) > 5
+    assert min(left_ms) >= SLOW_S * 1000
--- a/tests/unit/admission/test_due.py
+++ b/tests/unit/admission/test_due.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from foldhoist.admission.due import DueQueue, QueuedCall
+from foldhoist.admission.due import LAST_ANSWERS, DueQueue, QueuedCall
 from foldhoist.admission.slots import QueueLimits, Refuse, Start, Wait
 from foldhoist.delivery.dispatch import Ticket
 
@@ -192,3 +192,30 @@
     (started,) = slots.release(0.2, 0.1)
     assert isinstance(started, Start)
     assert started.ticket == 10
+
+
+def limited_and_slow() -> DueQueue:
+    """Return a queue whose upstream sends a limit and has just taken 0.5 s for each call."""
+    slots = queue(slots=4)
+    slots.rate.set(0.0, 2.0, first=True)
+    for number in range(LAST_ANSWERS):
+        assert slots.submit(2.0 + number, number, make_call(9.0)) == Start(number)
+        slots.release(2.5 + number, 0.5)
+    return slots
+
+
+def test_under_a_limit_no_start_is_spent_on_a_call_that_can_not_end_in_time() -> None:
+    """Its start counted against the limit, and the call ended at its deadline."""
+    slots = limited_and_slow()
+    assert slots.submit(6.0, 10, make_call(9.0)) == Start(10)
+    refused = slots.submit(6.6, 11, make_call(9.0, start_by=7.0, deadline=7.05))
+    assert isinstance(refused, Refuse)
+    slots.submit(6.7, 12, make_call(9.0, start_by=9.0, deadline=9.5))
+    assert slots.submit(6.7, 13, make_call(9.5, start_by=8.0, deadline=8.1)) != Start(13)
+    assert all(not isinstance(each, Start) for each in slots.release(7.7, 1.7) if each.ticket == 13)
+
+
+def test_under_a_limit_an_idle_upstream_gets_a_call_that_may_be_late() -> None:
+    """Otherwise nobody would notice that it has become faster."""
+    slots = limited_and_slow()
+    assert slots.submit(6.6, 10, make_call(9.0, start_by=6.7, deadline=6.8)) == Start(10)
