Count starts against a first limit from the last answer without one

Cause: the owner counted the second before the first answer that carries the limit. An upstream that becomes slow as it sets a limit, with no call at work just then, answers a service time later; what it got before that, while nothing told the owner, fell out of the count.

Change: starts are counted from a second before that answer. For upstreams that answer all the time it is the same.

The parameter first=True of the tests is now the time of that answer, which is the moment of the limit there: as strict as before.

--- a/foldhoist/admission/rate_limit.py
+++ b/foldhoist/admission/rate_limit.py
@@ -26,7 +26,7 @@
 CELL_S = 0.25
 """Starts are counted in cells of this length, seconds."""
 PRIOR_S = 1.0
-"""Starts at most this long before an upstream's first limit count against it, seconds."""
+"""Starts at most this long before an upstream could set its first limit count, seconds."""
 
 
 class StartCounts:
@@ -80,8 +80,12 @@
         """Return whether a limit is set."""
         return self.per_s is not None
 
-    def set(self, now: float, per_s: float, *, first: bool = False) -> None:
-        """Set the limit, calls per second; `first` marks the first one of this upstream."""
+    def set(self, now: float, per_s: float, unlimited_at: float = float("-inf")) -> None:
+        """Set the limit, calls per second.
+
+        `unlimited_at` is when this upstream last answered without one, given with its first limit:
+        it may have set it at any time since, which no answer showed.
+        """
         rate = min(MAX_RATE_PER_S, max(MIN_RATE_PER_S, per_s))
         burst = max(1.0, rate * BURST_S)
         if self.per_s is None:
@@ -90,8 +94,7 @@
             self._bucket.take(now, burst)
         else:
             self._bucket.change(now, rate, burst)
-        if first:
-            self._starts.drop_before(now - PRIOR_S)
+        self._starts.drop_before(unlimited_at - PRIOR_S)
         self.per_s = per_s
 
     def end(self) -> None:
--- a/foldhoist/delivery/signal_state.py
+++ b/foldhoist/delivery/signal_state.py
@@ -69,6 +69,7 @@
         self._changed_at = 0.0
         self._began_at = 0.0
         self._had_limit = False
+        self._unlimited_at = float("-inf")
         self._pending: dict[UpstreamIncarnation, tuple[UpstreamSignals, float]] = {}
 
     def replaced(
@@ -80,6 +81,7 @@
         self.leaving = False
         self._updated_at = float("-inf")
         self._had_limit = False
+        self._unlimited_at = float("-inf")
         pending, self._pending = self._pending, {}
         changes: list[SignalChange] = []
         for known, (signals, at) in pending.items():
@@ -94,6 +96,7 @@
         if signals.invalid_limit:
             changes.append(LimitInvalid(signals.invalid_limit))
         elif signals.limit_per_s is None:
+            self._unlimited_at = now
             changes += self._end_limit(now)
         else:
             changes += self._set_limit(now, signals.limit_per_s)
@@ -170,7 +173,8 @@
         before = self.limit.per_s
         if before == per_s:
             return []
-        self.limit.set(now, per_s, first=not self._had_limit)
+        unlimited_at = float("-inf") if self._had_limit else self._unlimited_at
+        self.limit.set(now, per_s, unlimited_at)
         self._had_limit = True
         self._changed_at = now
         if before is None:
--- a/tests/unit/admission/test_due.py
+++ b/tests/unit/admission/test_due.py
@@ -197,7 +197,7 @@
 def limited_and_slow() -> DueQueue:
     """Return a queue whose upstream sends a limit and has just taken 0.5 s for each call."""
     slots = queue(slots=4)
-    slots.rate.set(0.0, 2.0, first=True)
+    slots.rate.set(0.0, 2.0)
     for number in range(LAST_ANSWERS):
         assert slots.submit(2.0 + number, number, make_call(9.0)) == Start(number)
         slots.release(2.5 + number, 0.5)
--- a/tests/unit/admission/test_rate_limit.py
+++ b/tests/unit/admission/test_rate_limit.py
@@ -47,7 +47,7 @@
     limit = RateLimit()
     now = before_s
     starts = start_all(limit, 0.0, before_s)
-    limit.set(now, per_s, first=True)
+    limit.set(now, per_s, unlimited_at=now)
     for pause_s in (0.0, *pauses):
         now += pause_s
         starts += start_all(limit, now, now + 2.0)
@@ -59,7 +59,7 @@
 @pytest.mark.parametrize("per_s", [2.0, 6.5, 30.0])
 def test_half_of_the_limit_is_left_unused(per_s: float) -> None:
     limit = RateLimit()
-    limit.set(0.0, per_s, first=True)
+    limit.set(0.0, per_s, unlimited_at=0.0)
     starts = start_all(limit, 0.0, 20.0)
     assert len(starts) >= 0.95 * per_s * 20.0 - 1
 
@@ -67,7 +67,7 @@
 @pytest.mark.parametrize("lower_per_s", [1.0, 5.0, 15.0])
 def test_calls_of_a_higher_limit_are_forgotten_when_it_falls(lower_per_s: float) -> None:
     limit = RateLimit()
-    limit.set(0.0, 20.0, first=True)
+    limit.set(0.0, 20.0, unlimited_at=0.0)
     starts = start_all(limit, 0.0, 6.0)
     limit.set(6.0, lower_per_s)
     starts += start_all(limit, 6.0, 14.0)
@@ -76,7 +76,7 @@
 
 def test_a_limit_that_ends_and_returns_starts_anew() -> None:
     limit = RateLimit()
-    limit.set(0.0, 5.0, first=True)
+    limit.set(0.0, 5.0, unlimited_at=0.0)
     starts = start_all(limit, 0.0, 4.0)
     limit.end()
     starts += start_all(limit, 4.0, 4.5)
@@ -88,7 +88,7 @@
 
 def test_a_limit_of_zero_ends_all_calls_so_that_nobody_learns_of_its_end() -> None:
     limit = RateLimit()
-    limit.set(0.0, 0.0, first=True)
+    limit.set(0.0, 0.0, unlimited_at=0.0)
     starts = start_all(limit, 0.0, 20.0)
     assert 20.0 * MIN_RATE_PER_S - 1 <= len(starts) <= 20.0 * MIN_RATE_PER_S
     assert most_in_a_window(starts) <= SLACK
@@ -97,7 +97,7 @@
 def test_a_restarted_owner_uses_the_limit_twice() -> None:
     """It assumes that its earlier incarnation used the whole rate up to the restart."""
     earlier = RateLimit()
-    earlier.set(0.0, 10.0, first=True)
+    earlier.set(0.0, 10.0, unlimited_at=0.0)
     starts = start_all(earlier, 0.0, 10.0)
     later = RateLimit()
     later.set(10.2, 10.0)
@@ -111,7 +111,7 @@
 def test_calls_from_before_the_limit_are_forgotten_by_a_restarted_owner(limited_at: float) -> None:
     earlier = RateLimit()
     starts = start_all(earlier, 0.0, limited_at)
-    earlier.set(limited_at, 2.0, first=True)
+    earlier.set(limited_at, 2.0, unlimited_at=limited_at)
     starts += start_all(earlier, limited_at, 10.0)
     later = RateLimit()
     later.set(10.2, 2.0)
@@ -123,7 +123,7 @@
 
 def test_refused_calls_get_the_same_retry_time() -> None:
     limit = RateLimit()
-    limit.set(0.0, 2.0, first=True)
+    limit.set(0.0, 2.0, unlimited_at=0.0)
     starts = [limit.reserve_start(0.0, 1, 10.0) for _ in range(4)]
     assert [round(at, 3) for at in starts] == [1.0, 1.5, 2.0, 2.5]
     assert limit.reserve_start(0.0, 1, 2.0) == limit.reserve_start(0.0, 1, 2.0) == 3.0
@@ -132,7 +132,7 @@
 @pytest.mark.parametrize("per_s", [float("nan"), float("inf"), -1.0, 1e300])
 def test_a_rate_that_is_no_rate_stops_the_owner(per_s: float) -> None:
     limit = RateLimit()
-    limit.set(0.0, per_s, first=True)
+    limit.set(0.0, per_s, unlimited_at=0.0)
     assert start_all(limit, 0.0, 5.0)
 
 
--- a/tests/unit/delivery/test_owner_signals.py
+++ b/tests/unit/delivery/test_owner_signals.py
@@ -198,3 +198,31 @@
         signals: Any = {**UPDATE["signals"], "instance": f"x-{number}"}
         owner.merge_signals(0.0, {"signals": signals, "age_ms": 0}, 0.0)
     assert len(owner.status.signals._pending) <= 16
+
+
+def test_starts_count_from_the_last_answer_without_a_limit() -> None:
+    """An upstream that became slow as it set its limit said so late, and got too many calls.
+
+    It answers 60 calls without a limit by 0.5 s, sets one, and answers the next one at 2.0 s.
+    Calls want to start all the time.
+    """
+    owner = make(DueQueue(LIMITS))
+    starts: list[float] = []
+    for number in range(60):
+        now = 0.008 * number
+        starts.append(now)
+        answer_with(owner, now, AnswerSignals(None), seq=number)
+    slow = started(owner.dispatch(0.6, 0, 1, dispatch(100)))
+    starts.append(0.6)
+    owner.answer_began(2.0, slow[0], LIMIT)
+    owner.finished(2.0, slow[0], Complete(200, [], b""))
+    for number in range(1000, 1500):
+        now = 2.0 + (number - 1000) * 0.02
+        actions = owner.dispatch(now, 0, 1, dispatch(number, budget_ms=200)) + owner.tick(now)
+        for ticket in started(actions):
+            starts.append(now)
+            owner.finished(now, ticket, Complete(200, [], b""))
+    for at in [each for each in starts if each >= 3.5]:
+        got = sum(1 for each in starts if at - 4.0 < each <= at)
+        assert got <= 1.5 * 5.0 * 4.0 + 5, at
+    assert starts[-1] > 8.0
