--- a/tests/adapter/test_stopping.py
+++ b/tests/adapter/test_stopping.py
@@ -35,6 +35,14 @@
     status: int
 
 
+async def start_shop(cluster: Cluster) -> None:
+    """Start daemon a beside another service, and b beside the only target of service shop."""
+    await cluster.add("a", service="web")
+    await cluster.add("b")
+    await cluster.configure(1, [route(route_type="unsafe", attempts=1)])
+    await cluster.settle(1)
+
+
 async def send_after(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, number: int, after_s: float
 ) -> SentRequest:
@@ -56,10 +64,7 @@
 async def test_a_shutdown_loses_no_request_on_busy_connections(
     cluster: Cluster,
 ) -> None:
-    await cluster.add("a", service="web")
-    await cluster.add("b")
-    await cluster.configure(1, [route(route_type="unsafe", attempts=1)])
-    await cluster.settle(1)
+    await start_shop(cluster)
     cluster.targets["b"].work_s = WORK_S
     host, _, port = cluster.daemons["a"].addresses["callers"].rpartition(":")
     conns = [await asyncio.open_connection(host, int(port)) for _ in range(CONNECTIONS)]
@@ -78,10 +83,7 @@
 
 @with_cluster
 async def test_a_daemon_in_shutdown_refuses_new_calls_as_not_run(cluster: Cluster) -> None:
-    await cluster.add("a", service="web")
-    await cluster.add("b")
-    await cluster.configure(1, [route(route_type="unsafe", attempts=1)])
-    await cluster.settle(1)
+    await start_shop(cluster)
     daemon = cluster.daemons["a"]
     for number in range(5):
         assert (await cluster.send("a", method="POST", body=b"x", attempt=f"{number:x}")).status
@@ -120,10 +122,7 @@
 @with_cluster
 async def test_a_stop_answers_every_call_that_waits_at_a_limited_upstream(cluster: Cluster) -> None:
     """A call whose wait ended just before the stop was started, cut off and left unanswered."""
-    await cluster.add("a", service="web")
-    await cluster.add("b")
-    await cluster.configure(1, [route(route_type="unsafe", attempts=1)])
-    await cluster.settle(1)
+    await start_shop(cluster)
     await warm_up(cluster)
     target = cluster.targets["b"]
     target.limit, target.work_s = "1", 0.9
@@ -139,10 +138,7 @@
 @with_cluster
 async def test_a_call_that_outlasts_the_stop_is_told_that_it_may_have_run(cluster: Cluster) -> None:
     """The caller of such a call got a closed connection, though its daemon knew better."""
-    await cluster.add("a", service="web")
-    await cluster.add("b")
-    await cluster.configure(1, [route(route_type="unsafe", attempts=1)])
-    await cluster.settle(1)
+    await start_shop(cluster)
     target = cluster.targets["b"]
     target.gate = asyncio.Event()
     running = asyncio.create_task(cluster.send("a", method="POST", body=b"x"))
@@ -155,10 +151,7 @@
 @with_cluster
 async def test_a_stopping_owner_refuses_the_calls_that_it_can_not_start(cluster: Cluster) -> None:
     """Their ingress learned nothing of them, and told their callers that they may have run."""
-    await cluster.add("a", service="web")
-    await cluster.add("b")
-    await cluster.configure(1, [route(route_type="unsafe", attempts=1)])
-    await cluster.settle(1)
+    await start_shop(cluster)
     await warm_up(cluster)
     target, owner = cluster.targets["b"], cluster.daemons["b"].owner
     target.gate = asyncio.Event()
