--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -71,5 +71,13 @@
     assert promises(history(stops=(PlannedStop("d0", took, code),))) == ["planned-stop-ends"]
 
 
+def test_the_evidence_of_a_late_stop_names_both_clocks() -> None:
+    """Nothing told whether the daemon was late or the soak's own process, which reads the time."""
+    stops = (PlannedStop("d0", 9.1, 0, last_line=5.2, stalled=3.75),)
+    (violation,) = find_violations(history(stops=stops))
+    assert "last line came after 5.2 s" in violation.evidence
+    assert "late by up to 3.75 s" in violation.evidence
+
+
 def test_a_daemon_does_not_recover() -> None:
     assert promises(history(unserved=("d3",))) == ["served-again"]
