--- a/soak/history.py
+++ b/soak/history.py
@@ -60,14 +60,16 @@
 class PlannedStop(NamedTuple):
     """A planned stop: its duration and exit code, None if the process had to be killed.
 
-    `last_line` is when the daemon wrote its last log line, seconds after SIGTERM by the wall clock;
-    `stalled` is the longest delay of the soak's own event loop meanwhile, seconds.
+    `last_line` is when the daemon wrote its last log line, seconds after SIGTERM by the wall clock,
+    and `ended` when the system listed the process as ended, seconds after SIGTERM; `stalled` is the
+    longest delay of the soak's own event loop meanwhile, seconds.
     """
 
     daemon: str
     took: float
     code: int | None
     last_line: float = 0.0
+    ended: float = 0.0
     stalled: float = 0.0
 
 
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -9,6 +9,8 @@
 import sys
 from typing import TYPE_CHECKING
 
+from soak.exits import ExitObserver
+
 if TYPE_CHECKING:
     from pathlib import Path
 
@@ -90,6 +92,13 @@
         self.addresses = {name: json.loads(line)["addresses"][name] for name in PORTS}
         self.first_start = False
 
+    def observe_exit(self) -> ExitObserver:
+        """Return a started observer of the running process."""
+        assert self.process is not None
+        observer = ExitObserver(self.process.pid)
+        observer.start()
+        return observer
+
     def last_line_at(self) -> float:
         """Return when the daemon last wrote to its log, wall-clock seconds."""
         return self._log_path.stat().st_mtime
--- a/soak/run.py
+++ b/soak/run.py
@@ -254,10 +254,17 @@
     async def _stop(self, daemon: DaemonProcess) -> PlannedStop:
         """Stop a daemon and return the stop with its times."""
         began, began_wall = self._loop.time(), time.time()
+        observer = daemon.observe_exit()
         code = await daemon.stop()
-        took = self._loop.time() - began
-        last_line = daemon.last_line_at() - began_wall
-        return PlannedStop(daemon.name, took, code, last_line, self._stalls.longest_since(began))
+        observer.close()
+        return PlannedStop(
+            daemon.name,
+            took=self._loop.time() - began,
+            code=code,
+            last_line=daemon.last_line_at() - began_wall,
+            ended=observer.ended_at - began,
+            stalled=self._stalls.longest_since(began),
+        )
 
     def _history(self, callers: list[Caller], unserved: list[str]) -> History:
         results: list[RequestResult] = [each for caller in callers for each in caller.results]
