--- a/soak/checker.py
+++ b/soak/checker.py
@@ -63,10 +63,11 @@
 
 def _stop_evidence(stop: PlannedStop) -> str:
     """Return the times of a stop by the soak's clock and by the daemon's last line."""
+    state = stop.last_state or "unknown"
     return (
         f"{stop.daemon}: code {stop.code} after {stop.took:.1f} s; its last line came after"
-        f" {stop.last_line:.1f} s, the process ended after {stop.ended:.1f} s, the soak's own"
-        f" loop was late by up to {stop.stalled:.2f} s"
+        f" {stop.last_line:.1f} s, the process ended after {stop.ended:.1f} s (state {state} before),"
+        f" the soak's own loop was late by up to {stop.stalled:.2f} s"
     )
 
 
--- a/soak/exits.py
+++ b/soak/exits.py
@@ -4,7 +4,6 @@
 
 import threading
 import time
-from collections import Counter
 from pathlib import Path
 
 CHECK_INTERVAL_S = 0.02
@@ -14,27 +13,23 @@
 
 
 class ExitObserver(threading.Thread):
-    """Looks at the state of one process until it has ended; times are monotonic seconds."""
+    """Looks at the state of one process until it has ended; times are monotonic seconds.
+
+    `last_state` is its state before that, as in /proc: R while it runs or waits for a processor.
+    """
 
     def __init__(self, pid: int) -> None:
         super().__init__(daemon=True)
         self.ended_at = float("inf")
-        self.states: Counter[str] = Counter()
+        self.last_state = ""
         self._path = Path(f"/proc/{pid}/stat")
-        self._stopping = threading.Event()
 
     def run(self) -> None:
-        """Look at the process until it has ended or the observer is closed."""
-        while not self._stopping.wait(CHECK_INTERVAL_S):
-            state = self._state()
-            if state in ENDED:
-                self.ended_at = time.monotonic()
-                return
-            self.states[state] += 1
-
-    def close(self) -> None:
-        """Stop looking."""
-        self._stopping.set()
+        """Look at the process until it has ended."""
+        while (state := self._state()) not in ENDED:
+            self.last_state = state
+            time.sleep(CHECK_INTERVAL_S)
+        self.ended_at = time.monotonic()
 
     def _state(self) -> str:
         try:
--- a/soak/history.py
+++ b/soak/history.py
@@ -61,8 +61,9 @@
     """A planned stop: its duration and exit code, None if the process had to be killed.
 
     `last_line` is when the daemon wrote its last log line, seconds after SIGTERM by the wall clock,
-    and `ended` when the system listed the process as ended, seconds after SIGTERM; `stalled` is the
-    longest delay of the soak's own event loop meanwhile, seconds.
+    and `ended` when the system listed the process as ended, seconds after SIGTERM; `last_state` is
+    its state before that, as in /proc. `stalled` is the longest delay of the soak's own event loop
+    meanwhile, seconds.
     """
 
     daemon: str
@@ -70,6 +71,7 @@
     code: int | None
     last_line: float = 0.0
     ended: float = 0.0
+    last_state: str = ""
     stalled: float = 0.0
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -256,13 +256,15 @@
         began, began_wall = self._loop.time(), time.time()
         observer = daemon.observe_exit()
         code = await daemon.stop()
-        observer.close()
+        took = self._loop.time() - began
+        observer.join()
         return PlannedStop(
             daemon.name,
-            took=self._loop.time() - began,
+            took=took,
             code=code,
             last_line=daemon.last_line_at() - began_wall,
             ended=observer.ended_at - began,
+            last_state=observer.last_state,
             stalled=self._stalls.longest_since(began),
         )
 
