--- a/soak/checker.py
+++ b/soak/checker.py
@@ -66,8 +66,8 @@
     state = stop.last_state or "unknown"
     return (
         f"{stop.daemon}: code {stop.code} after {stop.took:.1f} s; its last line came after"
-        f" {stop.last_line:.1f} s, the process ended after {stop.ended:.1f} s (state {state} before),"
-        f" the soak's own loop was late by up to {stop.stalled:.2f} s"
+        f" {stop.last_line:.1f} s, the process ended after {stop.ended:.1f} s (in state {state}"
+        f" before), the soak's own loop was late by up to {stop.stalled:.2f} s"
     )
 
 
