A stopping owner's latest start outlasts what its upstream announces

A new incarnation announced during the notice, or the end of an evacuation, set it back to infinity, so that calls could start until the process ended. They are two values now; the earlier one holds. Test: test_a_stop_limits_starts_whatever_the_upstream_announces_meanwhile, failing before (infinity, 4.0 expected).

Also: a call of an ingress that does not stop no longer looks up its usual time for a limit that is not there.

--- a/foldhoist/delivery/admission_checks.py
+++ b/foldhoist/delivery/admission_checks.py
@@ -21,13 +21,16 @@
 
 
 class AdmissionChecks:
-    """Decides whether a request gets any attempt; times are monotonic seconds."""
+    """Decides whether a request gets any attempt; times are monotonic seconds.
+
+    `stop_by` is when this process ends, infinity unless it stops.
+    """
 
     def __init__(self, max_calls: int, quarantine: Quarantine | None = None) -> None:
         self.max_calls = max_calls
         self._quarantine = quarantine if quarantine is not None else Quarantine()
         self.max_hops = DEFAULT_MAX_HOPS
-        self._stop_by = float("inf")
+        self.stop_by = float("inf")
         self._long_calls_until = float("inf")
 
     def begin_shutdown(self, by: float, long_calls_until: float = float("-inf")) -> None:
@@ -37,7 +40,7 @@
         repeat it; one that did not start can be sent elsewhere. Until `long_calls_until`, calls may
         start even if they may take longer, since most of them end in time.
         """
-        self._stop_by = by
+        self.stop_by = by
         self._long_calls_until = long_calls_until
 
     def refusal(
@@ -75,8 +78,8 @@
         `usual_s` is the usual time of such a call, 0 if it is not known. A call whose deadline
         comes before the end of the process may start at any time: its answer comes by then.
         """
-        if deadline <= self._stop_by:
+        if deadline <= self.stop_by:
             return float("inf")
         if usual_s <= 0.0:
             return self._long_calls_until
-        return max(self._long_calls_until, self._stop_by - longest_run(usual_s))
+        return max(self._long_calls_until, self.stop_by - longest_run(usual_s))
--- a/foldhoist/delivery/shutdown_limits.py
+++ b/foldhoist/delivery/shutdown_limits.py
@@ -35,6 +35,8 @@
 
     def last_start(self, call: Call) -> float:
         """Return the latest time at which a call may start at an upstream."""
+        if call.deadline <= self._admission.stop_by:
+            return float("inf")
         state = self._services.get(call.service)
         usual_s = state.picker.times.mean(call.route) if state is not None else 0.0
         return self._admission.last_start(usual_s, call.deadline)
--- a/foldhoist/delivery/upstream_status.py
+++ b/foldhoist/delivery/upstream_status.py
@@ -49,7 +49,8 @@
         self.pace = 0
         self.errors = 0.0
         self.leaving_sources: dict[str, bool] = {}
-        self.last_start_at = float("inf")
+        self._process_start_at = float("inf")
+        self._leaving_start_at = float("inf")
         self.pace_sampled = False
         self.cold = False
         self.shedding = Shedding()
@@ -61,6 +62,14 @@
         """Return whether any source reports that the upstream is leaving."""
         return bool(self.leaving_sources)
 
+    @property
+    def last_start_at(self) -> float:
+        """Return the latest time at which a call may start, monotonic seconds.
+
+        It is infinity unless the upstream is leaving or this process stops.
+        """
+        return min(self._leaving_start_at, self._process_start_at)
+
     @property
     def refusal(self) -> str:
         """Return the reason with which a leaving upstream's calls are refused."""
@@ -109,21 +118,21 @@
             self.leaving_sources.pop(LEAVING_SIGNAL, None)
             self.replacements += 1
             # The deadline applied to the previous incarnation only.
-            self.last_start_at = float("inf")
+            self._leaving_start_at = float("inf")
         if upstream["state"] != "ready":
             self.stop_starting(now)
         return before is not None and before["service"] != upstream["service"]
 
     def stop_starting(self, now: float) -> None:
         """Let waiting calls start for `LEAVING_QUEUE_S` more, as the upstream is leaving."""
-        self.last_start_at = min(self.last_start_at, now + LEAVING_QUEUE_S)
+        self._leaving_start_at = min(self._leaving_start_at, now + LEAVING_QUEUE_S)
 
     def begin_shutdown(self, by: float, service_s: float) -> None:
         """Let no call start that may not end before this process does at `by`.
 
         `service_s` is the usual time of a call at the upstream.
         """
-        self.last_start_at = min(self.last_start_at, by - longest_run(service_s))
+        self._process_start_at = by - longest_run(service_s)
 
     def set_leaving(self, source: str) -> bool:
         """Add a source that reports the upstream as leaving; returns whether it is a new one."""
@@ -137,7 +146,7 @@
         if not self.leaving_sources.pop(source, False):
             return False
         if not self.leaving_sources:
-            self.last_start_at = float("inf")
+            self._leaving_start_at = float("inf")
         return True
 
     def answered(self, status: int) -> None:
--- a/tests/unit/delivery/test_owner_signals.py
+++ b/tests/unit/delivery/test_owner_signals.py
@@ -21,6 +21,7 @@
     LimitEnded,
     LimitInvalid,
 )
+from foldhoist.delivery.upstream_status import EVACUATED
 from foldhoist.membership.incarnations import UpstreamIncarnation
 from tests.unit.delivery.test_owner import dispatch, hello
 
@@ -226,3 +227,13 @@
         got = sum(1 for each in starts if at - 4.0 < each <= at)
         assert got <= 1.5 * 5.0 * 4.0 + 5, at
     assert starts[-1] > 8.0
+
+
+def test_a_stop_limits_starts_whatever_the_upstream_announces_meanwhile() -> None:
+    """A new incarnation, or the end of an evacuation, lifted the limit of a process that stops."""
+    owner = make()
+    owner.status.begin_shutdown(5.0, 0.01)
+    owner.announce(1.0, announced("i-2", born_ms=1))
+    owner.set_leaving(EVACUATED)
+    owner.end_evacuation(1.5)
+    assert owner.status.last_start_at == 4.0
