--- a/review/harness.py
+++ b/review/harness.py
@@ -60,6 +60,7 @@
 trace_share = 0
 records = 200
 """
+CHUNK_BYTES = 1000
 PORTS = ("callers", "frames", "control", "operators")
 
 
@@ -129,6 +130,11 @@
         self.state = "ready"
         self.running = 0
         self.cold_until = 0.0
+        self.transfer_coding = ""
+        self.body_bytes = 0
+        self.cut_every = 0
+        self.cut: set[str] = set()
+        self._answers = 0
         self._record = record
         self._free = asyncio.Semaphore(self.slots)
         self._born = int(time.time() * 1000)
@@ -217,7 +223,24 @@
             await asyncio.sleep(self.work_s * (COLD_FACTOR if self.cold_s else 1.0))
             self.running -= 1
         more = f"X-Response-Signature: s.{attempt}\r\n{load}"
-        await self._answer(writer, 200, attempt, more, f"ran {path}".encode())
+        body = body_of(path, self.body_bytes)
+        if not self.transfer_coding:
+            await self._answer(writer, 200, attempt, more, body)
+            return
+        self._answers += 1
+        is_cut = self.cut_every > 0 and self._answers % self.cut_every == 0
+        lines = f"HTTP/1.1 200 Status\r\nX-Attempt-Id: {attempt}\r\n{more}"
+        writer.write(f"{lines}Transfer-Encoding: {self.transfer_coding}\r\n\r\n".encode())
+        sent = body[: len(body) // 2] if is_cut else body
+        for at in range(0, len(sent), CHUNK_BYTES):
+            chunk = sent[at : at + CHUNK_BYTES]
+            writer.write(b"%x\r\n%s\r\n" % (len(chunk), chunk))
+        if is_cut:
+            self.cut.add(attempt)
+            await writer.drain()
+            raise ConnectionResetError
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
 
     async def _answer(
         self, writer: asyncio.StreamWriter, status: int, attempt: str, more: str, body: bytes
@@ -419,6 +442,12 @@
         self.pool.close()
 
 
+def body_of(path: str, length: int) -> bytes:
+    """Return the body of the answer to a path, at least `length` bytes long."""
+    text = f"ran {path}\n".encode()
+    return text * (1 + length // len(text))
+
+
 async def call(
     address: str,
     method: str,
