--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import time
 from bisect import bisect_left
@@ -14,6 +15,9 @@
 if TYPE_CHECKING:
     from review.harness import Record
 
+RECORD = Path(__file__).resolve().parent / "record.txt"
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption happens; without it everything else is the same."""
 ZONE = "zona-uno"
 MACHINES = [f"sidecar-{ZONE}-{number}" for number in range(1, 11)]
 REMOVED = MACHINES[0]
@@ -141,4 +145,4 @@
 
 
 if __name__ == "__main__":
-    main(Path(__file__).resolve().parent, play, retry_slack=188)
+    main(RECORD, TROUBLE, play, retry_slack=188)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,6 +14,9 @@
 if TYPE_CHECKING:
     from review.harness import Record
 
+RECORD = Path(__file__).resolve().parent / "record.txt"
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption happens; without it everything else is the same."""
 FRONT = "sportello-web"
 BACK = "deposito-dati"
 ZONE = "zona-tre"
@@ -142,4 +145,4 @@
 
 
 if __name__ == "__main__":
-    main(Path(__file__).resolve().parent, play, retry_slack=188, cold=COLD_SETTINGS)
+    main(RECORD, TROUBLE, play, retry_slack=188, cold=COLD_SETTINGS)
--- a/review/harness.py
+++ b/review/harness.py
@@ -91,13 +91,13 @@
 
 
 class Record:
-    """What was sent, answered and run, written to `record.txt`."""
+    """What was sent, answered and run, written to a file."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         self.began = time.monotonic()
         self.runs: list[Run] = []
         self.sent: list[Sent] = []
-        self._path = folder / "record.txt"
+        self._path = path
         self._events: list[tuple[float, str]] = []
 
     def note(self, text: str) -> None:
@@ -379,8 +379,8 @@
 class Fleet:
     """All machines, the store and the record."""
 
-    def __init__(self, case: Path, retry_slack: int = 58, cold: str = "") -> None:
-        self.record = Record(case)
+    def __init__(self, record: Path, retry_slack: int = 58, cold: str = "") -> None:
+        self.record = Record(record)
         self.folder = Path(tempfile.mkdtemp())
         self.pool = AddressPool()
         self.log = KeyedLog()
@@ -467,16 +467,23 @@
         writer.close()
 
 
-def main(case: Path, play: Callable[[Fleet, bool], Awaitable[bool]], **settings: Any) -> None:
-    """Play a case and exit; `play` returns whether the rule held."""
-    sys.exit(asyncio.run(_main(case, play, settings)))
+def main(
+    record: Path,
+    trouble: bool,
+    play: Callable[[Fleet, bool], Awaitable[bool]],
+    **settings: Any,
+) -> None:
+    """Play a case, write its record and exit; `play` returns whether the rule held."""
+    sys.exit(asyncio.run(_main(record, trouble, play, settings)))
 
 
 async def _main(
-    case: Path, play: Callable[[Fleet, bool], Awaitable[bool]], settings: dict[str, Any]
+    record: Path,
+    trouble: bool,
+    play: Callable[[Fleet, bool], Awaitable[bool]],
+    settings: dict[str, Any],
 ) -> int:
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    fleet = Fleet(case, **settings)
+    fleet = Fleet(record, **settings)
     playing = asyncio.ensure_future(play(fleet, trouble))
     # Whoever ends the case early must not leave its processes behind.
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -484,7 +491,8 @@
     try:
         async with asyncio.timeout(MAX_CASE_S):
             return HELD if await playing else BROKEN
-    except (CaseError, TimeoutError, OSError, asyncio.CancelledError) as exc:
+    except (Exception, asyncio.CancelledError) as exc:
+        # Any fault of the case itself must not pass for a broken rule.
         fleet.record.note(f"the case could not run: {exc!r}")
         return NOT_RUN
     finally:
