Quotas: a host lends its share by its own word, not by being connected

Cause: a server that was the first by its own list counted every connected host as lending its share, also those that asked another server by their list, or since they reach others.

Evidence: the simulation of quotas, with lists per host. Equal lists and any failure: no window over the bound. Equal lists and one cut connection between the first two servers: over the bound too. So neither the planned removal nor a wrong list is the cause by itself.

The burst is limited to the lent part too, so that two servers do not both hold a full one. `foldhoist status` shows the lent share of each quota.

Why it works: each host names one first server for a customer, whatever the servers know of each other.

--- a/foldhoist/customers/candidates.py
+++ b/foldhoist/customers/candidates.py
@@ -5,7 +5,7 @@
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
-from foldhoist.routing.rendezvous import ranked, weight
+from foldhoist.routing.rendezvous import home, ranked, weight
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -33,6 +33,11 @@
     return ranked(candidates, customer)
 
 
+def first_server(customer: str, servers: Iterable[str]) -> str | None:
+    """Return the server that is asked first for a customer's credit, or None without servers."""
+    return home(servers, customer)
+
+
 @lru_cache(maxsize=8192)
 def _weight(host: str) -> tuple[bytes, str]:
     return weight(host, _RANKING_KEY), host
--- a/foldhoist/customers/credit.py
+++ b/foldhoist/customers/credit.py
@@ -9,10 +9,9 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
-from foldhoist.admission.decaying_ratio import DecayingRatio
+from foldhoist.customers.account import Account, PendingAsk
 from foldhoist.customers.candidates import quota_server_candidates, ranked_servers
 from foldhoist.customers.quota_server import MAX_RETRY_AFTER_S
 
@@ -38,8 +37,6 @@
 """
 PREFETCH_S = 0.25
 """Credit is also requested for the calls expected within this time, seconds."""
-DEMAND_DECAY_S = 1.0
-"""Time constant of the decaying count of calls that predicts demand, seconds."""
 MAX_DENIAL_PAUSE_S = 0.25
 """Longest pause in requests for credit after a denial, seconds.
 
@@ -80,62 +77,6 @@
 Step: TypeAlias = Granted | Denied | Ask
 
 
-class _PendingAsk(NamedTuple):
-    """An unanswered request: its id, the quota server, and when it was sent (seconds)."""
-
-    ask_id: int
-    server: str
-    at: float
-
-
-class _Account:
-    """Credit and pending request of one customer at this host; times are monotonic seconds."""
-
-    __slots__ = (
-        "credit",
-        "credit_until",
-        "customer",
-        "demand",
-        "last_call_at",
-        "no_asks_until",
-        "over_burst",
-        "own_credit",
-        "own_credit_at",
-        "pending",
-        "retry_at",
-        "server",
-        "server_since",
-        "tried",
-        "waiting",
-    )
-
-    def __init__(self, customer: Customer, now: float) -> None:
-        self.customer = customer
-        self.credit = 0
-        self.credit_until = 0.0
-        self.no_asks_until = 0.0
-        self.retry_at = 0.0
-        self.over_burst = False
-        self.waiting: deque[int] = deque()
-        self.pending: _PendingAsk | None = None
-        self.tried: set[str] = set()
-        self.demand = DecayingRatio(now, DEMAND_DECAY_S)
-        self.last_call_at = now
-        self.own_credit = 0.0
-        self.own_credit_at = now
-        self.server = ""
-        self.server_since = now
-
-    def spend(self, now: float) -> bool:
-        """Spend the credit of one call; returns False if there is none."""
-        if now >= self.credit_until:
-            self.credit = 0
-        if self.credit < 1:
-            return False
-        self.credit -= 1
-        return True
-
-
 class CreditClient:
     """Obtains and spends credit for all customers with calls at this host.
 
@@ -147,12 +88,13 @@
         self.unanswered = 0
         self.late = 0
         self._rng = rng
-        self._accounts: dict[str, _Account] = {}
-        self._pending: dict[int, _Account] = {}
+        self._accounts: dict[str, Account] = {}
+        self._pending: dict[int, Account] = {}
         self._host_count = 1
         self._candidates: tuple[str, ...] = ()
         self._known_hosts: frozenset[str] = frozenset()
         self._connected: set[str] = set()
+        self._told: dict[str, frozenset[str]] = {}
         self._suspect_until: dict[str, float] = {}
         self._next_ask_id = 1
         self._forget_at = 0.0
@@ -178,11 +120,26 @@
             self._candidates = quota_server_candidates(known)
             self._host_count = max(1, len(known))
 
+    def lendings(self) -> list[Ask]:
+        """Return a message to each server that does not know to which ones this host lends.
+
+        Such a server may also be one that was told before and is no longer among them.
+        """
+        usable = self._connected.intersection(self._candidates)
+        servers = frozenset(usable)
+        asks: list[Ask] = []
+        for server in sorted(usable | self._told.keys()):
+            if self._told.get(server) == servers:
+                continue
+            self._told[server] = servers
+            asks.append(Ask(server, _lending(servers)))
+        return asks
+
     def admit(self, now: float, customer: Customer, call_id: int) -> list[Step]:
         """Decide on a call of a customer with a quota, or queue it until a server answers."""
         account = self._accounts.get(customer.name)
         if account is None:
-            account = self._accounts[customer.name] = _Account(customer, now)
+            account = self._accounts[customer.name] = Account(customer, now)
         account.demand.count(now, 0.0)
         account.last_call_at = now
         if account.spend(now):
@@ -221,6 +178,7 @@
 
     def link_changed(self, now: float, host: str, *, up: bool) -> list[Step]:
         """Record an opened or lost connection; requests pending at a lost host go to the next."""
+        self._told.pop(host, None)
         if up:
             self._connected.add(host)
             return []
@@ -276,7 +234,7 @@
         account.waiting.remove(call_id)
         return True
 
-    def _ask(self, now: float, account: _Account) -> list[Step]:
+    def _ask(self, now: float, account: Account) -> list[Step]:
         """Request credit for the waiting calls, or use the own share if no server is left."""
         if not account.waiting:
             return []
@@ -287,9 +245,8 @@
         ask_id = self._next_ask_id
         self._next_ask_id += 1
         self.asks += 1
-        account.pending = _PendingAsk(ask_id, server, now)
+        account.pending = PendingAsk(ask_id, server, now)
         self._pending[ask_id] = account
-        # When credit is short, credit held unused by one host is missing at the others.
         # Where credit is short, what one host holds unused is what another one lacks.
         prefetch = 0 if account.over_burst else int(account.demand.total(now) * PREFETCH_S)
         want = min(len(account.waiting) + prefetch, int(account.customer.max_credit) + 1)
@@ -298,13 +255,13 @@
         lends_ms = int((now - account.server_since) * 1000)
         return [Ask(server, _credit_ask(account, ask_id, want, lends_ms))]
 
-    def _ask_next(self, now: float, account: _Account, pending: _PendingAsk) -> list[Step]:
+    def _ask_next(self, now: float, account: Account, pending: PendingAsk) -> list[Step]:
         self._pending.pop(pending.ask_id, None)
         account.pending = None
         account.tried.add(pending.server)
         return self._ask(now, account)
 
-    def _next_server(self, now: float, account: _Account) -> str | None:
+    def _next_server(self, now: float, account: Account) -> str | None:
         if len(account.tried) >= MAX_SERVERS_ASKED:
             return None
         for host in ranked_servers(account.customer.name, self._candidates):
@@ -314,7 +271,7 @@
                 return host
         return None
 
-    def _decide_waiting(self, now: float, account: _Account, *, denied: bool) -> list[Step]:
+    def _decide_waiting(self, now: float, account: Account, *, denied: bool) -> list[Step]:
         steps: list[Step] = []
         while account.waiting and account.spend(now):
             steps.append(Granted(account.waiting.popleft(), account.over_burst))
@@ -324,7 +281,7 @@
             steps.append(self._denied(now, account, account.waiting.popleft()))
         return steps
 
-    def _decide_by_own_share(self, now: float, account: _Account) -> list[Step]:
+    def _decide_by_own_share(self, now: float, account: Account) -> list[Step]:
         """Decide on the waiting calls by this host's share of the quota, now lent to no server."""
         customer = account.customer
         gained = customer.rate_per_s / self._host_count * (now - account.own_credit_at)
@@ -344,7 +301,7 @@
             steps.append(Granted(call_id, account.over_burst))
         return steps
 
-    def _denied(self, now: float, account: _Account, call_id: int) -> Denied:
+    def _denied(self, now: float, account: Account, call_id: int) -> Denied:
         left_s = max(0.0, account.retry_at - now) * (1.0 + RETRY_JITTER * self._rng.random())
         return Denied(call_id, OVER_QUOTA, min(MAX_RETRY_AFTER_S, left_s))
 
@@ -353,18 +310,30 @@
             if not account.waiting and now - account.last_call_at > ACCOUNT_EXPIRY_S:
                 self._forget(name, account)
 
-    def _forget(self, name: str, account: _Account) -> None:
+    def _forget(self, name: str, account: Account) -> None:
         del self._accounts[name]
         if account.pending is not None:
             self._pending.pop(account.pending.ask_id, None)
 
 
-def _ask_elsewhere(account: _Account, pending: _PendingAsk) -> Ask:
+def _ask_elsewhere(account: Account, pending: PendingAsk) -> Ask:
     """Return the notice to a suspected server that this host asks another one."""
     return Ask(pending.server, {**_credit_ask(account, pending.ask_id, 0, 0), "elsewhere": True})
 
 
-def _credit_ask(account: _Account, ask_id: int, want: int, lends_ms: int) -> CreditAsk:
+def _lending(servers: frozenset[str]) -> CreditAsk:
+    """Return the message that says which quota servers this host may ask."""
+    return {
+        "ask": 0,
+        "customer": "",
+        "want": 0,
+        "lends_ms": 0,
+        "elsewhere": False,
+        "servers": sorted(servers),
+    }
+
+
+def _credit_ask(account: Account, ask_id: int, want: int, lends_ms: int) -> CreditAsk:
     name = account.customer.name
     return {
         "ask": ask_id,
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -113,7 +113,6 @@
         self.quotas = QuotaTask(
             self.name,
             platform["quota_slack"],
-            self.links,
             self.ingress_task,
             self.owner_task,
             lambda: self._targets,
--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -115,6 +115,10 @@
         """Set the upstreams to choose from."""
         self._carry_out(self.ingress.track(self._loop.time(), tracked, daemons))
 
+    def tell_lendings(self) -> None:
+        """Tell quota servers to which of them this host lends its shares, if that changed."""
+        self._carry_out([*self.ingress.gate.lendings()])
+
     def begin_shutdown(self, by: float, long_calls_until: float) -> None:
         """Let no call start that may not end by then; see `Ingress.begin_shutdown`."""
         self.ingress.begin_shutdown(by, long_calls_until)
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -248,7 +248,6 @@
         self.quotas = QuotaTask(
             self.name,
             platform["quota_slack"],
-            self.links,
             self.ingress_task,
             self.owner_task,
             lambda: self.registry.peers,
--- a/foldhoist/daemon/quota_task.py
+++ b/foldhoist/daemon/quota_task.py
@@ -9,12 +9,12 @@
 
 from foldhoist.customers.candidates import quota_server_candidates
 from foldhoist.customers.quota_server import Hosts, QuotaServer
+from foldhoist.delivery.call_finisher import LOCAL_LINK
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from foldhoist.daemon.ingress_task import IngressTask
-    from foldhoist.daemon.links import Links
     from foldhoist.daemon.owner_task import OwnerTask
     from foldhoist.schema.messages import CreditAsk
 
@@ -31,7 +31,6 @@
         self,
         name: str,
         slack: float,
-        links: Links,
         ingress_task: IngressTask,
         owner_task: OwnerTask,
         known_hosts: Callable[[], Iterable[str]],
@@ -40,13 +39,13 @@
         """`known_hosts` returns host names; `on_servers` gets the quota server candidates."""
         self.name = name
         self.server = QuotaServer(name, slack)
-        self._links = links
         self._ingress_task = ingress_task
         self._owner_task = owner_task
         self._known_hosts = known_hosts
         self._on_servers = on_servers
         self._loop = asyncio.get_running_loop()
         self._hosts: frozenset[str] = frozenset()
+        self._lending_links: dict[str, int] = {}
         self._task: asyncio.Task[None] | None = None
 
     def adopt(self) -> None:
@@ -69,8 +68,13 @@
             self._task = None
 
     def on_ask(self, link: int, ask: CreditAsk) -> None:
-        """Answer an ingress's request for credit, unless it only reports that it asks elsewhere."""
+        """Answer an ingress's request for credit; to what it only tells there is no answer."""
         host = self._owner_task.owner.peer_name(link)
+        servers = ask.get("servers")
+        if servers is not None:
+            self._lending_links[host] = link
+            self.server.on_lending(self._loop.time(), host, servers)
+            return
         credit = self.server.on_ask(self._loop.time(), host, ask)
         if ask["elsewhere"]:
             logger.info("host {} asks another quota server: it got no answer in time", host)
@@ -86,7 +90,8 @@
             if customer is None:
                 continue
             row = {"customer": name, "left": level, "burst": customer.max_credit}
-            rows.append({**row, "rate_per_s": customer.rate_per_s})
+            lent = round(self.server.rate_share(name), 3)
+            rows.append({**row, "rate_per_s": customer.rate_per_s, "lent": lent})
         return sorted(rows, key=lambda row: float(row["left"] / row["burst"]))[:MAX_SHOWN]
 
     def counters(self) -> dict[str, int]:
@@ -106,15 +111,26 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _update_hosts(self) -> None:
-        """Update the hosts known, connected and reached."""
+        """Update the hosts known and connected, and tell quota servers of a changed choice."""
         hosts = frozenset((self.name, *self._known_hosts()))
-        connected_hosts = {name for _, name in self._owner_task.ingresses()}
-        self.server.update_hosts(
-            self._loop.time(), Hosts(hosts, connected_hosts, self._links.connected())
-        )
+        self.server.update_hosts(self._loop.time(), Hosts(hosts, self._connected_hosts()))
         if hosts != self._hosts:
             self._hosts = hosts
             self._set_hosts(hosts)
+        self._ingress_task.tell_lendings()
+
+    def _connected_hosts(self) -> set[str]:
+        """Return this host and those that have told on their present connection what they lend."""
+        connected = {self.name}
+        links = {LOCAL_LINK}
+        for link, name in self._owner_task.ingresses():
+            links.add(link)
+            if self._lending_links.get(name) == link:
+                connected.add(name)
+        for name, link in list(self._lending_links.items()):
+            if link not in links:
+                del self._lending_links[name]
+        return connected
 
     def _set_hosts(self, hosts: frozenset[str]) -> None:
         """Set the hosts at this host's ingress, and report the quota server candidates."""
--- a/foldhoist/delivery/quota_gate.py
+++ b/foldhoist/delivery/quota_gate.py
@@ -73,6 +73,11 @@
         """Return when `tick` is due next, monotonic seconds, or None."""
         return self.credits.next_at()
 
+    def lendings(self) -> list[SendTo]:
+        """Return the messages that tell quota servers to which of them this host lends."""
+        asks = self.credits.lendings()
+        return [SendTo(ask.server, OwnerFrame("CreditAsk", ask.message)) for ask in asks]
+
     def ended(self, now: float, call: Call, *, ran: bool) -> None:
         """Return the credit of a call that did not run, or withdraw its wait for credit."""
         if call.customer is None or not call.customer.limited:
--- a/foldhoist/schema/messages.py
+++ b/foldhoist/schema/messages.py
@@ -341,7 +341,7 @@
 
 class CreditAsk(TypedDict):
     """
-    Ingress to the keeper of a customer's quota: may calls of it run?
+    Ingress to a quota server: may calls of a customer run? Or, with `servers`: to which one the sender lends its shares.
     """
 
     ask: int
@@ -351,7 +351,7 @@
     customer: str
     want: int
     """
-    Calls for which credit is asked; 0 with `elsewhere`.
+    Calls for which credit is asked; 0 with `elsewhere` or `servers`.
     """
     lends_ms: int
     """
@@ -361,6 +361,10 @@
     """
     The sender asks another keeper for a while, since this one has not answered.
     """
+    servers: NotRequired[list[str]]
+    """
+    The quota servers that the sender may ask now: it lends its share of each customer's quota to the first of these in the customer's ranking, until its next such message on this connection. With it nothing is asked and there is no answer. Absent in a request for credit.
+    """
 
 
 class Credit(TypedDict):
--- a/tests/adapter/test_quotas.py
+++ b/tests/adapter/test_quotas.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from tests.adapter.cluster import TIMEOUT_S, Cluster, route, with_cluster
+from tests.adapter.cluster import TIMEOUT_S, Cluster, route, until, with_cluster
 from tests.adapter.test_customers import FIRST_KEY, OTHER_KEY, customer, with_key
 
 if TYPE_CHECKING:
@@ -69,6 +69,23 @@
     assert executed(cluster, "huka") <= limit
 
 
+def lent_shares(cluster: Cluster, name: str) -> list[float]:
+    """Return the shares of a customer's quota that are lent to each quota server that has any."""
+    rows = [row for daemon in cluster.daemons.values() for row in daemon.quotas.status()]
+    return [row["lent"] for row in rows if row["customer"] == name and row["lent"]]
+
+
+@with_cluster
+async def test_every_host_tells_one_quota_server_that_it_lends_its_share(cluster: Cluster) -> None:
+    await hosts_with_quota(cluster, rate=4, burst=4)
+    await until(lambda: lent_shares(cluster, "huka") == [1.0])
+    await cluster.daemons[HOSTS[0]].stop()
+    await until(lambda: lent_shares(cluster, "huka") == [0.75])
+    await cluster.start_daemon(HOSTS[0])
+    await cluster.heartbeat(HOSTS[0])
+    await until(lambda: lent_shares(cluster, "huka") == [1.0])
+
+
 @with_cluster
 async def test_a_refusal_by_quota_has_retry_after(cluster: Cluster) -> None:
     await hosts_with_quota(cluster, rate=1, burst=1)
--- a/tests/unit/customers/simulation.py
+++ b/tests/unit/customers/simulation.py
@@ -11,6 +11,8 @@
 from foldhoist.customers.quota_server import Hosts, QuotaServer
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from foldhoist.customers.credit import Step
     from foldhoist.schema.fleet import Fleet
 
@@ -56,15 +58,23 @@
         self.frozen_until = 0.0
         self.down_until = 0.0
         self.inbox: list[Message] = []
+        self.known: frozenset[str] = frozenset()
+
+    def learn(self, known: Iterable[str]) -> None:
+        """Set the hosts that this one knows, which may differ from those that there are."""
+        self.known = frozenset(known)
+        self.client.set_hosts(self.known)
 
 
 class Simulation:
     """All hosts; `cut` holds the pairs that cannot reach each other."""
 
-    def __init__(self, hosts: int, rate: float, burst: float, seed: int) -> None:
+    def __init__(
+        self, hosts: int, rate: float, burst: float, seed: int, names: list[str] | None = None
+    ) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
-        self.names = [f"h{each}" for each in range(hosts)]
+        self.names = names or [f"h{each}" for each in range(hosts)]
         self.directory = Directory(fleet_of(rate, burst))
         self.hosts = {name: Host(name, seed, 0.0) for name in self.names}
         self.last_received: dict[tuple[str, str], float] = {}
@@ -78,7 +88,7 @@
             self.start(host)
 
     def start(self, host: Host) -> None:
-        host.client.set_hosts(self.names)
+        host.learn(self.names)
         host.server.adopt(self.now, self.directory)
 
     def restart(self, name: str, down_s: float) -> None:
@@ -143,8 +153,8 @@
         if self.now >= host.next_update_at:
             host.next_update_at = self.now + HOSTS_INTERVAL_S
             connected = {one for one, other in self.last_received if other == host.name}
-            reached = {other for one, other in self.last_received if one == host.name}
-            host.server.update_hosts(self.now, Hosts(set(self.names), connected, reached))
+            host.server.update_hosts(self.now, Hosts(host.known, connected))
+            self.apply_steps(host, host.client.lendings())
 
     def update_links(self) -> None:
         for one in self.names:
@@ -184,6 +194,9 @@
         if each.kind == "Credit":
             self.apply_steps(host, host.client.on_credit(self.now, each.body))
             return
+        if "servers" in each.body:
+            host.server.on_lending(self.now, each.source, each.body["servers"])
+            return
         credit = host.server.on_ask(self.now, each.source, each.body)
         if not each.body["elsewhere"]:
             self.send(host.name, each.source, "Credit", credit)
--- a/tests/unit/customers/test_quota_histories.py
+++ b/tests/unit/customers/test_quota_histories.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import random
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
 
-from foldhoist.customers import candidates, credit, quota_server
-from tests.unit.customers.simulation import NAME, Simulation, allowed, max_in_window
+from foldhoist.customers import candidates, credit, lenders, quota_server
+from tests.unit.customers.simulation import NAME, WINDOW_S, Simulation, allowed, max_in_window
 
 HOSTS = 12
 RATE, BURST = 40.0, 40.0
@@ -106,6 +106,100 @@
     assert sim.denied - denied <= 0.02 * (sim.asked - asked)
 
 
+class Fleet(NamedTuple):
+    """Names of hosts, and of an absent one whose presence in a list changes the first server."""
+
+    names: list[str]
+    absent: str
+
+
+def fleet_with_absent_host() -> Fleet:
+    """Return hosts of which the last candidate is the customer's first server."""
+    for number in range(1000):
+        names = [f"f{number}-{each}" for each in range(HOSTS)]
+        absent = f"f{number}-absent"
+        first = candidates.first_server(NAME, candidates.quota_server_candidates(names))
+        if first not in candidates.quota_server_candidates([*names, absent]):
+            return Fleet(names, absent)
+    raise AssertionError("no such hosts")
+
+
+FLEET = fleet_with_absent_host()
+
+
+def most_granted_beside_another_list(known: set[str], hosts: int) -> int:
+    """Run 12 s at five times the rate, while some hosts know other hosts than the rest."""
+    sim = Simulation(HOSTS, RATE, BURST, 6, FLEET.names)
+    for name in FLEET.names[:hosts]:
+        sim.hosts[name].learn(known)
+    sim.run_until(5.0, 0.0)
+    sim.run_until(17.0, HOT_PER_S)
+    return max_in_window(sim.granted_at)
+
+
+@pytest.mark.parametrize("hosts", [3, 6, 9])
+def test_hosts_that_still_list_an_absent_host_do_not_double_the_quota(hosts: int) -> None:
+    most = most_granted_beside_another_list({*FLEET.names, FLEET.absent}, hosts)
+    assert 0.9 * RATE * WINDOW_S <= most <= allowed(RATE, BURST)
+
+
+@pytest.mark.parametrize("hosts", [3, 6, 9])
+def test_hosts_that_do_not_list_the_first_server_do_not_double_the_quota(hosts: int) -> None:
+    first = candidates.first_server(NAME, candidates.quota_server_candidates(FLEET.names))
+    others = [name for name in FLEET.names if name != first]
+    most = most_granted_beside_another_list(set(others), hosts)
+    assert 0.9 * RATE * WINDOW_S <= most <= allowed(RATE, BURST)
+
+
+def test_one_cut_connection_between_two_servers_does_not_double_the_quota() -> None:
+    sim = simulation(7)
+    order = candidates.ranked_servers(NAME, sim.hosts["h0"].client._candidates)
+    sim.cut = {frozenset(order[:2])}
+    sim.run_until(6.0, 0.0)
+    sim.run_until(18.0, HOT_PER_S)
+    assert 0.9 * RATE * WINDOW_S <= max_in_window(sim.granted_at) <= allowed(RATE, BURST)
+
+
+def change_one_list(sim: Simulation, rng: random.Random) -> None:
+    """Let a third of the hosts add or drop one host in their lists, never themselves."""
+    other = rng.choice([FLEET.absent, *FLEET.names])
+    for name in rng.sample(FLEET.names, HOSTS // 3):
+        known = set(FLEET.names).symmetric_difference({other})
+        sim.hosts[name].learn({*known, name})
+
+
+def simulation_with_changing_lists(seed: int) -> Simulation:
+    """Run 23 s at five times the rate while lists of hosts change, with some other failures."""
+    sim = Simulation(HOSTS, RATE, BURST, seed, FLEET.names)
+    rng = random.Random(seed)
+    while sim.now < 23.0:
+        sim.run_until(sim.now + rng.uniform(0.2, 1.5), HOT_PER_S)
+        match rng.randrange(5):
+            case 0:
+                sim.restart(rng.choice(FLEET.names), rng.uniform(0.3, 2.0))
+            case 1:
+                sim.freeze(rng.choice(FLEET.names), rng.uniform(0.2, 3.0))
+            case 2:
+                sim.cut = {frozenset(rng.sample(FLEET.names, 2))}
+            case _:
+                change_one_list(sim, rng)
+    return sim
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_no_window_exceeds_the_quota_while_lists_change(seed: int) -> None:
+    sim = simulation_with_changing_lists(seed)
+    assert 0 < max_in_window(sim.granted_at) <= allowed(RATE, BURST)
+
+
+def test_counting_connected_hosts_as_lenders_exceeds_the_quota(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(lenders.Lenders, "_is_first", lambda *_: True)
+    most = max(max_in_window(simulation_with_changing_lists(seed).granted_at) for seed in range(24))
+    assert most > allowed(RATE, BURST)
+
+
 def ask_lending_a_share_again(account: Any, ask_id: int, want: int, lends_ms: int) -> Any:
     """Request credit as a host that lends its share for the same time repeatedly."""
     found = credit_ask(account, ask_id, want, lends_ms)
--- a/tests/unit/customers/test_quota_server.py
+++ b/tests/unit/customers/test_quota_server.py
@@ -27,14 +27,14 @@
     """Return a quota server to which all hosts are connected."""
     server = QuotaServer(name, slack)
     server.adopt(0.0, Directory(fleet_of(rate, burst)))
+    for host in HOSTS:
+        server.on_lending(0.0, host, HOSTS)
     update_hosts(server, 0.0)
     return server
 
 
-def update_hosts(
-    server: QuotaServer, now: float, connected: list[str] = HOSTS, reached: Any = HOSTS
-) -> None:
-    server.update_hosts(now, Hosts(set(HOSTS), connected, reached))
+def update_hosts(server: QuotaServer, now: float, connected: list[str] = HOSTS) -> None:
+    server.update_hosts(now, Hosts(set(HOSTS), connected))
 
 
 def advance(server: QuotaServer, since: float, until: float, **of: Any) -> None:
@@ -78,6 +78,35 @@
     assert ask(server, 1.0)["granted"] in (3, 4, 5)
 
 
+def test_connected_hosts_that_have_not_said_so_lend_nothing() -> None:
+    server = QuotaServer(FIRST)
+    server.adopt(0.0, Directory(fleet_of(8.0, 16.0)))
+    advance(server, 0.0, 5.0)
+    assert ask(server, 5.0)["granted"] <= 1
+
+
+def test_hosts_that_name_another_first_server_lend_nothing() -> None:
+    server = new_server()
+    ask(server, 0.0)
+    for host in HOSTS[:4]:
+        server.on_lending(0.0, host, [SECOND])
+    advance(server, 0.0, 1.0)
+    assert ask(server, 1.0)["granted"] in (3, 4, 5)
+
+
+def test_a_lost_connection_ends_what_a_host_has_said() -> None:
+    server = new_server()
+    advance(server, 0.0, 0.2, connected=[])
+    advance(server, 0.2, 10.0)
+    assert ask(server, 10.0)["granted"] <= 3
+
+
+def test_a_server_holds_only_the_part_of_the_burst_that_is_lent() -> None:
+    server = new_server()
+    advance(server, 0.0, 60.0, connected=HOSTS[:2])
+    assert ask(server, 60.0)["granted"] in (3, 4)
+
+
 def test_a_secondary_server_gains_only_what_requests_lend() -> None:
     server = new_server(SECOND)
     for number in range(20):
@@ -88,10 +117,12 @@
     assert granted in (1, 2)
 
 
-def test_a_server_that_becomes_primary_starts_with_limited_credit() -> None:
+def test_a_server_to_which_hosts_turn_starts_with_limited_credit() -> None:
     server = new_server(SECOND, slack=8.0)
     others = [name for name in HOSTS if name != FIRST]
-    advance(server, 0.0, 1.0, connected=others, reached=others)
+    for host in others:
+        server.on_lending(0.0, host, others)
+    advance(server, 0.0, 1.0, connected=others)
     granted = ask(server, 1.0)["granted"]
     assert 0 < granted <= 8 * INITIAL_SLACK_SHARE + 8
 
