Cold upstreams: a connection does not tell which incarnation accepted it

Cause: what was known of the incarnation before was kept although every connection to it was gone; an accepted connection was taken for a warm upstream.

Evidence: tests on sockets with the old code. With regular samples of the health path the bound holds; without, it breaks after a noticed crash and after a restart that no connection shows as refused (4 crashes more, 0 allowed). So "warm as soon as the address accepts" is one way only; the sampler's pause after failures (up to 3 s) hid the rest.

Change: a connection that opens while no other is open makes the owner assume a cold upstream, bounded by the cold rate and not held, and ask the health path at once, with retries; a requested sample no longer waits for the pause. The reconnection is a module of its own, SERVER_ERROR stands once.

--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -11,6 +11,7 @@
 from foldhoist.daemon.frames import FrameConnection
 from foldhoist.daemon.goaway import GoawayExchange
 from foldhoist.daemon.lost_calls import LostCalls
+from foldhoist.daemon.reconnector import Reconnector
 from foldhoist.daemon.sampler import Sampler
 from foldhoist.daemon.signal_log import SignalLog
 from foldhoist.daemon.upstream import CONNECTION_LOST, UpstreamPool
@@ -48,8 +49,6 @@
 
 TICK_S = 0.05
 """Interval at which waiting and running calls are checked against their limits, seconds."""
-RECONNECT_INTERVAL_S = 0.3
-"""Pause before each attempt to connect to an unreachable upstream, seconds."""
 GOAWAY = {"reason": "drain"}
 """The message to an ingress when this owner takes no more calls."""
 UPSTREAM_UNREACHABLE = "upstream-unreachable"
@@ -78,7 +77,6 @@
         self.on_leaving: Callable[[UpstreamIncarnation], None] | None = None
         self._signal_log = SignalLog(self.began)
         self._timer: asyncio.TimerHandle | None = None
-        self._reconnecting: asyncio.Task[None] | None = None
         self._hello = hello
         self._on_local = on_local
         self._on_hop = on_hop
@@ -96,7 +94,9 @@
             self._on_result,
             self._on_signals,
             dialect,
+            self._on_sole_connection,
         )
+        self._reconnector = Reconnector(self.pool, self._is_announced, self.set_state)
         self._lost_calls = LostCalls(self.pool, self._on_calls_lost)
         self.sampler = Sampler(
             SamplePlan(cfg["measuring"]["sample_cost"]),
@@ -284,7 +284,7 @@
             labels = ", ".join(self.owner.tickets.log_labels(tickets))
             logger.warning("upstream crashed with {} calls running: {}", len(lost), labels)
             self._carry_out(self.owner.upstream_crashed(self._loop.time(), tickets))
-            self._start_reconnecting()
+            self._reconnector.start()
         for call in lost:
             self._finish_call(call.ticket, call.result)
 
@@ -295,7 +295,7 @@
             self.sampler.record_pace(result.pace)
         self.owner.status.pace_sampled = self.sampler.pace_sampled
         if _is_unreachable(result):
-            self._start_reconnecting()
+            self._reconnector.start()
         self._carry_out(self.owner.finished(now, ticket, result))
         if hop is not None:
             self._on_hop(hop)
@@ -350,22 +350,19 @@
         if (conn := self._conns.get(link)) is not None:
             conn.send(kind, body)
 
-    def _start_reconnecting(self) -> None:
-        """Mark the upstream as down, and try to connect until it accepts a connection.
+    def _is_announced(self) -> bool:
+        return self.owner.status.upstream is not None
 
-        The state of an upstream that does not announce itself is left to the health checks.
+    def _on_sole_connection(self) -> None:
+        """Ask the upstream whether it is cold: without open connections it may have restarted.
+
+        An address that accepts a connection shows that a process runs there, and not which one.
         """
-        if self._reconnecting is None and self.owner.status.upstream is not None:
-            self.set_state("down")
-            self._reconnecting = self._loop.create_task(self._reconnect())
-
-    async def _reconnect(self) -> None:
-        while self.owner.status.upstream is not None:
-            await asyncio.sleep(RECONNECT_INTERVAL_S)
-            if await self.pool.try_connect():
-                break
-        self._reconnecting = None
-        self.set_state("warm")
+        if not self._is_announced():
+            return
+        self._carry_out(self.owner.assume_cold(self._loop.time()))
+        if self.owner.status.cold:
+            self.sampler.request_sample()
 
     def _set_timer(self) -> None:
         """Schedule the next check, so that a call is refused early enough to try another owner."""
--- a/foldhoist/daemon/sampler.py
+++ b/foldhoist/daemon/sampler.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,10 @@
 
 SAMPLE_TIMEOUT_S = 0.1
 """Timeout for connecting and for an answer, seconds; a later sample could be outdated."""
+REQUEST_RETRY_S = 0.2
+"""Pause after a requested sample that failed, seconds."""
+MAX_REQUEST_TRIES = 10
+"""Tries of a requested sample; together about as long as an upstream stays cold."""
 
 
 @dataclass(slots=True)
@@ -120,7 +125,7 @@
         self._address = address
         self._dialect = dialect
         self._on_sample = on_sample
-        self._requested = False
+        self._requested = asyncio.Event()
         self._conn: _SampleConnection | None = None
         self._wake = asyncio.Event()
         self._loop = asyncio.get_running_loop()
@@ -145,8 +150,11 @@
             self._wake.set()
 
     def request_sample(self) -> None:
-        """Take a sample soon regardless of the plan, as the upstream may have become cold."""
-        self._requested = True
+        """Take a sample now regardless of the plan, as the upstream may have become cold.
+
+        It is repeated if it fails.
+        """
+        self._requested.set()
         self._wake.set()
 
     def record_pace(self, pace: int) -> None:
@@ -162,19 +170,34 @@
         while True:
             now = self._loop.time()
             at = self._plan.next_at(now)
-            if self._requested:
-                self._requested = False
-                await self._sample()
+            if self._requested.is_set():
+                await self._take_requested()
             elif at is None:
                 self._wake.clear()
                 self._disconnect()
                 await self._wake.wait()
             elif at > now:
-                await asyncio.sleep(at - now)
+                await self._pause(at - now)
             else:
                 await self._sample()
 
-    async def _sample(self) -> None:
+    async def _pause(self, for_s: float) -> None:
+        """Wait for `for_s` seconds, or until a sample is requested."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(for_s):
+                await self._requested.wait()
+
+    async def _take_requested(self) -> None:
+        """Take the requested sample, with some retries."""
+        self._requested.clear()
+        for _ in range(MAX_REQUEST_TRIES):
+            if await self._sample():
+                return
+            await asyncio.sleep(REQUEST_RETRY_S)
+        logger.info("upstream has not said whether it is cold")
+
+    async def _sample(self) -> bool:
+        """Take a sample; returns whether the upstream has answered."""
         self.count.samples += 1
         try:
             sample = await self._request()
@@ -185,16 +208,17 @@
             if not self._failing:
                 logger.info("pace of the upstream cannot be sampled: {!r}", exc)
             self._failing = True
-            return
+            return False
         if sample.pace or sample.cold_s is not None:
             self._on_sample(sample)
         if not sample.pace:
             self._plan.record_failure(self._loop.time())
-            return
+            return True
         if self._failing:
             logger.info("pace of the upstream is sampled again")
         self._failing = False
         self._plan.record_pace(self._loop.time(), sample.pace)
+        return True
 
     async def _request(self) -> Sample:
         if self._conn is None or not self._conn.usable:
--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -235,7 +235,9 @@
         on_result: Callable[[int, Result], None],
         on_signals: Callable[[int, AnswerSignals], None],
         dialect: Dialect | None = None,
+        on_sole_connection: Callable[[], None] | None = None,
     ) -> None:
+        """`on_sole_connection` is called when a connection opens while no other one is open."""
         self.dialect = dialect or DefaultDialect()
         self.address = address
         self.max_connections = 200
@@ -244,6 +246,7 @@
         self._max_body_bytes = max_body_bytes
         self._on_result = on_result
         self._on_signals = on_signals
+        self._on_sole_connection = on_sole_connection
         self._idle: deque[UpstreamConnection] = deque()
         self._busy: dict[int, UpstreamConnection] = {}
         self._connecting: dict[int, asyncio.Task[None]] = {}
@@ -323,6 +326,8 @@
                 *self.address,
             )
         self.opened += 1
+        if self._on_sole_connection is not None and not self.has_connection:
+            self._on_sole_connection()
         return conn
 
     async def _connect(self, call: StartCall, data: bytes) -> None:
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -35,15 +35,12 @@
 from foldhoist.delivery.peers import Peers, drop_acked
 from foldhoist.delivery.quarantined_calls import QuarantinedCalls
 from foldhoist.delivery.queue_decisions import QueueDecisions
+from foldhoist.delivery.rules import SERVER_ERROR
 from foldhoist.delivery.shed_guard import ShedGuard
 from foldhoist.delivery.signal_effects import SignalEffects
 from foldhoist.delivery.slot_limits import SlotLimits
 from foldhoist.delivery.tickets import Tickets
-from foldhoist.delivery.upstream_status import (
-    EVACUATED,
-    REPLACED,
-    UpstreamStatus,
-)
+from foldhoist.delivery.upstream_status import EVACUATED, REPLACED, UpstreamStatus
 from foldhoist.delivery.waiting_calls import WaitingCalls
 from foldhoist.delivery.withdrawals import Withdrawals
 from foldhoist.membership.incarnations import incarnation_of
@@ -65,8 +62,6 @@
         Withdraw,
     )
 
-SERVER_ERROR = 500
-"""Answers from this status on do not show that the upstream can complete a call."""
 AT_ONCE_S = 0.001
 """Within this time a call may start even if it is expected to miss its deadline, seconds."""
 
@@ -257,10 +252,17 @@
         self._cold.extend(now, cold_s)
         return [*self._update_cold(now), *self.clear_leaving(REPLACED)]
 
+    def assume_cold(self, now: float) -> list[Action]:
+        """Treat the upstream as cold until it tells otherwise, as it may have restarted unnoticed.
+
+        Another incarnation may have the name of the one before; its announcement may come late.
+        """
+        self._cold.assume_cold(now)
+        return self._update_cold(now)
+
     def end_evacuation(self, now: float) -> list[Action]:
         """Take calls again; the upstream was idle and is assumed to have turned cold."""
-        self._cold.assume_cold(now)
-        return [*self._update_cold(now), *self.clear_leaving(EVACUATED)]
+        return [*self.assume_cold(now), *self.clear_leaving(EVACUATED)]
 
     def announce(
         self, now: float, upstream: Announced, began: float = float("inf")
--- a/tests/adapter/target.py
+++ b/tests/adapter/target.py
@@ -71,7 +71,7 @@
     async def _listen(self, port: int) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
         """Stop listening and reset every connection, as a killed process does."""
         self.crashes += 1
         self._server.close()
@@ -109,7 +109,7 @@
         self.arrivals.append(now)
         self.received.append((now, attempt, self.instance))
         if self._is_overloaded():
-            self._crash()
+            self.crash()
             raise ConnectionResetError
         if self.full:
             self.rejected += 1
@@ -120,7 +120,7 @@
         self.ran.append(req)
         await self._work(reader)
         if path == self.crash_path:
-            self._crash()
+            self.crash()
             raise ConnectionResetError
         status = await self.handler(req) if self.handler is not None else self.status
         if self.cut:
--- a/tests/adapter/test_cold.py
+++ b/tests/adapter/test_cold.py
@@ -112,6 +112,47 @@
     assert cluster.targets["s0"].max_arrivals_in_a_second() <= ALLOWED_IN_A_SECOND
 
 
+@pytest.mark.parametrize("noticed", [True, False])
+def test_an_upstream_that_restarts_under_its_name_is_cold_before_it_announces_itself(
+    noticed: bool,
+) -> None:
+    """Its address accepts connections again, and nothing else is known of its new incarnation."""
+
+    @with_cluster
+    async def run(cluster: Cluster) -> None:
+        await start(cluster, 1)
+        target = cluster.targets["s0"]
+        target.pace = ""  # Its health path is then not asked regularly.
+        await burst(cluster, ["a"])
+        target.crash()
+        if noticed:
+            await cluster.send("a")
+        await target.restart(target.instance)
+        target.become_cold(COLD_S)
+        crashes = target.crashes
+        for _ in range(4):
+            await burst(cluster, ["a", "s0"])
+            await asyncio.sleep(BURST_INTERVAL_S)
+        assert target.crashes == crashes
+        assert 0 < target.max_arrivals_in_a_second() <= ALLOWED_IN_A_SECOND
+
+    run()
+
+
+@with_cluster
+async def test_an_upstream_that_comes_back_warm_gets_all_calls_at_once(cluster: Cluster) -> None:
+    await start(cluster, 1)
+    target = cluster.targets["s0"]
+    target.crash()
+    await cluster.send("a")
+    await target.restart(target.instance)
+    async with asyncio.timeout(COLD["cold_period_s"]):
+        while (await cluster.send("a")).status != 200:
+            await asyncio.sleep(0.05)
+        answers = [await cluster.send("a") for _ in range(3 * int(COLD_PER_S))]
+    assert {answer.status for answer in answers} == {200}
+
+
 @pytest.mark.parametrize("upstreams", [2, 5])
 def test_all_calls_are_served_after_every_upstream_was_cold(upstreams: int) -> None:
     """All hosts send concurrent reads while every upstream is cold."""
