Quotas: credit that a refused call returns keeps its own lifetime

Cause: returned credit lived half a second anew, so that calls that were refused one after the other kept credit alive that nobody ran, and gathered it beside new grants.

Change: credit is kept by grant, with the time at which it expires; a call returns what is left of it.

Two tests of the gate, seen failing before: credit returned every 0.1 s was still spent at 1.5 s and later, and a returned one lived as long as a newer grant. Unit tests of delivery and customers and the quota tests pass after.

--- a/foldhoist/customers/credit.py
+++ b/foldhoist/customers/credit.py
@@ -11,7 +11,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
-from foldhoist.customers.account import Account, PendingAsk
+from foldhoist.customers.account import Account, Grant, PendingAsk
 from foldhoist.customers.candidates import quota_server_candidates, ranked_servers
 from foldhoist.customers.quota_server import MAX_RETRY_AFTER_S
 
@@ -33,7 +33,7 @@
 CREDIT_LIFETIME_S = 0.5
 """Lifetime of unused credit, seconds, so that hosts do not hoard it.
 
-It starts anew with each later grant, from the request, and with each credit that a call returns.
+It counts from the request. What a call that did not run returns keeps the rest of its lifetime.
 """
 PREFETCH_S = 0.25
 """Credit is also requested for the calls expected within this time, seconds."""
@@ -53,10 +53,14 @@
 
 
 class Granted(NamedTuple):
-    """A call that may run; `over_burst` if the customer has used more than half of its burst."""
+    """A call that may run; `over_burst` if the customer has used more than half of its burst.
+
+    If the call does not run, another one may use its credit until `until`, monotonic seconds.
+    """
 
     call_id: int
     over_burst: bool
+    until: float
 
 
 class Denied(NamedTuple):
@@ -106,9 +110,9 @@
             customer = directory.named(name)
             if customer is not None and customer.limited:
                 account.customer = customer
-                account.credit = min(account.credit, int(customer.max_credit))
+                account.drop_excess()
                 continue
-            steps += [Granted(call_id, False) for call_id in account.waiting]
+            steps += [Granted(call_id, False, now) for call_id in account.waiting]
             self._forget(name, account)
         return steps
 
@@ -142,8 +146,9 @@
             account = self._accounts[customer.name] = Account(customer, now)
         account.demand.count(now, 0.0)
         account.last_call_at = now
-        if account.spend(now):
-            return [Granted(call_id, account.over_burst)]
+        until = account.spend(now)
+        if until is not None:
+            return [Granted(call_id, account.over_burst, until)]
         if account.pending is None and now < account.no_asks_until:
             return [self._denied(now, account, call_id)]
         account.waiting.append(call_id)
@@ -166,10 +171,7 @@
             return self._ask(now, account)
         account.tried.clear()
         account.over_burst = message["scarce"]
-        if now >= account.credit_until:
-            account.credit = 0
-        account.credit += message["granted"]
-        account.credit_until = pending.at + CREDIT_LIFETIME_S
+        account.add(Grant(pending.at + CREDIT_LIFETIME_S, message["granted"]))
         retry_after_s = message["again_ms"] / 1000
         if retry_after_s:
             account.no_asks_until = now + min(retry_after_s, MAX_DENIAL_PAUSE_S)
@@ -216,15 +218,12 @@
             return None
         return oldest.pending.at + ANSWER_TIMEOUT_S
 
-    def return_credit(self, now: float, customer: Customer) -> None:
-        """Return the credit of a call that did not run, for use by the next call."""
+    def return_credit(self, now: float, customer: Customer, until: float) -> None:
+        """Return the credit of a call that did not run, for use by another until it expires."""
         account = self._accounts.get(customer.name)
-        if account is None:
-            return
-        if now >= account.credit_until:
-            account.credit = 0
-        account.credit = min(account.credit + 1, int(customer.max_credit))
-        account.credit_until = max(account.credit_until, now + CREDIT_LIFETIME_S)
+        if account is not None and now < until:
+            account.add(Grant(until, 1))
+            account.drop_excess()
 
     def withdraw(self, customer: Customer, call_id: int) -> bool:
         """Remove an ended call; returns whether it was still waiting for credit."""
@@ -273,8 +272,11 @@
 
     def _decide_waiting(self, now: float, account: Account, *, denied: bool) -> list[Step]:
         steps: list[Step] = []
-        while account.waiting and account.spend(now):
-            steps.append(Granted(account.waiting.popleft(), account.over_burst))
+        while account.waiting:
+            until = account.spend(now)
+            if until is None:
+                break
+            steps.append(Granted(account.waiting.popleft(), account.over_burst, until))
         if not denied:
             return steps + self._ask(now, account)
         while account.waiting:
@@ -298,7 +300,7 @@
                 steps.append(Denied(call_id, NO_QUOTA_SERVER, OWN_SHARE_RETRY_AFTER_S))
                 continue
             account.own_credit -= 1.0
-            steps.append(Granted(call_id, account.over_burst))
+            steps.append(Granted(call_id, account.over_burst, now + CREDIT_LIFETIME_S))
         return steps
 
     def _denied(self, now: float, account: Account, call_id: int) -> Denied:
--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -191,6 +191,7 @@
     `dispatches` counts the attempts sent to owners, `arrivals` those of them that no owner refused
     before they reached its upstream. `may_have_run_reason` is set once an attempt without an answer
     may have run. `failure` is the last answer with a server error to a call that may be retried.
+    `credit_until` is when the credit of a customer's call expires that it returns if it did not run.
     """
 
     __slots__ = (
@@ -202,6 +203,7 @@
         "bulk",
         "cached_identity",
         "call_id",
+        "credit_until",
         "customer",
         "deadline",
         "dispatches",
@@ -231,6 +233,7 @@
         self.call_id = call_id
         self.customer = customer
         self.over_burst = False
+        self.credit_until = 0.0
         self.admitted = False
         self.bulk = routed.bulk
         self.req = req
--- a/foldhoist/delivery/quota_gate.py
+++ b/foldhoist/delivery/quota_gate.py
@@ -85,7 +85,7 @@
         if not call.admitted:
             self.credits.withdraw(call.customer, call.call_id)
         elif not ran:
-            self.credits.return_credit(now, call.customer)
+            self.credits.return_credit(now, call.customer, call.credit_until)
 
     def _actions(self, steps: list[Step]) -> list[GateAction]:
         actions: list[GateAction] = []
@@ -93,10 +93,11 @@
             match step:
                 case Ask(quota_server, message):
                     actions.append(SendTo(quota_server, OwnerFrame("CreditAsk", message)))
-                case Granted(call_id, over_burst):
+                case Granted(call_id, over_burst, until):
                     call = self._calls.get(call_id)
                     if call is not None:
                         call.over_burst = over_burst
+                        call.credit_until = until
                         actions.append(Begin(call))
                 case Denied(call_id, reason, retry_after_s):
                     call = self._calls.get(call_id)
--- a/tests/unit/delivery/test_quota_gate.py
+++ b/tests/unit/delivery/test_quota_gate.py
@@ -83,6 +83,39 @@
     assert asked(call(ingress, 1.1, 3))
 
 
+def refuse_all(ingress: Any, now: float, sent: list[SendTo]) -> None:
+    """Refuse a call at every owner until it ends without having run."""
+    waiting = list(sent)
+    while waiting:
+        one = waiting.pop()
+        waiting += dispatched(
+            ingress.refusal(now, one.target, refusal(one.frame.body["seq"], "no"))
+        )
+
+
+def test_credit_that_calls_return_again_and_again_expires() -> None:
+    """Guards against calls that are refused for want of room and gather credit meanwhile."""
+    ingress = limited()
+    (ask,) = asked(call(ingress, 1.0, 1))
+    refuse_all(ingress, 1.02, dispatched(ingress.credited(1.01, credit(ask, 1))))
+    for number in range(2, 10):
+        now = 1.0 + number / 10
+        sent = dispatched(call(ingress, now, number))
+        assert bool(sent) == (now < 1.5)
+        refuse_all(ingress, now, sent)
+
+
+def test_returned_credit_does_not_outlive_its_grant_beside_newer_credit() -> None:
+    ingress = limited()
+    (ask,) = asked(call(ingress, 1.0, 1))
+    old = dispatched(ingress.credited(1.01, credit(ask, 1)))
+    (ask,) = asked(call(ingress, 1.4, 2))
+    ingress.credited(1.41, credit(ask, 2))
+    refuse_all(ingress, 1.45, old)
+    assert dispatched(call(ingress, 1.6, 3))
+    assert asked(call(ingress, 1.6, 4))
+
+
 def test_credit_of_a_call_that_may_have_run_is_spent() -> None:
     ingress = limited()
     (ask,) = asked(call(ingress, 1.0, 1))
