Quotas: a daemon without a list of hosts lends and uses no share

A daemon that has just started and has read the configuration but not the list of hosts (a slow store, a lost answer) knew itself alone, took itself for the one quota server and for the owner of a whole quota, and granted the full rate beside the others.

Change: the share of a host is 0 until the store's list, or a peer's full one, is known. Refusals until then say `quota-unknown` with a Retry-After.

--- a/foldhoist/customers/credit.py
+++ b/foldhoist/customers/credit.py
@@ -84,7 +84,7 @@
 class CreditClient:
     """Obtains and spends credit for all customers with calls at this host.
 
-    `now` is in monotonic seconds.
+    `now` is in monotonic seconds. Before `set_hosts` this host's own share is unknown, and 0.
     """
 
     def __init__(self, rng: Random) -> None:
@@ -94,7 +94,7 @@
         self._rng = rng
         self._accounts: dict[str, Account] = {}
         self._pending: dict[int, Account] = {}
-        self._host_count = 1
+        self._host_share = 0.0
         self._candidates: tuple[str, ...] = ()
         self._known_hosts: frozenset[str] = frozenset()
         self._connected: set[str] = set()
@@ -122,7 +122,7 @@
         if known != self._known_hosts:
             self._known_hosts = known
             self._candidates = quota_server_candidates(known)
-            self._host_count = max(1, len(known))
+            self._host_share = 1 / max(1, len(known))
 
     def lendings(self) -> list[Ask]:
         """Return a message to each server that does not know to which ones this host lends.
@@ -286,9 +286,9 @@
     def _decide_by_own_share(self, now: float, account: Account) -> list[Step]:
         """Decide on the waiting calls by this host's share of the quota, now lent to no server."""
         customer = account.customer
-        gained = customer.rate_per_s / self._host_count * (now - account.own_credit_at)
+        gained = customer.rate_per_s * self._host_share * (now - account.own_credit_at)
         account.own_credit = min(
-            max(1.0, customer.burst / self._host_count), account.own_credit + gained
+            max(1.0, customer.burst * self._host_share), account.own_credit + gained
         )
         account.own_credit_at = now
         # The next server asked is lent the share only from that request on.
--- a/foldhoist/customers/quota_server.py
+++ b/foldhoist/customers/quota_server.py
@@ -53,6 +53,8 @@
 class QuotaServer:
     """Grants credit of the quotas that this host serves; `now` is in monotonic seconds.
 
+    It gains none before `update_hosts`, as a host's share is unknown until then.
+
     `slack` is how many calls beyond its quota a customer may run in a window, at all hosts.
     """
 
@@ -63,7 +65,7 @@
         self.denied = 0
         self._directory = Directory()
         self._buckets: dict[str, Bucket] = {}
-        self._host_count = 1
+        self._host_share = 0.0
         self._lenders = Lenders(name)
         self._asking_elsewhere: set[str] = set()
         self._stalled_s = 0.0
@@ -86,7 +88,7 @@
         counts as a stall.
         """
         self._refill_all(now)
-        self._host_count = len({*hosts.known, *hosts.connected, self.name})
+        self._host_share = 1 / len({*hosts.known, *hosts.connected, self.name})
         self._asking_elsewhere.intersection_update(hosts.connected)
         self._lenders.retain(hosts.connected)
         at = self._active_time(now)
@@ -146,7 +148,9 @@
 
     def _retry_after_s(self, at: float, customer: Customer, bucket: Bucket) -> float:
         """Return the time until credit covers the calls denied lately, seconds, within bounds."""
-        gained = customer.rate_per_s * max(bucket.burst_share, 1 / self._host_count)
+        gained = customer.rate_per_s * max(bucket.burst_share, self._host_share)
+        if not gained:
+            return MAX_RETRY_AFTER_S
         waiting = max(1.0, bucket.denials.total(at))
         retry_after_s = (waiting - bucket.level) / gained
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after_s))
@@ -200,7 +204,7 @@
             return
         since = self._lenders.since(host)
         lent_s = min(gap_s, lends_s, MAX_LENT_S, at - since if since is not None else gap_s)
-        lent = customer.rate_per_s * lent_s / self._host_count
+        lent = customer.rate_per_s * lent_s * self._host_share
         bucket.level = min(self._max_credit(customer, bucket), bucket.level + lent)
 
     def _update_shares(self, at: float, customer: str, bucket: Bucket) -> None:
@@ -219,8 +223,8 @@
         for host in bucket.asking_hosts:
             by_asking += not self._lenders.lends(host, customer)
         began = by_word and not bucket.rate_share
-        bucket.rate_share = min(1.0, by_word / self._host_count)
-        bucket.burst_share = min(1.0, (by_word + by_asking) / self._host_count)
+        bucket.rate_share = min(1.0, by_word * self._host_share)
+        bucket.burst_share = min(1.0, (by_word + by_asking) * self._host_share)
         if began:
             # Another server has granted credit until now; how much is unknown.
             bucket.level = min(bucket.level, self._initial_credit)
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -250,7 +250,7 @@
             platform["quota_slack"],
             self.ingress_task,
             self.owner_task,
-            lambda: self.registry.peers,
+            lambda: self.registry.peers if self.peers.knows_hosts else None,
             self._on_quota_servers,
         )
 
--- a/foldhoist/daemon/peer_messages.py
+++ b/foldhoist/daemon/peer_messages.py
@@ -37,7 +37,7 @@
             case "Fresh":
                 daemon.versions.on_fresh(name, body)
             case "Roster":
-                daemon.peers.on_roster(body)
+                daemon.peers.on_full_roster(body)
             case _:
                 daemon.ingress_task.message(name, kind, body)
 
--- a/foldhoist/daemon/peers_task.py
+++ b/foldhoist/daemon/peers_task.py
@@ -47,7 +47,10 @@
 
 
 class PeersTask:
-    """Owns the registry and the connections to peers."""
+    """Owns the registry and the connections to peers.
+
+    `listed` is set once the store's records are read, `knows_hosts` also by a peer's full roster.
+    """
 
     def __init__(
         self,
@@ -65,6 +68,7 @@
     ) -> None:
         self.registry = registry
         self.listed = asyncio.Event()
+        self.knows_hosts = False
         self.store_reads = 0
         self._links = links
         self._store = store
@@ -121,6 +125,11 @@
         if self._relay_timer is None:
             self._relay_timer = self._loop.call_later(RELAY_DELAY_S, self._relay)
 
+    def on_full_roster(self, message: Roster) -> None:
+        """Add all rows that a peer knows, sent by it on request."""
+        self.on_roster(message)
+        self.knows_hosts = True
+
     def full_roster(self) -> Roster:
         """Return all known daemons, including this one."""
         return {"rows": [*self.registry.rows(), self._own_row()], "spread": False, "wanted": False}
@@ -285,6 +294,7 @@
         self._update_links()
         self._on_own_record(own[0].ended if own else (), set(self._wanted))
         self.listed.set()
+        self.knows_hosts = True
         return True
 
     def _merge_quarantined(self, records: list[Registration]) -> None:
--- a/foldhoist/daemon/quota_task.py
+++ b/foldhoist/daemon/quota_task.py
@@ -33,10 +33,14 @@
         slack: float,
         ingress_task: IngressTask,
         owner_task: OwnerTask,
-        known_hosts: Callable[[], Iterable[str]],
+        known_hosts: Callable[[], Iterable[str] | None],
         on_servers: Callable[[frozenset[str]], None],
     ) -> None:
-        """`known_hosts` returns host names; `on_servers` gets the quota server candidates."""
+        """Create the quota server; it works from `adopt` on.
+
+        `known_hosts` returns host names, None while the list of hosts is not known yet;
+        `on_servers` gets the quota server candidates.
+        """
         self.name = name
         self.server = QuotaServer(name, slack)
         self._ingress_task = ingress_task
@@ -111,8 +115,15 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _update_hosts(self) -> None:
-        """Update the hosts known and connected, and tell quota servers of a changed choice."""
-        hosts = frozenset((self.name, *self._known_hosts()))
+        """Update the hosts known and connected, and tell quota servers of a changed choice.
+
+        Until the list of hosts is known, a host's share of a quota is not: a daemon that knows only
+        itself would take all of it.
+        """
+        known = self._known_hosts()
+        if known is None:
+            return
+        hosts = frozenset((self.name, *known))
         self.server.update_hosts(self._loop.time(), Hosts(hosts, self._connected_hosts()))
         if hosts != self._hosts:
             self._hosts = hosts
--- a/foldhoist/delivery/call.py
+++ b/foldhoist/delivery/call.py
@@ -191,7 +191,8 @@
     `dispatches` counts the attempts sent to owners, `arrivals` those of them that no owner refused
     before they reached its upstream. `may_have_run_reason` is set once an attempt without an answer
     may have run. `failure` is the last answer with a server error to a call that may be retried.
-    `credit_until` is when the credit of a customer's call expires that it returns if it did not run.
+    `credit_until` is when the credit of a customer's call expires; a call that does not run returns
+    it before that.
     """
 
     __slots__ = (
--- a/tests/unit/customers/test_quota_server.py
+++ b/tests/unit/customers/test_quota_server.py
@@ -136,6 +136,15 @@
     assert ask(server, 1.0, host=FIRST)["granted"] <= 3
 
 
+def test_a_server_that_does_not_know_the_hosts_yet_gains_nothing() -> None:
+    """Guards against a daemon that has just started and takes a whole quota for its share."""
+    server = QuotaServer(FIRST)
+    server.adopt(0.0, Directory(fleet_of(8.0, 16.0)))
+    granted = [ask(server, number / 10, lends_ms=number * 100) for number in range(100)]
+    assert sum(each["granted"] for each in granted) == 0
+    assert granted[-1]["again_ms"] == MAX_RETRY_AFTER_S * 1000
+
+
 def test_an_unknown_customer_is_reported_and_an_unlimited_one_is_granted_everything() -> None:
     server = new_server()
     assert not ask(server, 0.0, customer="nobody")["known"]
--- a/tests/unit/delivery/test_quota_gate.py
+++ b/tests/unit/delivery/test_quota_gate.py
@@ -136,6 +136,16 @@
     assert (verdict.reason, verdict.status) == ("quota-unknown", 503)
 
 
+def test_a_host_that_does_not_know_the_others_uses_no_share_of_its_own() -> None:
+    """Guards against a daemon that has just started and takes a whole quota for its share."""
+    ingress = make()
+    fleet, _ = parse_fleet(fleet_text(3) + CUSTOMER, "x")
+    ingress.intake.adopt(fleet)
+    for number in range(1, 30):
+        (verdict,) = replies(call(ingress, float(number), number))
+        assert (verdict.reason, verdict.status) == ("quota-unknown", 503)
+
+
 def test_a_caller_that_disconnects_while_its_call_waits_uses_no_credit() -> None:
     ingress = limited()
     (ask,) = asked(call(ingress, 1.0, 1))
