Answers of an upstream are bounded outside of their bodies too

Cause: only bodies had a bound; the parser has none and copies a header anew with each part of it.

Change: 64 KiB outside of bodies (and 32 bytes a chunk), parsed 16 KiB at a time; an announced length above the limit is refused at the head; incomplete bodies of all connections share held_bytes; two bodies at most for a call; 64 KiB for a health answer, whose interim answers are skipped. UpstreamConnection and HealthConnection have modules of their own.

--- a/bench/stages.py
+++ b/bench/stages.py
@@ -18,7 +18,7 @@
 from foldhoist.daemon.frames import FrameConnection
 from foldhoist.daemon.ingress_task import IngressTask
 from foldhoist.daemon.owner_task import OwnerTask
-from foldhoist.daemon.upstream import UpstreamConnection
+from foldhoist.daemon.upstream_connection import UpstreamConnection
 from foldhoist.delivery.codec import SCHEMA_VERSION
 from foldhoist.delivery.ingress import Ingress
 from foldhoist.delivery.owner import Owner
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -14,7 +14,8 @@
 from foldhoist.daemon.reconnector import Reconnector
 from foldhoist.daemon.sampler import Sampler
 from foldhoist.daemon.signal_log import SignalLog
-from foldhoist.daemon.upstream import CONNECTION_LOST, UpstreamPool
+from foldhoist.daemon.upstream import UpstreamPool
+from foldhoist.daemon.upstream_connection import CONNECTION_LOST
 from foldhoist.delivery.call_finisher import LOCAL_LINK
 from foldhoist.delivery.codec import FRAME_OVERHEAD_BYTES, SCHEMA_VERSION
 from foldhoist.delivery.dispatch import (
@@ -91,6 +92,7 @@
             (host, int(port)),
             cfg["upstream"]["connect_ms"] / 1000,
             cfg["limits"]["body_bytes"],
+            cfg["limits"]["held_bytes"],
             self._on_result,
             self._on_signals,
             dialect,
--- a/foldhoist/daemon/sampler.py
+++ b/foldhoist/daemon/sampler.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import httptools
 from loguru import logger
 
-from foldhoist.daemon.http import HeadReader, write_head
+from foldhoist.daemon.health_connection import SAMPLE_TIMEOUT_S, HealthConnection
+from foldhoist.daemon.http import write_head
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,8 +22,6 @@
     from foldhoist.delivery.dispatch import Sample
     from foldhoist.routing.sampling import SamplePlan
 
-SAMPLE_TIMEOUT_S = 0.1
-"""Timeout for connecting and for an answer, seconds; a later sample could be outdated."""
 REQUEST_RETRY_S = 0.2
 """Pause after a requested sample that failed, seconds."""
 MAX_REQUEST_TRIES = 10
@@ -38,76 +36,6 @@
     samples: int = 0
 
 
-class _SampleConnection(asyncio.Protocol):
-    """A persistent connection to the health endpoint; one request at a time."""
-
-    def __init__(self, dialect: Dialect) -> None:
-        self._dialect = dialect
-        self._transport: asyncio.Transport | None = None
-        self._answer: asyncio.Future[Sample] | None = None
-
-    @property
-    def usable(self) -> bool:
-        """Return whether a request may be sent."""
-        return self._transport is not None and not self._transport.is_closing()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the running request."""
-        self._transport = None
-        self._fail("health connection lost")
-
-    async def request(self, data: bytes) -> Sample:
-        """Send a request and return the sample in its answer.
-
-        Raises ConnectionError or TimeoutError.
-        """
-        if self._transport is None:
-            raise ConnectionError("health connection lost")
-        self._head = HeadReader(self._dialect.upstream_rules)
-        self._parser = httptools.HttpResponseParser(self)
-        self._answer = asyncio.get_running_loop().create_future()
-        self._transport.write(data)
-        async with asyncio.timeout(SAMPLE_TIMEOUT_S):
-            return await self._answer
-
-    def close(self) -> None:
-        """Close the connection."""
-        if self._transport is not None:
-            self._transport.abort()
-
-    def data_received(self, data: bytes) -> None:
-        """Parse the answer; bytes without a request close the connection."""
-        if self._answer is None or self._answer.done():
-            self.close()
-            return
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._fail("malformed health answer")
-            self.close()
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Record a header."""
-        self._head.add(name, value)
-
-    def on_message_complete(self) -> None:
-        """End the request with the sample that the dialect reads from status and headers."""
-        if self._answer is not None and not self._answer.done():
-            status = self._parser.get_status_code()
-            self._answer.set_result(self._dialect.sample(status, self._head))
-        if not self._parser.should_keep_alive():
-            self.close()
-
-    def _fail(self, reason: str) -> None:
-        if self._answer is not None and not self._answer.done():
-            self._answer.set_exception(ConnectionError(reason))
-
-
 class Sampler:
     """Takes samples when its plan says so and passes their results to `on_sample`."""
 
@@ -126,7 +54,7 @@
         self._dialect = dialect
         self._on_sample = on_sample
         self._requested = asyncio.Event()
-        self._conn: _SampleConnection | None = None
+        self._conn: HealthConnection | None = None
         self._wake = asyncio.Event()
         self._loop = asyncio.get_running_loop()
         self._task: asyncio.Task[None] | None = None
@@ -224,7 +152,7 @@
         if self._conn is None or not self._conn.usable:
             async with asyncio.timeout(SAMPLE_TIMEOUT_S):
                 _, self._conn = await self._loop.create_connection(
-                    lambda: _SampleConnection(self._dialect), *self._address
+                    lambda: HealthConnection(self._dialect), *self._address
                 )
         request_line = f"GET {self.path} HTTP/1.1\r\n".encode("latin-1")
         host = "{}:{}".format(*self._address).encode()
--- a/tests/adapter/target.py
+++ b/tests/adapter/target.py
@@ -11,6 +11,10 @@
     from collections.abc import Awaitable, Callable
 
 
+ENDLESS_BLOCK_BYTES = 64 * 1024
+"""Bytes that an endless answer sends at a time."""
+
+
 class Request(NamedTuple):
     """A request as the target received it; header names are in lower case."""
 
@@ -20,6 +24,13 @@
     body: bytes
 
 
+class Endless(NamedTuple):
+    """An answer that begins so and then repeats itself until the connection is closed."""
+
+    begin: bytes
+    repeated: bytes
+
+
 class FakeTarget:
     """One target; its attributes set its behaviour."""
 
@@ -49,6 +60,8 @@
         self.max_calls_per_s = 0
         self.crashes = 0
         self.extra_body = b""
+        self.endless_bytes = 0
+        self.endless: dict[str, Endless] = {}
         self.address = ""
         self._pool = AddressPool()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -93,6 +106,8 @@
         method, path, _ = head[0].split(" ")
         pairs = [line.partition(":") for line in head[1:] if line]
         headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
+        if path in self.endless:
+            await self._send_endlessly(writer, self.endless[path])
         body = await reader.readexactly(int(headers.get("content-length", "0")))
         attempt = headers.get("x-attempt-id", "")
         if headers.get("x-expect-instance") != self.instance:
@@ -133,6 +148,15 @@
         body = f"ran {path}".encode() + self.extra_body
         writer.write(_answer(status, attempt, body, signed=self.signed, more=more))
 
+    async def _send_endlessly(self, writer: asyncio.StreamWriter, answer: Endless) -> None:
+        """Send an answer without end; raises ConnectionError once the connection is closed."""
+        writer.write(answer.begin)
+        block = answer.repeated * (ENDLESS_BLOCK_BYTES // len(answer.repeated))
+        while True:
+            writer.write(block)
+            self.endless_bytes += len(block)
+            await writer.drain()
+
     def reset_connections(self) -> None:
         """Reset every connection, as a cut on the way does."""
         for writer in list(self._writers):
--- a/tests/integration/mutants.py
+++ b/tests/integration/mutants.py
@@ -8,7 +8,7 @@
 from foldhoist.__main__ import main
 from foldhoist.admission.bucket import TokenBucket
 from foldhoist.daemon import prober
-from foldhoist.daemon.upstream import UpstreamConnection
+from foldhoist.daemon.upstream_connection import UpstreamConnection
 from foldhoist.delivery import ingress, keys, upstream_status
 
 
--- a/tests/unit/daemon/test_upstream.py
+++ b/tests/unit/daemon/test_upstream.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench.stages import FakeTransport
-from foldhoist.daemon.upstream import UpstreamConnection
+from foldhoist.daemon.upstream_connection import UpstreamConnection
 from foldhoist.delivery.dispatch import Complete, Incomplete, Result, Shed, StartCall
 from tests.unit.daemon.calls import dispatch_of
 
