Probes and calls to the store outlive an answer whose head never ends

Operators saw: nothing; a daemon without an adapter stopped probing its upstream for good.

Cause: tornado raises UnsatisfiableReadError for a head above its limit, which is no OSError; it ended the task. The clients of the store and of the product's own log had the same gap.

Change: it counts as a failed probe, or as no answer of the store; the first failed probe in a row is logged; probes, heartbeats and operators' requests have a limit of 64 KiB (before: tornado's, bodies of 100 MB).

The store's clients: by reading, no test.

--- a/foldhoist/daemon/handlers.py
+++ b/foldhoist/daemon/handlers.py
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+MAX_REQUEST_BYTES = 64 * 1024
+"""Limit of a request's head and of its body, bytes; those of upstreams and operators are small."""
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 """Content type of the Prometheus text format."""
 
@@ -57,6 +59,6 @@
     app = Application(list(routes), log_function=lambda handler: None)
     host, _, port = address.rpartition(":")
     sockets = bind_sockets(int(port), host.strip("[]"))
-    server = HTTPServer(app)
+    server = HTTPServer(app, max_header_size=MAX_REQUEST_BYTES, max_body_size=MAX_REQUEST_BYTES)
     server.add_sockets(sockets)
     return ListeningServer(server, "{}:{}".format(*sockets[0].getsockname()[:2]))
--- a/foldhoist/daemon/prober.py
+++ b/foldhoist/daemon/prober.py
@@ -7,9 +7,13 @@
 from typing import TYPE_CHECKING, TypedDict
 
 import msgspec
+from loguru import logger
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.iostream import UnsatisfiableReadError
 
 from foldhoist.admission.bucket import TokenBucket
+from foldhoist.daemon.answer_size import MAX_HEAD_BYTES
+from foldhoist.daemon.health_connection import MAX_HEALTH_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -54,8 +58,11 @@
         self._client = client
         self._on_state = on_state
         self._on_host = on_host
-        self._http = AsyncHTTPClient(force_instance=True)
+        self._http = AsyncHTTPClient(
+            force_instance=True, max_header_size=MAX_HEAD_BYTES, max_body_size=MAX_HEALTH_BYTES
+        )
         self._refused = 0
+        self._failing = False
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -98,12 +105,21 @@
             if self._refused == DOWN_AFTER_REFUSALS:
                 self._on_state("down")
             return
-        except (HTTPClientError, OSError, msgspec.DecodeError):
+        except (HTTPClientError, UnsatisfiableReadError, OSError, msgspec.DecodeError) as exc:
             self.count.failed += 1
+            self._log_failure(exc)
             return
         self._refused = 0
+        self._failing = False
         self._on_state(_known_state(health.get("state", "warm")))
 
+    def _log_failure(self, exc: Exception) -> None:
+        """Log the first of several failed probes in a row."""
+        if not self._failing:
+            address = self._cfg["upstream"]["address"]
+            logger.warning("upstream at {} has no valid health answer: {!r}", address, exc)
+        self._failing = True
+
     async def _read_hosts(self) -> None:
         poll_s = self._cfg["platform"]["hosts_poll_ms"] / 1000
         while True:
--- a/foldhoist/daemon/store_client.py
+++ b/foldhoist/daemon/store_client.py
@@ -6,6 +6,7 @@
 
 from expression import Error, Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+from tornado.iostream import UnsatisfiableReadError
 
 from foldhoist.daemon.ports import StoreFault
 from foldhoist.daemon.waits import wait_tolerating_stalls
@@ -36,7 +37,7 @@
             return Error(StoreFault(f"answered {exc.code}", exc.code == 599))
         except ConnectionRefusedError:
             return Error(StoreFault("refused the connection", False))
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, UnsatisfiableReadError) as exc:
             return Error(StoreFault(f"did not answer: {exc}", True))
         return Ok(response.body)
 
--- a/foldhoist/logservice/client.py
+++ b/foldhoist/logservice/client.py
@@ -7,6 +7,7 @@
 import msgspec
 from expression import Error, Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.iostream import UnsatisfiableReadError
 
 from foldhoist.configlog.fold import LogRecord, PublishRecord, SnapshotRecord
 from foldhoist.schema.messages import Publish, Snapshot
@@ -126,7 +127,7 @@
             return Error(PlatformError(f"the platform answered {exc.code}", exc.code >= 500))
         except ConnectionRefusedError:
             return Error(PlatformError("the platform refused the connection", False))
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, UnsatisfiableReadError) as exc:
             return Error(PlatformError(f"the platform did not answer: {exc}", True))
         return Ok(response.body)
 
