Answers in chunks: the coding has no case, and none other is passed on

Cause: the coding was read from the header a second time, in lower case only, beside the parser that knows it in any; the end of the connection then counted as the end of the body.

Change: an answer with any transfer coding never ends with its connection; one with another coding than chunks is a malformed answer, since nothing undoes it. Keep-Alive is read with spaces around its equals sign.

--- a/foldhoist/daemon/http.py
+++ b/foldhoist/daemon/http.py
@@ -46,6 +46,8 @@
 UPSTREAM_LIMIT = b"upstream-limit"
 """Response header with the rate limit of an upstream, calls per second from all hosts."""
 
+CHUNKED = b"chunked"
+"""The only transfer coding that is undone here."""
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,9})?")
 """A number in a header: no sign, no exponent, bounded digits."""
 _PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -127,6 +129,11 @@
         return [pair for pair in self.forwarded if pair[0].lower() not in drop]
 
 
+def codings(value: bytes) -> list[bytes]:
+    """Return the transfer codings in a header's value, in lower case: their names have no case."""
+    return [part.strip().lower() for part in value.split(b",") if part.strip()]
+
+
 def parse_decimal(value: bytes) -> float | None:
     """Return the number in a header's value, or None if it is not a plain decimal number."""
     text = value.strip()
--- a/foldhoist/daemon/upstream_connection.py
+++ b/foldhoist/daemon/upstream_connection.py
@@ -10,7 +10,7 @@
 from foldhoist.admission.body_memory import BodyMemory
 from foldhoist.daemon.answer_size import AnswerSize, pieces
 from foldhoist.daemon.dialect import DefaultDialect
-from foldhoist.daemon.http import HeadReader
+from foldhoist.daemon.http import CHUNKED, HeadReader, codings
 from foldhoist.delivery.dispatch import Incomplete, Result, StartCall
 
 if TYPE_CHECKING:
@@ -37,6 +37,10 @@
     """The body of an answer exceeds a limit."""
 
 
+class _UnsupportedCodingError(Exception):
+    """The body of an answer has a transfer coding other than chunks."""
+
+
 class UpstreamConnection(asyncio.Protocol):
     """A connection that runs one call at a time; `on_end` is called once per call.
 
@@ -160,7 +164,9 @@
         lower = name.lower()
         if lower == b"content-length":
             self._announced_bytes = int(value) if value.isdigit() else 0
-        if lower == b"content-length" or (lower == b"transfer-encoding" and b"chunked" in value):
+        if lower == b"transfer-encoding" and codings(value) != [CHUNKED]:
+            raise _UnsupportedCodingError
+        if lower in (b"content-length", b"transfer-encoding"):
             self._framed = True
             return
         self.head.add(name, value)
@@ -274,7 +280,7 @@
 def _idle_s(head: HeadReader) -> float:
     """Return how long the connection may be idle, limited by a Keep-Alive header, seconds."""
     for part in head.values.get(b"keep-alive", b"").split(b","):
-        name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
+        name, _, value = part.partition(b"=")
+        if name.strip().lower() == b"timeout" and value.strip().isdigit():
             return min(MAX_IDLE_S, max(0.0, int(value) - IDLE_MARGIN_S))
     return MAX_IDLE_S
--- a/tests/unit/daemon/test_upstream.py
+++ b/tests/unit/daemon/test_upstream.py
@@ -116,3 +116,73 @@
     wire = Wire()
     wire.call(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n", head=True)
     assert wire.results == [Complete(200, [], b"")]
+
+
+CHUNKS = b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+
+
+def chunked(*lines: bytes) -> bytes:
+    """Return an answer in chunks with these header lines."""
+    return b"\r\n".join([b"HTTP/1.1 200 OK", *lines, b"", CHUNKS])
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"Transfer-Encoding: chunked",
+        b"Transfer-Encoding: Chunked",
+        b"transfer-encoding: CHUNKED",
+        b"TRANSFER-ENCODING:  chunked ",
+        b"Transfer-Encoding: , chunked",
+    ],
+)
+def test_an_answer_in_chunks_is_whole_only_with_its_last_chunk(line: bytes) -> None:
+    """Guards against a short answer passed on as whole, as its coding is spelled otherwise."""
+    answer = chunked(line)
+    begin = len(answer) - len(CHUNKS)
+    for cut in range(begin, len(answer)):
+        wire = Wire()
+        wire.call(answer[:cut])
+        wire.conn.connection_lost(None)
+        assert [type(each) for each in wire.results] == [Incomplete], answer[:cut]
+    wire = Wire()
+    wire.call(answer)
+    assert wire.results in ([Complete(200, [], b"abcde")], [Incomplete(True, "malformed-answer")])
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        [b"Transfer-Encoding: gzip"],
+        [b"Transfer-Encoding: gzip, chunked"],
+        [b"Transfer-Encoding: chunked, gzip"],
+        [b"Transfer-Encoding: gzip", b"Transfer-Encoding: chunked"],
+        [b"Transfer-Encoding: xchunked"],
+        [b"Transfer-Encoding: chunkedx"],
+        [b"Content-Length: 3", b"Transfer-Encoding: chunked"],
+        [b"Transfer-Encoding: Chunked", b"Content-Length: 3"],
+    ],
+)
+def test_an_answer_with_a_coding_that_is_not_undone_is_no_answer(lines: list[bytes]) -> None:
+    """Guards against an encoded body, or one of two lengths, passed on as the upstream's."""
+    wire = Wire()
+    wire.call(chunked(*lines))
+    if not wire.results:
+        wire.conn.connection_lost(None)
+    assert [type(each) for each in wire.results] == [Incomplete]
+    assert not wire.conn.usable
+
+
+@pytest.mark.parametrize("value", [b"timeout=5", b"Timeout=5, max=9", b"max=9 , timeout = 5"])
+def test_the_idle_time_that_an_upstream_names_is_kept_in_each_spelling(value: bytes) -> None:
+    wire = Wire()
+    wire.call(OK.replace(b"\r\n\r\n", b"\r\nKeep-Alive: " + value + b"\r\n\r\n"))
+    assert wire.conn.idle_s == 3.5
+
+
+@pytest.mark.parametrize("value", [b"close", b"Close", b"keep-alive, Close", b"x, CLOSE"])
+def test_a_connection_that_its_upstream_closes_is_not_used_again(value: bytes) -> None:
+    wire = Wire()
+    wire.call(OK.replace(b"\r\n\r\n", b"\r\nConnection: " + value + b"\r\n\r\n"))
+    assert [type(each) for each in wire.results] == [Complete]
+    assert not wire.conn.usable
