Requests with a transfer coding other than chunks are refused

Callers and upstreams saw: `Transfer-Encoding: gzip, chunked` was accepted, and the encoded bytes were passed on as the body without the coding's name, as no hop passes that header on.

Change: 400 `unsupported-transfer-coding`, not run. Two cases of test_callers.py, failing before (accepted).

--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -16,7 +16,7 @@
 
 from foldhoist.admission.body_memory import BodyMemory
 from foldhoist.daemon.dialect import DefaultDialect
-from foldhoist.daemon.http import HeadReader, status_line, write_head
+from foldhoist.daemon.http import CHUNKED, HeadReader, codings, status_line, write_head
 from foldhoist.daemon.request import BadRequest
 from foldhoist.delivery.verdict import NotRun, Verdict
 
@@ -175,7 +175,7 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             return
-        except (httptools.HttpParserError, _TooLargeError) as exc:
+        except (httptools.HttpParserError, _RefusedError) as exc:
             self._reject(_fault_of(exc))
             return
         if not self._head_done and self._head_bytes > self._state.limits["header_bytes"]:
@@ -194,14 +194,16 @@
         """Append a part of the request target."""
         self._url += url
         if len(self._url) > self._state.limits["header_bytes"]:
-            raise _TooLargeError(431, "headers-too-large")
+            raise _RefusedError(431, "headers-too-large")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Record a header."""
         head = self._head
         head.add(name, value)
+        if name.lower() == b"transfer-encoding" and codings(value) != [CHUNKED]:
+            raise _RefusedError(400, "unsupported-transfer-coding")
         if head.size + len(self._url) > self._state.limits["header_bytes"]:
-            raise _TooLargeError(431, "headers-too-large")
+            raise _RefusedError(431, "headers-too-large")
 
     def on_headers_complete(self) -> None:
         """Restart the request timer, and send 100 Continue if the caller expects it."""
@@ -215,9 +217,9 @@
         """Append a part of the body and reserve memory for it."""
         size = self._body_bytes + len(body)
         if size > self._state.limits["body_bytes"]:
-            raise _TooLargeError(413, "body-too-large")
+            raise _RefusedError(413, "body-too-large")
         if not self._state.bodies.has_room(len(body), size):
-            raise _TooLargeError(503, "bodies-full")
+            raise _RefusedError(503, "bodies-full")
         self._state.bodies.reserve(len(body))
         self._body_bytes = size
         self._body.append(body)
@@ -343,8 +345,8 @@
         self.expires_at = time.monotonic() + ms / 1000
 
 
-class _TooLargeError(Exception):
-    """A part of a request exceeds its limit."""
+class _RefusedError(Exception):
+    """A part of a request exceeds its limit, or is not supported."""
 
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
@@ -352,8 +354,8 @@
 
 
 def _fault_of(exc: BaseException) -> BadRequest:
-    cause = exc.__context__ if not isinstance(exc, _TooLargeError) else exc
-    if isinstance(cause, _TooLargeError):
+    cause = exc.__context__ if not isinstance(exc, _RefusedError) else exc
+    if isinstance(cause, _RefusedError):
         return cause.bad
     return BadRequest(400, "malformed-request")
 
--- a/tests/unit/daemon/test_callers.py
+++ b/tests/unit/daemon/test_callers.py
@@ -82,6 +82,8 @@
             400,
         ),
         (b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n", 400),
+        (b"POST /a HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", 400),
+        (b"POST /a HTTP/1.1\r\nTransfer-Encoding: GZIP, Chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", 400),
         (b"POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
         (b"GET /a HTTP/1.1\r\nFoldhoist-Budget-Ms: soon\r\n\r\n", 400),
         (b"GET /a HTTP/1.1\r\nIdempotency-Key: " + b"k" * 201 + b"\r\n\r\n", 400),
