Large files split, one copy of the collector's settings, held_bytes reloaded for answers too

The new bound on incomplete answers did not follow a SIGHUP with another held_bytes; it does, with its test (failing before: the pool had no such method).

--- a/bench/stages.py
+++ b/bench/stages.py
@@ -14,7 +14,8 @@
 from foldhoist.admission.slots import QueueLimits
 from foldhoist.config.fleet import parse_fleet
 from foldhoist.config.options import load_schema
-from foldhoist.daemon.callers import CallerConnection, ServerState
+from foldhoist.daemon.caller_state import ServerState
+from foldhoist.daemon.callers import CallerConnection
 from foldhoist.daemon.frames import FrameConnection
 from foldhoist.daemon.ingress_task import IngressTask
 from foldhoist.daemon.owner_task import OwnerTask
--- a/foldhoist/customers/credit.py
+++ b/foldhoist/customers/credit.py
@@ -9,11 +9,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+from typing import TYPE_CHECKING
 
 from foldhoist.customers.account import Account, Grant, PendingAsk
 from foldhoist.customers.candidates import quota_server_candidates, ranked_servers
 from foldhoist.customers.quota_server import MAX_RETRY_AFTER_S
+from foldhoist.customers.steps import Ask, Denied, Granted, Step
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -52,35 +53,6 @@
 """A denied call's retry-after is extended at random by up to this share of it."""
 
 
-class Granted(NamedTuple):
-    """A call that may run; `over_burst` if the customer has used more than half of its burst.
-
-    If the call does not run, another one may use its credit until `until`, monotonic seconds.
-    """
-
-    call_id: int
-    over_burst: bool
-    until: float
-
-
-class Denied(NamedTuple):
-    """A call that may not run; credit may be available after `retry_after_s` seconds."""
-
-    call_id: int
-    reason: str
-    retry_after_s: float
-
-
-class Ask(NamedTuple):
-    """A request for credit to send to a quota server."""
-
-    server: str
-    message: CreditAsk
-
-
-Step: TypeAlias = Granted | Denied | Ask
-
-
 class CreditClient:
     """Obtains and spends credit for all customers with calls at this host.
 
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import random
 import secrets
 import time
@@ -16,9 +15,11 @@
 from foldhoist.admission.slots import QueueLimits
 from foldhoist.config.fleet import evacuated
 from foldhoist.config.reload import RELOADABLE_LIMITS, merge_reloadable
-from foldhoist.daemon.callers import CallerConnection, ServerState
+from foldhoist.daemon.caller_state import ServerState
+from foldhoist.daemon.callers import CallerConnection
 from foldhoist.daemon.configuration import ConfigurationTask
 from foldhoist.daemon.control import Control
+from foldhoist.daemon.garbage import configure_gc
 from foldhoist.daemon.graceful_shutdown import GracefulShutdown, LeaveFirst
 from foldhoist.daemon.handover import HandoverTask
 from foldhoist.daemon.ingress_task import IngressTask
@@ -133,7 +134,7 @@
             task.start()
         self._overdue_task = asyncio.get_running_loop().create_task(self.callers.close_overdue())
         self._counters_task = asyncio.get_running_loop().create_task(self._log_counters())
-        self._configure_gc()
+        configure_gc()
         logger.info("daemon {} started, incarnation {}", self.name, self.incarnation)
 
     async def drain(self) -> None:
@@ -149,6 +150,7 @@
         self.callers.set_limits(limits)
         self.ingress_task.ingress.admission.max_calls = limits["calls"]
         self._bodies.limit = limits["held_bytes"]
+        self.owner_task.pool.set_max_held_bytes(limits["held_bytes"])
 
     @property
     def draining(self) -> bool:
@@ -289,11 +291,6 @@
             await asyncio.sleep(every)
             logger.info("counters {}", self.counters())
 
-    def _configure_gc(self) -> None:
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(20_000, 20, 50)
-
 
 def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
--- a/foldhoist/daemon/graceful_shutdown.py
+++ b/foldhoist/daemon/graceful_shutdown.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from foldhoist.daemon.callers import ServerState
+    from foldhoist.daemon.caller_state import ServerState
     from foldhoist.daemon.ingress_task import IngressTask
     from foldhoist.daemon.owner_task import OwnerTask
     from foldhoist.schema.settings import Settings
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import random
 import secrets
 from typing import TYPE_CHECKING, Any
@@ -17,7 +16,9 @@
 from foldhoist.config.fleet import evacuated, limits_of
 from foldhoist.config.reload import RELOADABLE_LIMITS, merge_reloadable
 from foldhoist.configlog.versions import ReaderElection
-from foldhoist.daemon.callers import CallerConnection, ServerState
+from foldhoist.daemon.caller_state import ServerState
+from foldhoist.daemon.callers import CallerConnection
+from foldhoist.daemon.garbage import configure_gc
 from foldhoist.daemon.graceful_shutdown import GracefulShutdown, NoticeFirst
 from foldhoist.daemon.ingress_task import IngressTask
 from foldhoist.daemon.links import LinkEvents, Links
@@ -133,9 +134,7 @@
         self.owner_task.start()
         self.ingress_task.local_up(self.incarnation)
         self._overdue_task = asyncio.get_running_loop().create_task(self.callers.close_overdue())
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(20_000, 20, 50)
+        configure_gc()
         logger.info("daemon {} started, incarnation {}", self.name, self.incarnation)
 
     async def drain(self) -> None:
@@ -152,6 +151,7 @@
         self.events.share = found.cfg["observe"]["log_share"]
         self.ingress_task.ingress.admission.max_calls = limits["calls"]
         self._bodies.limit = limits["held_bytes"]
+        self.owner_task.pool.set_max_held_bytes(limits["held_bytes"])
         self._slack.attempts = platform["retry_slack"]
         self._slack.window_s = platform["retry_window_s"]
         self.quotas.server.slack = platform["quota_slack"]
--- a/foldhoist/daemon/peers_task.py
+++ b/foldhoist/daemon/peers_task.py
@@ -9,14 +9,8 @@
 from loguru import logger
 
 from foldhoist.membership.incarnations import incarnations_from_rows
-from foldhoist.membership.registry import (
-    Connect,
-    Disconnect,
-    Registration,
-    UpstreamChanged,
-    quarantined_call,
-    suspect_of,
-)
+from foldhoist.membership.registration import Registration, quarantined_call, suspect_of
+from foldhoist.membership.registry import Connect, Disconnect, UpstreamChanged
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/foldhoist/daemon/ports.py
+++ b/foldhoist/daemon/ports.py
@@ -17,7 +17,7 @@
     from foldhoist.configlog.evacuations import StoredEvacuations
     from foldhoist.configlog.versions import Version
     from foldhoist.daemon.dialect import Dialect
-    from foldhoist.membership.registry import Registration
+    from foldhoist.membership.registration import Registration
     from foldhoist.schema.fleet import Fleet
     from foldhoist.schema.messages import Announced
     from foldhoist.schema.settings import Settings
--- a/foldhoist/daemon/traffic_metrics.py
+++ b/foldhoist/daemon/traffic_metrics.py
@@ -8,7 +8,7 @@
 from foldhoist.observe.counters import counters_of
 
 if TYPE_CHECKING:
-    from foldhoist.daemon.callers import ServerState
+    from foldhoist.daemon.caller_state import ServerState
     from foldhoist.daemon.ingress_task import IngressTask
     from foldhoist.daemon.links import Links
     from foldhoist.daemon.owner_task import OwnerTask
--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -50,8 +50,7 @@
         """Create the pool without connections.
 
         `max_body_bytes` limits each answer's body, `max_held_bytes` those that are incomplete
-        together (at least one of the largest size always fits). `on_sole_connection` is called when
-        a connection opens while no other one is open.
+        together. `on_sole_connection` is called when a connection opens while no other one is open.
         """
         self.dialect = dialect or DefaultDialect()
         self.address = address
@@ -66,12 +65,17 @@
         self._busy: dict[int, UpstreamConnection] = {}
         self._connecting: dict[int, asyncio.Task[None]] = {}
         self._host = f"{address[0]}:{address[1]}".encode()
-        least_bytes = int(max_body_bytes / LARGE_BODY_SHARE) + SMALL_BODY_BYTES
-        self._bodies = BodyMemory(max(max_held_bytes, least_bytes))
+        self._bodies = BodyMemory(0)
+        self.set_max_held_bytes(max_held_bytes)
         self._log_bucket = TokenBucket(
             TOO_LARGE_LOG_LINES_PER_S, TOO_LARGE_LOG_LINES_BURST, asyncio.get_running_loop().time()
         )
 
+    def set_max_held_bytes(self, limit: int) -> None:
+        """Limit the incomplete bodies of all answers together; one of the largest size fits."""
+        least = int(self._max_body_bytes / LARGE_BODY_SHARE) + SMALL_BODY_BYTES
+        self._bodies.limit = max(limit, least)
+
     @property
     def open(self) -> int:
         """Return the number of connections that are open or being opened."""
--- a/foldhoist/delivery/quota_gate.py
+++ b/foldhoist/delivery/quota_gate.py
@@ -4,15 +4,16 @@
 
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
-from foldhoist.customers.credit import OVER_QUOTA, Ask, CreditClient, Denied, Granted
+from foldhoist.customers.credit import OVER_QUOTA, CreditClient
+from foldhoist.customers.steps import Ask, Denied, Granted
 from foldhoist.delivery.call import OwnerFrame, SendTo
 from foldhoist.delivery.verdict import NotRun
 
 if TYPE_CHECKING:
     from random import Random
 
-    from foldhoist.customers.credit import Step
     from foldhoist.customers.directory import Directory
+    from foldhoist.customers.steps import Step
     from foldhoist.delivery.call import Call, Counters
     from foldhoist.delivery.call_table import CallTable
     from foldhoist.schema.messages import Credit
--- a/tests/adapter/test_others_write.py
+++ b/tests/adapter/test_others_write.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from foldhoist.configlog.versions import Version
-from foldhoist.membership.registry import registration_of
+from foldhoist.membership.registration import registration_of
 from foldhoist_adapter.configuration import translate
 from foldhoist_adapter.endpoints import _HEARTBEATS, _announcement
 from tests.adapter.cluster import Cluster, call, start_two, until, with_cluster
--- a/tests/adapter/test_reload.py
+++ b/tests/adapter/test_reload.py
@@ -28,6 +28,7 @@
     cfg = copy.deepcopy(daemon.cfg)
     cfg["limits"]["calls"] = 7
     cfg["limits"]["drain_ms"] = 9
+    cfg["limits"]["held_bytes"] = 300_000_000
     cfg["platform"]["retry_slack"] = 5000
     cfg["observe"]["log_share"] = 0.5
     service = daemon.ingress_task.ingress._services.get("shop")
@@ -36,6 +37,7 @@
     daemon.reload(cfg)
     assert daemon.ingress_task.ingress.admission.max_calls == 7
     assert daemon.cfg["limits"]["drain_ms"] == 9
+    assert daemon.owner_task.pool._bodies.limit == 300_000_000
     assert daemon.events.share == 0.5
     assert service.budget.cap > 100 * before
 
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -11,7 +11,7 @@
 from foldhoist.configlog.versions import Version
 from foldhoist.daemon import waits
 from foldhoist.membership.incarnations import UpstreamIncarnation
-from foldhoist.membership.registry import Registration
+from foldhoist.membership.registration import Registration
 from foldhoist_adapter.configuration import translate
 from foldhoist_adapter.store import LogStore
 from tests.adapter.cluster import route
--- a/tests/model/leaving_spec.py
+++ b/tests/model/leaving_spec.py
@@ -17,7 +17,8 @@
     UpstreamIncarnation,
     incarnations_from_rows,
 )
-from foldhoist.membership.registry import Peer, Registration, Registry
+from foldhoist.membership.registration import Registration
+from foldhoist.membership.registry import Peer, Registry
 from foldhoist.membership.startup_barrier import StartupBarrier
 from foldhoist.membership.upstream import AnnouncementResult, OwnUpstream
 from tests.model.checking import protocol
--- a/tests/model/membership_spec.py
+++ b/tests/model/membership_spec.py
@@ -8,7 +8,8 @@
 
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from foldhoist.membership.registry import Peer, Registration, Registry
+from foldhoist.membership.registration import Registration
+from foldhoist.membership.registry import Peer, Registry
 from tests.model.checking import protocol
 
 if TYPE_CHECKING:
--- a/tests/unit/customers/simulation.py
+++ b/tests/unit/customers/simulation.py
@@ -6,14 +6,15 @@
 from collections import deque
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from foldhoist.customers.credit import Ask, CreditClient, Denied, Granted
+from foldhoist.customers.credit import CreditClient
 from foldhoist.customers.directory import Customer, Directory
 from foldhoist.customers.quota_server import Hosts, QuotaServer
+from foldhoist.customers.steps import Ask, Denied, Granted
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from foldhoist.customers.credit import Step
+    from foldhoist.customers.steps import Step
     from foldhoist.schema.fleet import Fleet
 
 STEP_S = 0.01
--- a/tests/unit/daemon/test_callers.py
+++ b/tests/unit/daemon/test_callers.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from bench.stages import FakeTransport, default_settings
-from foldhoist.daemon.callers import CallerConnection, ServerState
+from foldhoist.daemon.caller_state import ServerState
+from foldhoist.daemon.callers import CallerConnection
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response
 
 if TYPE_CHECKING:
--- a/tests/unit/membership/test_neighbours.py
+++ b/tests/unit/membership/test_neighbours.py
@@ -18,7 +18,8 @@
     RELAYS_PER_DATA_CENTRE,
     SCAN_FACTOR,
 )
-from foldhoist.membership.registry import UNREACHABLE_AFTER_S, Registration, Registry
+from foldhoist.membership.registration import Registration
+from foldhoist.membership.registry import UNREACHABLE_AFTER_S, Registry
 from tests.unit.membership.test_registry import announced, member
 
 CENTRES = 5
--- a/tests/unit/membership/test_registry.py
+++ b/tests/unit/membership/test_registry.py
@@ -6,11 +6,11 @@
 
 from foldhoist.membership.incarnations import UpstreamIncarnation
 from foldhoist.membership.neighbours import MAX_LOCAL, MIN_REMOTE
+from foldhoist.membership.registration import Registration
 from foldhoist.membership.registry import (
     FORGET_AFTER_S,
     Connect,
     Disconnect,
-    Registration,
     Registry,
     UpstreamChanged,
 )
