--- a/tests/adapter/test_stopping.py
+++ b/tests/adapter/test_stopping.py
@@ -119,7 +119,8 @@
         try:
             answer = await cluster.send("a", method="POST", body=b"x", attempt=attempt)
         except (ConnectionRefusedError, ConnectionResetError) as exc:
-            assert NOT_CONNECTED in str(exc), "a connection was lost after it was accepted"
+            if NOT_CONNECTED not in str(exc):
+                raise
             return sent
         sent.append(SentRequest(attempt, answer.status))
         await asyncio.sleep(USE_INTERVAL_S)
