Quotas: a customer keeps its burst while it pauses

Change: silent hosts add nothing to the rate, as before, and keep their part of the burst.

Test seen failing before: 1 call granted after a pause of 1.5 s, 15 or more expected.

--- a/foldhoist/customers/quota_bucket.py
+++ b/foldhoist/customers/quota_bucket.py
@@ -49,15 +49,25 @@
 class Bucket:
     """One customer's credit; `refilled_at` is in the server's active time, seconds.
 
-    `rate_share` is the share of the quota that hosts lend by their word, 0 to 1, and `burst_share`
-    that of all hosts that lend, also by asking.
+    `lending_hosts` is the number of hosts that lend by their word, `rate_share` the share of the
+    quota, 0 to 1, of those of them that are not silent, `burst_share` that of all hosts that lend,
+    also by asking.
     """
 
-    __slots__ = ("asking_hosts", "burst_share", "denials", "level", "rate_share", "refilled_at")
+    __slots__ = (
+        "asking_hosts",
+        "burst_share",
+        "denials",
+        "lending_hosts",
+        "level",
+        "rate_share",
+        "refilled_at",
+    )
 
     def __init__(self, level: float, at: float) -> None:
         self.level = level
         self.refilled_at = at
+        self.lending_hosts = 0
         self.rate_share = 0.0
         self.burst_share = 0.0
         self.asking_hosts: dict[str, AskingHost] = {}
--- a/foldhoist/customers/quota_server.py
+++ b/foldhoist/customers/quota_server.py
@@ -184,7 +184,7 @@
             if customer is None:
                 continue
             self._refill(at, customer, bucket)
-            if not bucket.rate_share and not bucket.asking_hosts:
+            if not bucket.lending_hosts and not bucket.asking_hosts:
                 del self._buckets[name]
 
     def _refill(self, at: float, customer: Customer, bucket: Bucket) -> None:
@@ -210,24 +210,27 @@
     def _update_shares(self, at: float, customer: str, bucket: Bucket) -> None:
         """Find the shares of a quota that hosts lend to this server.
 
-        Hosts without requests for `MAX_SILENCE_S` are removed from the asking hosts.
+        Silent hosts add nothing to the rate. They keep the burst: all hosts are silent when the
+        customer pauses. Hosts without requests for `MAX_SILENCE_S` are removed from the asking
+        ones.
         """
         for host, asking in list(bucket.asking_hosts.items()):
             if at - asking.last_ask_at > MAX_SILENCE_S:
                 del bucket.asking_hosts[host]
         silent = {host for host, asking in bucket.asking_hosts.items() if asking.is_silent(at)}
         absent = silent | self._asking_elsewhere
-        by_word = by_asking = 0
+        lending = gaining = by_asking = 0
         for hosts in self._lenders.groups(customer):
-            by_word += len(hosts) - len(hosts & absent)
+            lending += len(hosts) - len(hosts & self._asking_elsewhere)
+            gaining += len(hosts) - len(hosts & absent)
         for host in bucket.asking_hosts:
             by_asking += not self._lenders.lends(host, customer)
-        began = by_word and not bucket.rate_share
-        bucket.rate_share = min(1.0, by_word * self._host_share)
-        bucket.burst_share = min(1.0, (by_word + by_asking) * self._host_share)
-        if began:
+        if lending and not bucket.lending_hosts:
             # Another server has granted credit until now; how much is unknown.
             bucket.level = min(bucket.level, self._initial_credit)
+        bucket.lending_hosts = lending
+        bucket.rate_share = min(1.0, gaining * self._host_share)
+        bucket.burst_share = min(1.0, (lending + by_asking) * self._host_share)
 
     def _active_time(self, now: float) -> float:
         """Return `now` less the time spent in stalls, seconds."""
--- a/tests/unit/customers/test_quota_server.py
+++ b/tests/unit/customers/test_quota_server.py
@@ -107,6 +107,20 @@
     assert ask(server, 60.0)["granted"] in (3, 4)
 
 
+def test_a_pause_of_all_hosts_does_not_cost_the_customer_its_burst() -> None:
+    """Guards against calls that are refused after a pause, as their hosts count as silent."""
+    server = new_server()
+    advance(server, 0.0, 10.0)
+    now = 10.0
+    while now < 12.0:
+        now += 0.05
+        update_hosts(server, now)
+        for host in HOSTS:
+            ask(server, now, want=0, host=host)
+    advance(server, now, now + 1.5)
+    assert ask(server, now + 1.5)["granted"] >= 15
+
+
 def test_a_secondary_server_gains_only_what_requests_lend() -> None:
     server = new_server(SECOND)
     for number in range(20):
