--- a/tests/unit/customers/test_quota_histories.py
+++ b/tests/unit/customers/test_quota_histories.py
@@ -16,7 +16,11 @@
 
 HOSTS = 12
 RATE, BURST = 40.0, 40.0
-HOT_PER_S = 200.0
+HOT_TIMES = 5.0
+HOT_PER_S = HOT_TIMES * RATE
+LARGE_BURST = (10.0, 60.0)
+SMALL = [LARGE_BURST, (5.0, 5.0), (1.0, 30.0)]
+"""Quotas of few calls a second, with a large and a small burst."""
 
 
 def simulation(
@@ -28,12 +32,12 @@
     return sim
 
 
-def simulation_with_failures(seed: int) -> Simulation:
+def simulation_with_failures(seed: int, rate: float = RATE, burst: float = BURST) -> Simulation:
     """Run 20 s at five times the rate, with failures drawn from the seed."""
-    sim = simulation(seed)
+    sim = simulation(seed, rate=rate, burst=burst)
     rng = random.Random(seed)
     while sim.now < 23.0:
-        sim.run_until(sim.now + rng.uniform(0.2, 1.5), HOT_PER_S)
+        sim.run_until(sim.now + rng.uniform(0.2, 1.5), HOT_TIMES * rate)
         order = candidates.ranked_servers(NAME, sim.hosts["h0"].client._candidates)
         name = order[0] if rng.random() < 0.5 else rng.choice(sim.names)
         match rng.randrange(6):
@@ -168,12 +172,14 @@
         sim.hosts[name].learn({*known, name})
 
 
-def simulation_with_changing_lists(seed: int) -> Simulation:
+def simulation_with_changing_lists(
+    seed: int, rate: float = RATE, burst: float = BURST
+) -> Simulation:
     """Run 23 s at five times the rate while lists of hosts change, with some other failures."""
-    sim = Simulation(HOSTS, RATE, BURST, seed, FLEET.names)
+    sim = Simulation(HOSTS, rate, burst, seed, FLEET.names)
     rng = random.Random(seed)
     while sim.now < 23.0:
-        sim.run_until(sim.now + rng.uniform(0.2, 1.5), HOT_PER_S)
+        sim.run_until(sim.now + rng.uniform(0.2, 1.5), HOT_TIMES * rate)
         match rng.randrange(5):
             case 0:
                 sim.restart(rng.choice(FLEET.names), rng.uniform(0.3, 2.0))
@@ -192,6 +198,36 @@
     assert 0 < max_in_window(sim.granted_at) <= allowed(RATE, BURST)
 
 
+@pytest.mark.parametrize("history", [simulation_with_failures, simulation_with_changing_lists])
+@pytest.mark.parametrize(("rate", "burst"), SMALL)
+def test_no_window_exceeds_a_small_quota(history: Any, rate: float, burst: float) -> None:
+    """Guards against a burst that two servers hold at once."""
+    for seed in range(4):
+        sim = history(seed, rate, burst)
+        assert 0 < max_in_window(sim.granted_at) <= allowed(rate, burst)
+
+
+def most_granted_after_a_pause() -> int:
+    """Let two servers, to each of which half of the hosts lend, fill up, then send calls."""
+    sim = Simulation(HOSTS, *LARGE_BURST, 6, FLEET.names)
+    for name in FLEET.names[: HOSTS // 2]:
+        sim.hosts[name].learn({*FLEET.names, FLEET.absent})
+    sim.run_until(60.0, 0.0)
+    sim.run_until(70.0, HOT_TIMES * LARGE_BURST[0])
+    return max_in_window(sim.granted_at)
+
+
+def whole_burst(server: Any, customer: Any, bucket: Any) -> float:
+    """Return the most credit of a server that may hold the whole burst."""
+    return float(customer.max_credit)
+
+
+def test_two_servers_hold_one_burst_together(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert most_granted_after_a_pause() <= allowed(*LARGE_BURST)
+    monkeypatch.setattr(quota_server.QuotaServer, "_max_credit", whole_burst)
+    assert most_granted_after_a_pause() > allowed(*LARGE_BURST)
+
+
 def test_counting_connected_hosts_as_lenders_exceeds_the_quota(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
