Cold upstreams: a health answer that is well and says nothing of cold ends the assumption

Cause: on the users' platform a warm upstream does not send X-Cold-Ms; the owner waited for a number.

Change: what is assumed is kept apart from what the upstream has told; a health answer that says that it is well ends the first and not the second.

Test: warm upstreams that do not tell, failing before (timeout); the two restarts stay bounded.

--- a/foldhoist/admission/cold.py
+++ b/foldhoist/admission/cold.py
@@ -56,6 +56,7 @@
     def __init__(self) -> None:
         self.rate = ColdRate()
         self._until = float("-inf")
+        self._assumed_until = float("-inf")
         self._starts: deque[float] = deque()
         self._ramp = Ramp()
 
@@ -78,6 +79,7 @@
         begins.
         """
         self._until = float("-inf")
+        self.end_assumption()
         if not self.rate.per_s:
             # With a known rate, a ramp as well would keep slow calls below that rate.
             self._ramp.begin()
@@ -102,14 +104,23 @@
     def set_remaining(self, now: float, left_s: float) -> None:
         """Set for how many seconds the upstream stays cold, as it has reported just now."""
         self._until = now + left_s
+        self.end_assumption()
 
     def assume_cold(self, now: float) -> None:
         """Treat the upstream as cold for a whole period: it may have turned cold unnoticed."""
-        self.extend(now, self.rate.period_s)
+        self._assumed_until = now + self.rate.period_s
+
+    def end_assumption(self) -> None:
+        """Record that the upstream has been asked; it stays cold for as long as it has reported."""
+        self._assumed_until = float("-inf")
 
     def is_cold(self, now: float) -> bool:
         """Return whether the upstream is cold and its rate is known."""
-        return now < self._until and self.rate.per_s > 0.0
+        return now < self._ends_at and self.rate.per_s > 0.0
+
+    @property
+    def _ends_at(self) -> float:
+        return max(self._until, self._assumed_until)
 
     def record_start(self, now: float) -> None:
         """Count a call that is sent to the upstream."""
@@ -133,7 +144,7 @@
             return now
         windows, index = divmod(over, max_starts)
         start = self._starts[index] if index < len(self._starts) else now
-        return min(self._until, start + (windows + 1) * self._window_s)
+        return min(self._ends_at, start + (windows + 1) * self._window_s)
 
     def is_overloaded(self, now: float) -> bool:
         """Return whether the upstream is cold and got more calls in a window than it handles."""
--- a/foldhoist/daemon/sampler.py
+++ b/foldhoist/daemon/sampler.py
@@ -137,7 +137,7 @@
                 logger.info("pace of the upstream cannot be sampled: {!r}", exc)
             self._failing = True
             return False
-        if sample.pace or sample.cold_s is not None:
+        if sample.pace or sample.cold_s is not None or sample.well:
             self._on_sample(sample)
         if not sample.pace:
             self._plan.record_failure(self._loop.time())
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -91,11 +91,12 @@
     """The upstream's answer to a question about its state outside of calls.
 
     `pace` is in percent, 0 if not sent; `cold_s` is for how long it is still cold, seconds, None if
-    not sent.
+    not sent. `well` is whether it says that it is well.
     """
 
     pace: int
     cold_s: float | None = None
+    well: bool = False
 
 
 class Shed(NamedTuple):
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -237,6 +237,8 @@
         """Handle a sample of the upstream's state; reports changes to ingresses."""
         if sample.cold_s is not None:
             self._cold.set_remaining(now, sample.cold_s)
+        elif sample.well:
+            self._cold.end_assumption()
         reports = self._update_cold(now)
         if sample.pace:
             reports += self._update_pace(now, sample.pace)
--- a/tests/adapter/target.py
+++ b/tests/adapter/target.py
@@ -57,6 +57,7 @@
         self.arrivals: list[float] = []
         self.received: list[tuple[float, str, str]] = []
         self.cold_until = 0.0
+        self.tells_warm = True
         self.max_calls_per_s = 0
         self.crashes = 0
         self.extra_body = b""
@@ -182,6 +183,8 @@
 
     def _health(self) -> str:
         remaining_s = max(0.0, self.cold_until - asyncio.get_running_loop().time())
+        if not remaining_s and not self.tells_warm:
+            return self._load()
         return f"{self._load()}X-Cold-Ms: {remaining_s * 1000:.0f}\r\n"
 
     def _signals(self) -> str:
--- a/tests/adapter/test_cold.py
+++ b/tests/adapter/test_cold.py
@@ -139,18 +139,26 @@
     run()
 
 
-@with_cluster
-async def test_an_upstream_that_comes_back_warm_gets_all_calls_at_once(cluster: Cluster) -> None:
-    await start(cluster, 1)
-    target = cluster.targets["s0"]
-    target.crash()
-    await cluster.send("a")
-    await target.restart(target.instance)
-    async with asyncio.timeout(COLD["cold_period_s"]):
-        while (await cluster.send("a")).status != 200:
-            await asyncio.sleep(0.05)
-        answers = [await cluster.send("a") for _ in range(3 * int(COLD_PER_S))]
-    assert {answer.status for answer in answers} == {200}
+@pytest.mark.parametrize("tells_warm", [True, False])
+def test_an_upstream_that_comes_back_warm_gets_all_calls_at_once(tells_warm: bool) -> None:
+    """A warm one may say in its health answers that it is not cold, or say nothing of it."""
+
+    @with_cluster
+    async def run(cluster: Cluster) -> None:
+        await start(cluster, 1)
+        target = cluster.targets["s0"]
+        target.tells_warm = tells_warm
+        target.pace = ""
+        target.crash()
+        await cluster.send("a")
+        await target.restart(target.instance)
+        async with asyncio.timeout(COLD["cold_period_s"]):
+            while (await cluster.send("a")).status != 200:
+                await asyncio.sleep(0.05)
+            answers = [await cluster.send("a") for _ in range(3 * int(COLD_PER_S))]
+        assert {answer.status for answer in answers} == {200}
+
+    run()
 
 
 @pytest.mark.parametrize("upstreams", [2, 5])
