--- a/foldhoist/customers/lenders.py
+++ b/foldhoist/customers/lenders.py
@@ -1,4 +1,4 @@
-"""The hosts that lend their shares of quotas to one quota server, by their own word; no I/O."""
+"""The hosts that lend their shares of quotas to one quota server, as they say; no I/O."""
 
 from __future__ import annotations
 
--- a/foldhoist/customers/quota_bucket.py
+++ b/foldhoist/customers/quota_bucket.py
@@ -49,7 +49,7 @@
 class Bucket:
     """One customer's credit; `refilled_at` is in the server's active time, seconds.
 
-    `lending_hosts` is the number of hosts that lend by their word, `rate_share` the share of the
+    `lending_hosts` is the number of hosts that say that they lend, `rate_share` the share of the
     quota, 0 to 1, of those of them that are not silent, `burst_share` that of all hosts that lend,
     also by asking.
     """
--- a/foldhoist/customers/quota_server.py
+++ b/foldhoist/customers/quota_server.py
@@ -1,10 +1,10 @@
 """The quota server: counts a customer's calls at all hosts and grants credit for them.
 
 Each host has an equal share of every quota and lends it to one quota server at a time: to the first
-that it may ask, by its own word, or to another one by asking it. A server gains credit at the rate
-of the shares lent to it, and its burst is limited to these shares. Two servers that are asked at
-the same time, as in a network partition or by hosts that know different hosts, together gain no
-more than the customer's rate.
+that it says it may ask, or to another one by asking it. A server gains credit at the rate of the
+shares lent to it, and its burst is limited to these shares. Two servers that are asked at the same
+time, as in a network partition or by hosts that know different hosts, together gain no more than
+the customer's rate.
 """
 
 from __future__ import annotations
@@ -195,7 +195,7 @@
     def _add_lent_share(
         self, at: float, host: str, customer: Customer, bucket: Bucket, lends_s: float
     ) -> None:
-        """Count a request, and add the share that it lends unless the host lends it by its word."""
+        """Count a request, and add the share that it lends unless it has said that it lends it."""
         asking = bucket.asking_hosts.get(host)
         if asking is None:
             bucket.asking_hosts[host] = asking = AskingHost(at)
