--- a/review/lab.py
+++ b/review/lab.py
@@ -260,8 +260,7 @@
 
     def stop(self) -> None:
         """End: no heartbeats, no listener, no connections."""
-        if self._beats is not None:
-            self._beats.cancel()
+        self.stop_beats()
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
@@ -271,6 +270,11 @@
         """Send heartbeats to this address from now on."""
         self._beats = asyncio.get_running_loop().create_task(self._beat(control))
 
+    def stop_beats(self) -> None:
+        """Send no further heartbeats."""
+        if self._beats is not None:
+            self._beats.cancel()
+
     async def heartbeat(self, control: str) -> Answer:
         """Send one heartbeat."""
         self._sequence += 1
