--- a/review/lab.py
+++ b/review/lab.py
@@ -35,6 +35,8 @@
 """`contact_s` of the sites, seconds."""
 CONFIG_APPLY_S = 2.0
 """`config_apply_s` of the sites, seconds."""
+LIMIT_S = 112.0
+"""Longest time of a scenario, seconds; a case may take 120."""
 DRAIN_S = 2.0
 """`drain_s` of the sites, seconds."""
 HEARTBEAT_S = 1.5
@@ -520,6 +522,7 @@
         """End all processes and stand-ins."""
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for machine in self.machines.values():
             if machine.process is not None and machine.process.returncode is None:
                 machine.process.send_signal(signal.SIGCONT)
@@ -714,7 +717,8 @@
         trouble = os.environ.get("TROUBLE", "1") != "0"
         async with Lab(record) as lab:
             lab.log.note(f"trouble: {trouble}")
-            broken = list(await scenario(lab, trouble))
+            async with asyncio.timeout(LIMIT_S):
+                broken = list(await scenario(lab, trouble))
             for line in broken:
                 lab.log.note(f"BROKEN: {line}")
             lab.log.note(f"{len(broken)} breaks of the rule")
@@ -723,6 +727,6 @@
 
     try:
         return asyncio.run(run())
-    except (CannotRunError, OSError) as exc:
-        sys.stderr.write(f"the case could not run: {exc}\n")
+    except Exception as exc:
+        sys.stderr.write(f"the case could not run: {exc!r}\n")
         return NOT_RUN
