Split the ejection of outliers from the picker

Change: routing/outliers.py decides on ejections, trials and probation, on the statistics that the picker gives it; the ablation that turns ejection off, and the oracle of the decision bench, follow. No behaviour changes.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -113,7 +113,7 @@
     for ingress in simulation.ingresses.values():
         for state in ingress._services.all():
             old = state.picker
-            picker = OraclePicker(old.policy, old.data_centre, old.eject_share, old.rng)
+            picker = OraclePicker(old.policy, old.data_centre, old.outliers.max_share, old.rng)
             picker.tracks = old.tracks
             picker.simulation = simulation
             state.picker = picker
--- a/foldhoist/routing/picker.py
+++ b/foldhoist/routing/picker.py
@@ -1,12 +1,12 @@
-"""Picks an upstream of one service: filters candidates, ejects outliers, then applies a policy."""
+"""Picks an upstream of one service: filters candidates, then applies a policy."""
 
 from __future__ import annotations
 
-from statistics import median
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
 from foldhoist.admission.rate_limit import LIMITED
 from foldhoist.membership.incarnations import UNNAMED, UpstreamIncarnation
+from foldhoist.routing.outliers import OutlierEjection, is_ready_for_trial
 from foldhoist.routing.policies import (
     REMOTE_COST_S,
     Mixed,
@@ -32,22 +32,6 @@
 """Refusal reason: every connected upstream is in an evacuated data centre."""
 EVACUATED_RETRY_S = 1.0
 """Retry delay after such a refusal, seconds."""
-EJECT_ERROR_SHARE = 0.5
-"""An upstream is ejected at this share of errors or above."""
-EJECT_MIN_RESULTS = 3
-"""Results needed before an upstream can be ejected."""
-EJECT_SLOW_FACTOR = 6.0
-"""An upstream is ejected if its latency exceeds the median of the others by this factor."""
-EJECT_MIN_LATENCY_S = 0.01
-"""An upstream with a latency below this is never ejected as slow, seconds."""
-FIRST_EJECTION_S = 0.5
-"""Length of the first ejection, seconds; it doubles with each further one."""
-MAX_EJECTION_S = 30.0
-"""Longest ejection, seconds."""
-TRIAL_CALLS = 3
-"""Successful trial calls, one at a time, that end the probation after an ejection."""
-TRIAL_PAUSE_S = 0.05
-"""Minimum time between the last result and the next trial call, seconds."""
 RAMP_S = 2.0
 """Length of the slow start of a new upstream, seconds."""
 MIN_REFUSAL_PAUSE_S = 0.02
@@ -106,7 +90,7 @@
         self.policy = policy
         self._leaving = leaving if leaving is not None else {}
         self.data_centre = data_centre
-        self.eject_share = eject_share
+        self.outliers = OutlierEjection(eject_share)
         self.rng = rng
         self.evacuated: frozenset[str] = frozenset()
         self.cold_s = 0.0
@@ -157,7 +141,8 @@
                 ejected.append(stats)
                 continue
             if stats.trial_left:
-                trial = trial or self._ready_for_trial(stats, now)
+                if trial is None and is_ready_for_trial(stats, now):
+                    trial = stats
                 continue
             if self._has_ramp_capacity(stats, now):
                 candidates.append(stats)
@@ -321,12 +306,6 @@
         stats.load = None
         stats.other_calls = 0
 
-    def _ready_for_trial(self, stats: UpstreamStats, now: float) -> UpstreamStats | None:
-        """Return the upstream if a trial call may be sent to it now, else None."""
-        return (
-            stats if stats.in_flight == 0 and now - stats.last_result_at >= TRIAL_PAUSE_S else None
-        )
-
     def _has_ramp_capacity(self, stats: UpstreamStats, now: float) -> bool:
         age = now - stats.ramp_start
         if age >= RAMP_S:
@@ -336,45 +315,7 @@
     def _record_result(
         self, stats: UpstreamStats, now: float, latency_s: float, failed: bool
     ) -> None:
-        stats.record_result(now, latency_s, failed)
-        if stats.trial_left:
-            self._record_trial(stats, now, latency_s, failed)
-            return
-        if stats.ejected_until > now or stats.results < EJECT_MIN_RESULTS:
-            return
-        if stats.errors >= EJECT_ERROR_SHARE or self._is_slow(stats.latency_s, stats.name):
-            self._eject(stats, now)
-
-    def _record_trial(
-        self, stats: UpstreamStats, now: float, latency_s: float, failed: bool
-    ) -> None:
-        if failed or self._is_slow(latency_s, stats.name):
-            self._eject(stats, now)
-            return
-        stats.trial_left -= 1
-        if stats.trial_left == 0:
-            stats.ejections = 0
-            stats.errors = 0.0
-            stats.latency_s = latency_s
-
-    def _is_slow(self, latency_s: float, name: str) -> bool:
-        if latency_s < EJECT_MIN_LATENCY_S:
-            return False
-        others = [
-            stats.latency_s
-            for stats in self.tracks.values()
-            if stats.name != name and stats.results >= EJECT_MIN_RESULTS
-        ]
-        return bool(others) and latency_s > EJECT_SLOW_FACTOR * median(others)
-
-    def _eject(self, stats: UpstreamStats, now: float) -> None:
-        ejected = sum(1 for each in self.tracks.values() if each.ejected_until > now)
-        if ejected + 1 > self.eject_share * len(self.tracks):
-            return
-        length_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**stats.ejections)
-        stats.ejections += 1
-        stats.ejected_until = now + length_s
-        stats.trial_left = TRIAL_CALLS
+        self.outliers.record_result(self.tracks, stats, now, latency_s, failed)
 
     def _no_choice(self, now: float, excluded: Container[str]) -> NoChoice:
         busy = [
--- a/tools/ablations.py
+++ b/tools/ablations.py
@@ -85,8 +85,8 @@
     ),
     Ablation(
         "ejection",
-        "foldhoist/routing/picker.py",
-        "if stats.errors >= EJECT_ERROR_SHARE or self._is_slow(stats.latency_s, stats.name):",
+        "foldhoist/routing/outliers.py",
+        "if stats.errors >= EJECT_ERROR_SHARE or _is_slow(upstreams, stats.name, stats.latency_s):",
         "if False:",
     ),
     Ablation(
