Record signals from the first line of the daemon to its end

Callers saw (or may have): a daemon that gets SIGHUP while it starts ended by the signal, and its host served nobody until it was started again; SIGTERM ended it by the signal and not with 0.

Cause: handlers were installed by the running event loop, after imports, settings and listeners, and asyncio restored the default actions when the loop closed, the interpreter at its end.

Change: process_signals.py installs handlers that only record, before slow imports; the running loop is woken up by a wakeup descriptor and acts on what is recorded, earlier signals included. Handlers stay when the loop closes; at the end the signals are ignored.

--- a/foldhoist/__main__.py
+++ b/foldhoist/__main__.py
@@ -1,25 +1,35 @@
-"""Entry point of the command line."""
+"""Entry point of the command line; imports little until the signals of a daemon are recorded."""
 
 from __future__ import annotations
 
 import sys
 
 from foldhoist.commands.launch_time import LAUNCH_TIME_S
-from foldhoist.commands.output import EXIT_FAULTS, EXIT_UNREACHABLE
-from foldhoist.exceptions import FoldhoistError, UsageError
+from foldhoist.commands.process_signals import SIGNALS
 
 
 def main() -> None:
     """Run the command and exit with its code."""
+    if sys.argv[1:2] == ["daemon"]:
+        SIGNALS.install()
+    code = _run_reporting_errors()
+    if SIGNALS.installed:
+        SIGNALS.ignore()
+    sys.exit(code)
+
+
+def _run_reporting_errors() -> int:
+    from foldhoist.commands.output import EXIT_FAULTS, EXIT_UNREACHABLE
+    from foldhoist.exceptions import FoldhoistError, UsageError
+
     try:
-        code = _run()
+        return _run()
     except UsageError as exc:
         sys.stderr.write(f"error: {exc}\n")
-        code = EXIT_FAULTS
+        return EXIT_FAULTS
     except FoldhoistError as exc:
         sys.stderr.write(f"error: {exc}\n")
-        code = EXIT_UNREACHABLE
-    sys.exit(code)
+        return EXIT_UNREACHABLE
 
 
 def _run() -> int:
--- a/foldhoist/commands/daemon.py
+++ b/foldhoist/commands/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 import threading
 from typing import TYPE_CHECKING
@@ -13,6 +12,7 @@
 
 from foldhoist.commands.launch_time import LAUNCH_TIME_S
 from foldhoist.commands.output import EXIT_FAULTS, EXIT_OK, EXIT_UNREACHABLE, print_faults
+from foldhoist.commands.process_signals import SIGNALS
 from foldhoist.config.faults import show
 from foldhoist.config.settings import load_settings
 from foldhoist.observe.logs import set_up_logs
@@ -36,6 +36,8 @@
 
 def run_daemon(settings: str, began: float) -> int:
     """Run one daemon and return the exit code; `began` is its launch time, monotonic seconds."""
+    SIGNALS.install()
+    SIGNALS.take_reload()
     loaded = load_settings(settings)
     if loaded.is_error():
         print_faults(loaded.error, as_json=False)
@@ -49,29 +51,45 @@
 
 async def _run(cfg: Settings, path: str, began: float) -> int:
     running = _make(cfg, began)
+    if SIGNALS.stop is not None:
+        logger.info("{} received before the start", SIGNALS.stop.name)
+        return EXIT_OK
     try:
         await running.start()
     except OSError as exc:
         logger.error("cannot listen: {}; change the addresses under [listen]", exc)
         return EXIT_UNREACHABLE
-    loop = asyncio.get_running_loop()
-    stops: set[asyncio.Task[None]] = set()
-
-    def stop(signum: signal.Signals) -> None:
-        logger.info("{} received", signum.name)
-        stops.add(loop.create_task(running.drain()))
-
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, stop, signum)
-    loop.add_signal_handler(signal.SIGHUP, _reload, running, path)
     ready = {"ready": running.name, "addresses": running.addresses}
     sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
     sys.stdout.flush()
-    await running.stopped.wait()
+    handler = _SignalHandler(running, path)
+    loop = asyncio.get_running_loop()
+    SIGNALS.attach(loop, handler.act)
+    try:
+        await running.stopped.wait()
+    finally:
+        SIGNALS.detach(loop)
     logger.info("process ends, {} tasks left", len(asyncio.all_tasks()) - 1)
     return EXIT_OK
 
 
+class _SignalHandler:
+    """Acts on the recorded signals of a running daemon."""
+
+    def __init__(self, running: Daemon | MeshDaemon, path: str) -> None:
+        self._running = running
+        self._path = path
+        self._drain: asyncio.Task[None] | None = None
+
+    def act(self) -> None:
+        """Read the settings again, or shut the daemon down, if a signal requests it."""
+        if SIGNALS.take_reload() and not self._running.stopped.is_set():
+            _reload(self._running, self._path)
+        if SIGNALS.stop is not None and self._drain is None:
+            logger.info("{} received", SIGNALS.stop.name)
+            self._drain = asyncio.get_running_loop().create_task(self._running.drain())
+
+
 def _reload(running: Daemon | MeshDaemon, path: str) -> None:
     """Read the settings again; if the file has errors, the current settings stay."""
     loaded = load_settings(path)
