Test early ends of an upstream's answer in each framing

Reported by other operators: an upstream stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body.

The tests pass on the code as it was.

--- /dev/null
+++ b/tests/adapter/test_early_ends.py
@@ -0,0 +1,90 @@
+"""An answer that ends early is never whole: each framing, cut at each byte, both kinds of ends.
+
+Guards against a short answer that a caller gets as the whole one.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from bench.stages import FakeTransport
+from foldhoist.daemon.upstream_connection import UpstreamConnection
+from foldhoist.delivery.dispatch import Complete, Incomplete, Result, StartCall
+from foldhoist_adapter.headers import PlatformDialect
+from tests.adapter.answers import ANSWERS, LENGTH, End, Framed, head
+from tests.unit.daemon.calls import dispatch_of
+
+FIRST = head(LENGTH) + b"first"
+"""A whole answer before the one that is cut, on a kept connection."""
+WHOLE_AT_ONCE = 1 << 20
+"""Bytes of one segment; any answer here fits."""
+
+
+class Wire:
+    """A connection to an upstream without a socket; `results` are those of the last call."""
+
+    def __init__(self, kept: bool = False) -> None:
+        self.results: list[Result] = []
+        self.transport = FakeTransport()
+        self.conn = UpstreamConnection(100, self._on_end, PlatformDialect("shop"))
+        self.conn.connection_made(self.transport)
+        if kept:
+            self.call("GET")
+            self.conn.data_received(FIRST)
+            assert self.conn.usable
+            self.results.clear()
+
+    def _on_end(self, conn: UpstreamConnection, result: Result) -> None:
+        self.results.append(result)
+
+    def call(self, method: str) -> None:
+        """Start a call."""
+        req = dispatch_of(method, [[b"X-Attempt-Id", b"a1"]], repeatable=method != "POST")
+        self.conn.call(StartCall(1, req, 1.0), b"request")
+
+    def receive(self, data: bytes, size: int) -> None:
+        """Receive bytes in segments of this size, until the call ends."""
+        for at in range(0, len(data), size):
+            if self.results:
+                return
+            self.conn.data_received(data[at : at + size])
+
+    def end(self, exc: Exception | None) -> Result:
+        """End the connection and return the result of the call."""
+        self.conn.connection_lost(exc)
+        (result,) = self.results
+        return result
+
+
+def whole_body(answer: Framed, cut: int, method: str, reset: bool) -> bytes | None:
+    """Return the body of an answer that is whole when cut there, or None if it is not."""
+    if answer.end is End.NEVER or cut < answer.head_end:
+        return None
+    if method == "HEAD":
+        return None if answer.before.endswith(b"zz") else b""
+    if answer.end is End.CONNECTION:
+        return None if reset else answer.data[answer.head_end : cut]
+    return answer.body if cut == len(answer.data) else None
+
+
+@pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
+@pytest.mark.parametrize("reset", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("size", [1, WHOLE_AT_ONCE], ids=["bytes", "segment"])
+@pytest.mark.parametrize("kept", [False, True], ids=["new", "kept"])
+@pytest.mark.parametrize("answer", ANSWERS, ids=[each.name for each in ANSWERS])
+def test_an_answer_is_whole_only_at_its_end(
+    answer: Framed, method: str, reset: bool, size: int, kept: bool
+) -> None:
+    for cut in range(len(answer.data) + 1):
+        wire = Wire(kept)
+        wire.call(method)
+        wire.receive(answer.data[:cut], size)
+        result = wire.end(ConnectionResetError() if reset else None)
+        body = whole_body(answer, cut, method, reset)
+        seen = answer.data[:cut]
+        if body is None:
+            assert isinstance(result, Incomplete), seen
+            assert result.sent, seen
+            continue
+        assert isinstance(result, Complete), seen
+        assert result.body == body, seen
