Drop the trailers of an answer: they are no part of its head

Cause: the parser gives trailers to the same callback as headers, and the head went on to be read after its end. The connection for health answers did the same with the load.

Change: headers count until the head is complete. Trailers are dropped, as nothing here forwards them. A length after chunks makes an answer malformed, as before (the parser).

--- a/foldhoist/daemon/health_connection.py
+++ b/foldhoist/daemon/health_connection.py
@@ -51,7 +51,7 @@
         """
         if self._transport is None:
             raise ConnectionError("health connection lost")
-        self._head = HeadReader(self._dialect.upstream_rules)
+        self._reset_head()
         self._parser = httptools.HttpResponseParser(self)
         self._answer = asyncio.get_running_loop().create_future()
         self._received = 0
@@ -82,20 +82,29 @@
                 self.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record a header."""
-        self._head.add(name, value)
+        """Record a header; those after the body are dropped, as they were not in the head."""
+        if not self._head_done:
+            self._head.add(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Mark the head as complete."""
+        self._head_done = True
 
     def on_message_complete(self) -> None:
         """End the request with the sample in the answer; an interim answer is skipped."""
         status = self._parser.get_status_code()
         if status < 200:
-            self._head = HeadReader(self._dialect.upstream_rules)
+            self._reset_head()
             return
         if self._answer is not None and not self._answer.done():
             self._answer.set_result(self._dialect.sample(status, self._head))
         if not self._parser.should_keep_alive():
             self.close()
 
+    def _reset_head(self) -> None:
+        self._head = HeadReader(self._dialect.upstream_rules)
+        self._head_done = False
+
     def _fail(self, reason: str) -> None:
         if self._answer is not None and not self._answer.done():
             self._answer.set_exception(ConnectionError(reason))
--- a/foldhoist/daemon/upstream_connection.py
+++ b/foldhoist/daemon/upstream_connection.py
@@ -158,8 +158,8 @@
             self._close_after = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record a header."""
-        if self._complete:
+        """Record a header; those after the body are dropped, as they were not in the head."""
+        if self._complete or self._head_done:
             return
         lower = name.lower()
         if lower == b"content-length":
@@ -175,6 +175,7 @@
         """Record the status and how the body ends; an answer to HEAD is complete here."""
         if self._complete:
             return
+        self._head_done = True
         self._status = self._parser.get_status_code()
         if self._status < 200:
             return
@@ -242,6 +243,7 @@
         self._announced_bytes = 0
         self._status = 0
         self._framed = False
+        self._head_done = False
         self._until_close = False
 
     def _release_body(self) -> None:
--- a/tests/adapter/test_early_ends.py
+++ b/tests/adapter/test_early_ends.py
@@ -11,7 +11,7 @@
 from foldhoist.daemon.upstream_connection import UpstreamConnection
 from foldhoist.delivery.dispatch import Complete, Incomplete, Result, StartCall
 from foldhoist_adapter.headers import PlatformDialect
-from tests.adapter.answers import ANSWERS, LENGTH, End, Framed, head
+from tests.adapter.answers import ANSWERS, CHUNKED, CHUNKS, LENGTH, End, Framed, head
 from tests.unit.daemon.calls import dispatch_of
 
 FIRST = head(LENGTH) + b"first"
@@ -88,3 +88,42 @@
             continue
         assert isinstance(result, Complete), seen
         assert result.body == body, seen
+
+
+TRAILERS = [
+    b"X-Not-Executed: 1",
+    b"X-Attempt-Id: b2",
+    b"X-Response-Signature: forged",
+    b"Transfer-Encoding: gzip",
+    b"Connection: X-Kept",
+    b"Content-Encoding: gzip",
+    b"X-Sum: 1",
+]
+
+
+@pytest.mark.parametrize("trailer", TRAILERS)
+def test_what_follows_a_body_is_no_part_of_the_head(trailer: bytes) -> None:
+    """Guards against a trailer that makes a call that ran count as not run, or never end."""
+    wire = Wire()
+    wire.call("POST")
+    wire.conn.data_received(head(CHUNKED, b"X-Kept: 1") + CHUNKS[:-2] + trailer + b"\r\n\r\n")
+    (result,) = wire.results
+    assert isinstance(result, Complete)
+    names = [name for name, _ in result.headers]
+    assert names == [b"X-Attempt-Id", b"X-Response-Signature", b"X-Kept"]
+    assert result.headers[1][1] == b"s.1"
+
+
+def test_a_signature_after_the_body_does_not_sign_an_answer() -> None:
+    wire = Wire()
+    wire.call("POST")
+    unsigned = head(CHUNKED).replace(b"X-Response-Signature: s.1\r\n", b"")
+    wire.conn.data_received(unsigned + CHUNKS[:-2] + b"X-Response-Signature: s.1\r\n\r\n")
+    assert wire.results == [Incomplete(True, "answer-unsigned")]
+
+
+def test_a_length_after_chunks_is_no_answer() -> None:
+    wire = Wire()
+    wire.call("POST")
+    wire.conn.data_received(head(CHUNKED) + CHUNKS[:-2] + b"Content-Length: 3\r\n\r\n")
+    assert wire.results == [Incomplete(True, "malformed-answer")]
