HEAD: take a 421 for what it says, another upstream at the address

Callers got 502 (may have run) for a HEAD that another upstream at the address had turned away with 421, and the owner went on sending it calls. Found by the tests of early ends.

Cause: an empty NamedTuple (Replaced) is false, and 'result or Incomplete(...)' replaced it. Looked for elsewhere: no other result is tested by its truth.

Failed before, 4 tests (GET and POST passed): 'assert isinstance(result, kind)', Incomplete(sent=True, reason='answer-to-another-call'). With the same table: a whole head that says 'not run' is needed at each cut for Shed and Replaced.

--- a/foldhoist/daemon/upstream_connection.py
+++ b/foldhoist/daemon/upstream_connection.py
@@ -190,7 +190,9 @@
             self._reusable = False
             self._close_after = True
             self._complete = True
-            self._result = self._interpret() or Incomplete(True, "answer-to-another-call")
+            self._result = self._interpret()
+            if self._result is None:
+                self._result = Incomplete(True, "answer-to-another-call")
 
     def on_chunk_header(self) -> None:
         """Count a chunk."""
--- a/tests/adapter/test_early_ends.py
+++ b/tests/adapter/test_early_ends.py
@@ -1,6 +1,7 @@
 """An answer that ends early is never whole: each framing, cut at each byte, both kinds of ends.
 
-Guards against a short answer that a caller gets as the whole one.
+Guards against a short answer that a caller gets as the whole one, and against a call that ran and
+is told as not run.
 """
 
 from __future__ import annotations
@@ -9,7 +10,7 @@
 
 from bench.stages import FakeTransport
 from foldhoist.daemon.upstream_connection import UpstreamConnection
-from foldhoist.delivery.dispatch import Complete, Incomplete, Result, StartCall
+from foldhoist.delivery.dispatch import Complete, Incomplete, Replaced, Result, Shed, StartCall
 from foldhoist_adapter.headers import PlatformDialect
 from tests.adapter.answers import ANSWERS, CHUNKED, CHUNKS, LENGTH, End, Framed, head
 from tests.unit.daemon.calls import dispatch_of
@@ -90,6 +91,32 @@
         assert result.body == body, seen
 
 
+@pytest.mark.parametrize("size", [1, WHOLE_AT_ONCE], ids=["bytes", "segment"])
+@pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
+@pytest.mark.parametrize("reset", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize(
+    ("start", "line", "kind"),
+    [
+        (b"HTTP/1.1 503 Full", b"X-Not-Executed: 1", Shed),
+        (b"HTTP/1.1 421 Misdirected", b"X-Other: 1", Replaced),
+    ],
+)
+def test_a_call_is_not_run_only_after_a_whole_head_that_says_so(
+    start: bytes, line: bytes, kind: type, method: str, reset: bool, size: int
+) -> None:
+    data = head(line, LENGTH, start=start) + b"abcde"
+    for cut in range(len(data) + 1):
+        wire = Wire()
+        wire.call(method)
+        wire.receive(data[:cut], size)
+        result = wire.end(ConnectionResetError() if reset else None)
+        ends_at = len(data) - 5 if method == "HEAD" else len(data)
+        if cut < ends_at:
+            assert result == Incomplete(True, "upstream-connection-lost"), data[:cut]
+            continue
+        assert isinstance(result, kind), data[:cut]
+
+
 TRAILERS = [
     b"X-Not-Executed: 1",
     b"X-Attempt-Id: b2",
