Close a connection after an answer that is none

Seen in tests: a whole answer without its signature or id, with a coding, or to another call (HEAD) ends its call as 502 or with the next attempt, and its connection stayed open until the upstream closed it: not counted, so beyond max_connections, one for each such answer.

Cause: a connection that can't be used again was closed after complete answers only; after an incomplete one it was thought to be closed already, which holds for lost and aborted ones, not for these.

Failed before, 5 of 8 cases: 'await until(lambda: pooled.upstream.open == 0)' (run with a timeout of 5 s).

--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -175,9 +175,9 @@
         if conn.usable:
             conn.idle_since = asyncio.get_running_loop().time()
             self._idle.append(conn)
-        elif not isinstance(result, Incomplete):
+        else:
             conn.abort("not-reusable")
-        elif result.reason in (HEAD_TOO_LARGE, BODY_TOO_LARGE):
+        if isinstance(result, Incomplete) and result.reason in (HEAD_TOO_LARGE, BODY_TOO_LARGE):
             self._log_too_large(conn, result)
         self._on_result(conn.ticket, result)
 
