Send no call on a connection whose end has been read

Seen in a test: the end of an idle connection is read, and a call that arrives before the loop has reported the connection as lost is written to it. The transport drops the bytes; the call ends as 'may have run' (502 for a write), though it was never sent.

Cause: a connection counted as open until connection_lost, which the loop calls one turn after it has read the end.

Failed before: 'assert isinstance(pooled.results.pop(), Complete)' was Incomplete(sent=True, 'upstream-connection-lost'). Passes after: the call goes out on another connection. How often this happens to callers was not measured.

--- a/foldhoist/daemon/upstream_connection.py
+++ b/foldhoist/daemon/upstream_connection.py
@@ -79,13 +79,13 @@
 
     @property
     def connected(self) -> bool:
-        """Return whether the connection is open."""
-        return self._transport is not None
+        """Return whether the connection is open; False once its end has been read."""
+        return self._transport is not None and not self._transport.is_closing()
 
     @property
     def usable(self) -> bool:
         """Return whether the connection can take another call."""
-        return self._transport is not None and not self._running and self._reusable
+        return self.connected and not self._running and self._reusable
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
--- a/tests/adapter/test_upstream_pool.py
+++ b/tests/adapter/test_upstream_pool.py
@@ -1,18 +1,19 @@
-"""The pool closes each connection that it does not use again.
+"""The pool closes each connection that it does not use again, and uses none that has ended.
 
 Guards against connections that stay open at the upstream after an answer that is none, beyond
-`max_connections`.
+`max_connections`, and against a call told as maybe run though it was sent on a closed connection.
 """
 
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING
 
 import pytest
 
 from foldhoist.daemon.upstream import UpstreamPool
-from foldhoist.delivery.dispatch import Result, StartCall
+from foldhoist.delivery.dispatch import Complete, Result, StartCall
 from foldhoist_adapter.headers import PlatformDialect
 from tests.adapter.answers import CHUNKED, CHUNKS, LENGTH, head
 from tests.adapter.cluster import until
@@ -33,6 +34,8 @@
     def __init__(self, answer: bytes) -> None:
         self.answer = answer
         self.open = 0
+        self.requests = 0
+        self.writers: list[asyncio.StreamWriter] = []
 
     async def start(self) -> tuple[str, int]:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -41,9 +44,11 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.open += 1
+        self.writers.append(writer)
         try:
             while True:
                 await reader.readuntil(b"\r\n\r\n")
+                self.requests += 1
                 writer.write(self.answer)
         except (asyncio.IncompleteReadError, ConnectionError):
             self.open -= 1
@@ -106,3 +111,28 @@
         assert pooled.pool.open == 0
 
     on_pool(answer, test)
+
+
+def test_a_call_is_not_sent_on_a_connection_whose_end_has_been_read() -> None:
+    """The end of the connection is read, and a call arrives before the loop reports it as lost."""
+
+    async def test(pooled: Pooled) -> None:
+        assert isinstance(await pooled.call(CALL), Complete)
+        (conn,) = pooled.pool._idle
+        started: list[bool] = []
+        eof_received = conn.eof_received
+
+        def start_at_end() -> None:
+            eof_received()
+            loop = asyncio.get_running_loop()
+            loop.call_soon(lambda: pooled.pool.start(loop.time(), CALL))
+            started.append(True)
+
+        conn.eof_received = start_at_end  # type: ignore[method-assign]
+        sock = pooled.upstream.writers[0].get_extra_info("socket")
+        sock.shutdown(socket.SHUT_WR)
+        await until(lambda: bool(started) and bool(pooled.results))
+        assert isinstance(pooled.results.pop(), Complete)
+        assert pooled.upstream.requests == 2
+
+    on_pool(OK, test)
