--- a/foldhoist/daemon/upstream_connection.py
+++ b/foldhoist/daemon/upstream_connection.py
@@ -79,13 +79,13 @@
 
     @property
     def connected(self) -> bool:
-        """Return whether the connection is open."""
-        return self._transport is not None
+        """Return whether the connection is open; False once its end has been read."""
+        return self._transport is not None and not self._transport.is_closing()
 
     @property
     def usable(self) -> bool:
         """Return whether the connection can take another call."""
-        return self._transport is not None and not self._running and self._reusable
+        return self.connected and not self._running and self._reusable
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -158,8 +158,8 @@
             self._close_after = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record a header."""
-        if self._complete:
+        """Record a header; those after the body are dropped, as they were not in the head."""
+        if self._complete or self._head_done:
             return
         lower = name.lower()
         if lower == b"content-length":
@@ -175,6 +175,7 @@
         """Record the status and how the body ends; an answer to HEAD is complete here."""
         if self._complete:
             return
+        self._head_done = True
         self._status = self._parser.get_status_code()
         if self._status < 200:
             return
@@ -189,7 +190,9 @@
             self._reusable = False
             self._close_after = True
             self._complete = True
-            self._result = self._interpret() or Incomplete(True, "answer-to-another-call")
+            self._result = self._interpret()
+            if self._result is None:
+                self._result = Incomplete(True, "answer-to-another-call")
 
     def on_chunk_header(self) -> None:
         """Count a chunk."""
@@ -242,6 +245,7 @@
         self._announced_bytes = 0
         self._status = 0
         self._framed = False
+        self._head_done = False
         self._until_close = False
 
     def _release_body(self) -> None:
