Free a connection's memory when it ends, without the collector

Cause: a connection and its httptools parser refer to each other, so that what both hold (parts of a body, waiting requests, the head, the call) was freed by the cyclic collector only, which garbage.py makes rare. A kept connection to the upstream held its last call and its last answer besides, and the check for overdue connections the last one that it had ended.

Change: callers', upstream's and health connections drop the parser and what was received when they end, as soon as they are refused midway, too. Requests that wait behind a malformed one are dropped with it: they were never run. No request is parsed on a connection that has ended, so that the books can't count a body that nobody releases.

--- a/foldhoist/daemon/caller_state.py
+++ b/foldhoist/daemon/caller_state.py
@@ -69,11 +69,13 @@
         """Close overdue connections and abort slow readers, checking all of them periodically."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            now = time.monotonic()
-            for conn in [conn for conn in self.open if conn.expires_at <= now]:
-                conn.on_timeout()
+            self._end_overdue(time.monotonic())
             self.abort_slow_readers()
 
+    def _end_overdue(self, now: float) -> None:
+        for conn in [conn for conn in self.open if conn.expires_at <= now]:
+            conn.on_timeout()
+
     def abort_slow_readers(self) -> None:
         """Abort the slow readers with the most unread bytes while their total exceeds the limit."""
         unread = {conn: conn.unread_bytes for conn in self.slow_readers}
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -41,7 +41,7 @@
     def __init__(self, state: ServerState) -> None:
         self._state = state
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.expires_at = float("inf")
         self._waiting: deque[CallerRequest | BadRequest] = deque()
         self._unanswered: deque[_Unanswered] = deque()
@@ -75,13 +75,11 @@
         self._state.open.discard(self)
         self._state.slow_readers.discard(self)
         self._transport = None
-        reserved = self._body_bytes + sum(each.body_bytes for each in self._unanswered)
-        self._state.bodies.release(reserved)
-        self._body_bytes = 0
-        self._unanswered.clear()
-        if self._call_id is not None:
-            self._state.on_disconnect(self._call_id)
-            self._call_id = None
+        self._ended = True
+        call_id, self._call_id = self._call_id, None
+        self._let_go()
+        if call_id is not None:
+            self._state.on_disconnect(call_id)
 
     def pause_writing(self) -> None:
         """Record that the caller is a slow reader."""
@@ -93,7 +91,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse requests; an invalid one ends the connection, once the running one is answered."""
-        if self._ended:
+        if self._ended or self._parser is None:
             return
         if not self._in_request and not self._busy:
             self._set_timer(self._state.limits["request_ms"])
@@ -105,7 +103,8 @@
         except httptools.HttpParserUpgrade:
             return
         except (httptools.HttpParserError, _RefusedError) as exc:
-            self._reject(_fault_of(exc))
+            if not self._ended:
+                self._reject(_fault_of(exc))
             return
         if not self._head_done and self._head_bytes > self._state.limits["header_bytes"]:
             self._reject(BadRequest(431, "headers-too-large"))
@@ -115,7 +114,9 @@
         return False
 
     def on_message_begin(self) -> None:
-        """Reset the state for a new request."""
+        """Reset the state for a new request; none is read once the connection has ended."""
+        if self._ended:
+            raise _EndedError
         self._reset()
         self._in_request = True
 
@@ -155,6 +156,7 @@
 
     def on_message_complete(self) -> None:
         """Start the request, or queue it until the previous one is answered."""
+        assert self._parser is not None
         self._head_done = True
         self._in_request = False
         method = self._parser.get_method().decode()
@@ -236,6 +238,7 @@
         if self._busy:
             self._ended = True
             self._unanswered[0] = self._unanswered[0]._replace(keep_alive=False)
+            self._let_go()
             return
         self._fail(bad)
 
@@ -263,9 +266,23 @@
     def _end(self) -> None:
         self._ended = True
         self.expires_at = float("inf")
+        self._let_go()
         if self._transport is not None:
             self._transport.close()
 
+    def _let_go(self) -> None:
+        """Drop what has been received, apart from the request that runs; nothing more is parsed.
+
+        The parser refers to this connection, so that only a garbage collection would free both.
+        """
+        running = 1 if self._call_id is not None else 0
+        while len(self._unanswered) > running:
+            self._state.bodies.release(self._unanswered.pop().body_bytes)
+        self._waiting.clear()
+        self._state.bodies.release(self._body_bytes)
+        self._reset()
+        self._parser = None
+
     def _write(self, data: bytes) -> None:
         if self._transport is not None:
             self._transport.write(data)
@@ -274,6 +291,10 @@
         self.expires_at = time.monotonic() + ms / 1000
 
 
+class _EndedError(Exception):
+    """A request begins on a connection that has ended."""
+
+
 class _RefusedError(Exception):
     """A part of a request exceeds its limit, or is not supported."""
 
--- a/foldhoist/daemon/health_connection.py
+++ b/foldhoist/daemon/health_connection.py
@@ -28,6 +28,7 @@
         self._transport: asyncio.Transport | None = None
         self._answer: asyncio.Future[Sample] | None = None
         self._received = 0
+        self._parser: httptools.HttpResponseParser | None = None
 
     @property
     def usable(self) -> bool:
@@ -40,9 +41,10 @@
         self._transport = transport
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the running request."""
+        """Fail the running request, and drop the parser, which refers to this connection."""
         self._transport = None
         self._fail("health connection lost")
+        self._parser = None
 
     async def request(self, data: bytes) -> Sample:
         """Send a request and return the sample in its answer.
@@ -56,8 +58,11 @@
         self._answer = asyncio.get_running_loop().create_future()
         self._received = 0
         self._transport.write(data)
-        async with asyncio.timeout(SAMPLE_TIMEOUT_S):
-            return await self._answer
+        try:
+            async with asyncio.timeout(SAMPLE_TIMEOUT_S):
+                return await self._answer
+        finally:
+            self._answer = None
 
     def close(self) -> None:
         """Close the connection."""
@@ -67,7 +72,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse the answer; bytes without a request, or too many, close the connection."""
         for piece in pieces(data):
-            if self._answer is None or self._answer.done():
+            if self._answer is None or self._answer.done() or self._parser is None:
                 self.close()
                 return
             self._received += len(piece)
@@ -87,6 +92,7 @@
 
     def on_message_complete(self) -> None:
         """End the request with the sample in the answer; an interim answer is skipped."""
+        assert self._parser is not None
         status = self._parser.get_status_code()
         if status < 200:
             self._head = HeadReader(self._dialect.upstream_rules)
--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -122,7 +122,8 @@
         """Close every connection."""
         for task in self._connecting.values():
             task.cancel()
-        for conn in [*self._idle, *self._busy.values()]:
+        self.close_idle("closing")
+        for conn in list(self._busy.values()):
             conn.abort("closing")
 
     async def try_connect(self) -> bool:
@@ -135,10 +136,10 @@
         self._idle.append(conn)
         return True
 
-    def close_idle(self) -> None:
-        """Close the idle connections after the upstream at the address was replaced."""
+    def close_idle(self, reason: str = "upstream-replaced") -> None:
+        """Close the idle connections, as after the upstream at the address was replaced."""
         while self._idle:
-            self._idle.pop().abort("upstream-replaced")
+            self._idle.pop().abort(reason)
 
     async def _open(self) -> UpstreamConnection:
         loop = asyncio.get_running_loop()
--- a/foldhoist/daemon/upstream_connection.py
+++ b/foldhoist/daemon/upstream_connection.py
@@ -117,8 +117,8 @@
             result = self._interpret()
             if result is not None:
                 self._finish(result)
-                return
         self._finish(Incomplete(self._sent, CONNECTION_LOST))
+        self._let_go()
 
     def data_received(self, data: bytes) -> None:
         """Parse an answer; bytes without a running call close the connection."""
@@ -139,6 +139,8 @@
     def _parse(self, piece: bytes) -> str:
         """Parse a part of an answer; returns the reason to close the connection, or empty."""
         self.size.received += len(piece)
+        if self._parser is None:
+            return ""
         try:
             self._parser.feed_data(piece)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -173,13 +175,15 @@
 
     def on_headers_complete(self) -> None:
         """Record the status and how the body ends; an answer to HEAD is complete here."""
-        if self._complete:
+        if self._complete or self._parser is None:
             return
         self._status = self._parser.get_status_code()
         if self._status < 200:
             return
         self._keep_alive = self._parser.should_keep_alive()
         self._pass_signals()
+        if not self._running:
+            return
         if self._announced_bytes > self._max_body_bytes and not self._is_head:
             raise _TooLargeError
         self._until_close = (
@@ -225,7 +229,7 @@
         self._result = result
 
     def _reset(self, is_head: bool) -> None:
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.size = AnswerSize()
         self._is_head = is_head
         self._result = None
@@ -270,12 +274,23 @@
         if not self._running:
             return
         self._running = False
-        self._release_body()
         if self._complete:
             self._reusable = self._keep_alive and not self._close_after
             self.idle_s = _idle_s(self.head)
+        self._let_go()
         self._on_end(self, result)
 
+    def _let_go(self) -> None:
+        """Drop the call and what has been received; nothing more is parsed for this call.
+
+        The parser refers to this connection, so that only a garbage collection would free both.
+        """
+        self._reset_answer()
+        self._complete = True
+        self._result = None
+        self._call = None
+        self._parser = None
+
 
 def _idle_s(head: HeadReader) -> float:
     """Return how long the connection may be idle, limited by a Keep-Alive header, seconds."""
