Test of endless answers: wait until the upstream's slow start is over

Seen once, beside a load of 19 on 8 cores: one of the 40 other calls got 503. The lines of that play: reason all-upstreams-leaving-or-busy after 0.0 ms, while the endless call was at the upstream, 0.2 s after the link came up. An upstream that joins gets one call at a time until its slots allow two (slow start, picker), so that the second call is refused by design; without load the endless call ends before the next one is sent, and nothing overlaps. Shown: with the other calls sent at once, the old test fails on without load (503 for the first three). The test now waits until the slow start is over; all calls must get 200 as before, and with the calls sent at once it passes, so that it checks calls beside the endless one for certain.

--- a/tests/adapter/test_endless_answers.py
+++ b/tests/adapter/test_endless_answers.py
@@ -11,6 +11,7 @@
 import pytest
 from loguru import logger
 
+from foldhoist.routing.picker import RAMP_S
 from tests.adapter.cluster import Cluster, route, until, with_cluster
 from tests.adapter.target import ENDLESS_BLOCK_BYTES, Endless
 from tests.unit.daemon.test_endless_answers import BODIES, HEADS
@@ -43,6 +44,12 @@
     check(Endless(*BODIES[kind]), lines, "answer-too-large")
 
 
+def takes_calls_side_by_side(cluster: Cluster) -> bool:
+    """Return whether the slow start is over in which upstream b gets one call at a time."""
+    picker = cluster.daemons["a"].ingress_task.ingress.pickers()["shop"]
+    return asyncio.get_running_loop().time() - picker.tracks["b"].ramp_start >= RAMP_S
+
+
 def check(answer: Endless, lines: list[str], reason: str) -> None:
     """Make a call with an endless answer beside others."""
 
@@ -52,6 +59,7 @@
         await cluster.add("b")
         await cluster.configure(1, [route(attempts=1)])
         await cluster.settle(1)
+        await until(lambda: takes_calls_side_by_side(cluster))
         target = cluster.targets["b"]
         target.endless["/a/endless"] = answer
         bad = asyncio.ensure_future(cluster.send("a", "/a/endless"))
