Acknowledge a leaving only if it is applied

Cause: an incarnation with the known one's name and an earlier start counted as a former one. Its departure, or its heartbeat that says draining, got 200 and changed nothing.

Change: former is what was current before or has left. Another one with an earlier start is served no longer if the known one was silent for 2 s, longer than the interval of heartbeats, and the other has spoken twice since then; otherwise it gets 409. A late message of a former incarnation still changes nothing, and the known one's next heartbeat brings it back if the leaving was late after all.

--- a/foldhoist/daemon/upstream_task.py
+++ b/foldhoist/daemon/upstream_task.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from foldhoist.admission.bucket import TokenBucket
+from foldhoist.daemon.ports import Acknowledgement
 from foldhoist.membership.incarnations import UpstreamIncarnation, incarnation_of
 from foldhoist.membership.startup_barrier import StartupBarrier
 from foldhoist.membership.upstream import AnnouncementResult, OwnUpstream
@@ -118,16 +119,16 @@
             "cold_ms": 0,
         }
 
-    async def on_announcement(self, announced: Announced) -> bool:
-        """Apply an announcement; a departure returns once it may be acknowledged.
-
-        Returns False if the upstream is ready and its service is not in the configuration.
-        """
+    async def on_announcement(self, announced: Announced) -> Acknowledgement:
+        """Apply an announcement; a departure returns once it may be acknowledged."""
         if announced["state"] == "ready" and not self._is_service(announced["service"]):
-            return False
+            return Acknowledgement.UNKNOWN_SERVICE
         self.count.heard += 1
         before = self.known.current
         result = self.known.apply_announcement(announced, self._loop.time())
+        if result is AnnouncementResult.UNSURE:
+            self._log_unsure(incarnation_of(announced))
+            return Acknowledgement.UNSURE
         if result is not AnnouncementResult.NOTHING:
             logger.info(
                 "upstream {} of {}: {}, sequence {}",
@@ -143,7 +144,7 @@
             await self._record_departure(incarnation_of(announced))
         elif announced["state"] != "ready":
             await self._until_recorded(announced["instance"])
-        return True
+        return Acknowledgement.GIVEN
 
     def on_invalid(self, fault: str) -> None:
         """Count a rejected announcement or departure, and log it within the rate limit."""
@@ -154,16 +155,13 @@
     async def on_departure(self, instance: str, born_ms: int) -> bool:
         """Apply the departure of an incarnation; return once it may be acknowledged.
 
-        Returns False if it may be a late message of the previous incarnation.
+        Returns False if it may be a late message of a previous incarnation.
         """
         before = self.known.current
         wall_ms = int(time.time() * 1000)
         match self.known.apply_departure(instance, self._loop.time(), wall_ms, born_ms):
             case AnnouncementResult.UNSURE:
-                logger.info(
-                    "departure of upstream {} is ignored, it may be of the previous incarnation",
-                    instance,
-                )
+                self._log_unsure(UpstreamIncarnation(instance, born_ms))
                 return False
             case AnnouncementResult.NOTHING:
                 await self._until_recorded(instance)
@@ -173,6 +171,12 @@
         await self._record_departure(UpstreamIncarnation(instance, born_ms))
         return True
 
+    def _log_unsure(self, incarnation: UpstreamIncarnation) -> None:
+        logger.info(
+            "departure of upstream {} is not acknowledged, it may be of a previous incarnation",
+            _label(incarnation),
+        )
+
     def leaving_signalled(self, incarnation: UpstreamIncarnation) -> None:
         """Handle the signal in an answer that this incarnation is leaving, as its announcement.
 
--- a/foldhoist/membership/upstream.py
+++ b/foldhoist/membership/upstream.py
@@ -29,6 +29,11 @@
 
 This handles a host whose clock was set back; upstreams announce themselves about every 1.5 s.
 """
+LEAVING_SILENT_S = 2.0
+"""The leaving of an older incarnation applies if the known one was silent this long, seconds.
+
+Longer than the interval of announcements: the known one would have announced itself again.
+"""
 REORDER_WINDOW_S = 5.0
 """Time after a restart in which a departure without a start time is ambiguous, seconds.
 
@@ -46,7 +51,7 @@
     LEAVING = "leaving"
     """An incarnation is leaving or gone and gets no more calls."""
     UNSURE = "unsure"
-    """Ignored, as it may be of the previous incarnation; the upstream must repeat it."""
+    """Not applied, as it may be of a previous incarnation; the upstream must repeat it."""
 
 
 class OwnUpstream:
@@ -73,9 +78,12 @@
             incarnation = max(incarnation, known)
             if incarnation.born_ms != announced["born_ms"]:
                 announced = {**announced, "born_ms": incarnation.born_ms}
+        elif announced["state"] != "ready" and self._is_unknown_older(incarnation):
+            return self._apply_leaving_of_older(incarnation, now)
         elif not self._may_replace(incarnation, known, now):
             return AnnouncementResult.NOTHING
         self._last_announced_at = now
+        self._older.clear()
         if announced["state"] != "ready":
             self.ended.add(incarnation)
             # A later incarnation that is first seen leaving has still replaced the known one.
@@ -105,6 +113,8 @@
         """
         known = incarnation_of(self.current) if self.current is not None else None
         incarnation = UpstreamIncarnation(instance, born_ms)
+        if incarnation not in self.ended and self._is_unknown_older(incarnation):
+            return self._apply_leaving_of_older(incarnation, now)
         is_known = known is not None and incarnation.is_same(known)
         if not born_ms:
             if is_known and now - self._restarted_at < REORDER_WINDOW_S:
@@ -136,6 +146,33 @@
         self.current = {**current, "state": "leaving"}
         return True
 
+    def _is_unknown_older(self, incarnation: UpstreamIncarnation) -> bool:
+        """Return whether it has the known one's name and an earlier start, and was never current.
+
+        It started before the known one and its messages come late, or it is the one that runs now
+        and the host's clock was set back.
+        """
+        if self.current is None or incarnation in self._replaced:
+            return False
+        known = incarnation_of(self.current)
+        return incarnation.instance == known.instance and incarnation.is_before(known)
+
+    def _apply_leaving_of_older(
+        self, incarnation: UpstreamIncarnation, now: float
+    ) -> AnnouncementResult:
+        """Apply it if the known incarnation is silent while this one repeats itself, else UNSURE.
+
+        The name gets no more calls then; the known one is served again if it announces itself.
+        """
+        assert self.current is not None
+        silent = now - self._last_announced_at >= LEAVING_SILENT_S
+        repeated = self._count_older(incarnation) >= MIN_REPEATS
+        if self.current["state"] == "ready" and not (silent and repeated):
+            return AnnouncementResult.UNSURE
+        self.ended.add(incarnation)
+        self.current = {**self.current, "state": "gone"}
+        return AnnouncementResult.LEAVING
+
     def _may_replace(
         self, incarnation: UpstreamIncarnation, known: UpstreamIncarnation | None, now: float
     ) -> bool:
@@ -154,12 +191,14 @@
 
         It does once it has repeated itself while the known incarnation is silent.
         """
+        repeated = self._count_older(incarnation) >= MIN_REPEATS
+        return repeated and now - self._last_announced_at >= SILENT_S
+
+    def _count_older(self, incarnation: UpstreamIncarnation) -> int:
+        """Count a message of an older incarnation since the known one announced itself."""
         self._older[incarnation] = self._older.get(incarnation, 0) + 1
         _trim(self._older)
-        if self._older[incarnation] < MIN_REPEATS or now - self._last_announced_at < SILENT_S:
-            return False
-        self._older.clear()
-        return True
+        return self._older[incarnation]
 
 
 def _trim(counts: dict[UpstreamIncarnation, int]) -> None:
--- a/tests/adapter/test_others_write.py
+++ b/tests/adapter/test_others_write.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import TYPE_CHECKING, Any
 
@@ -12,6 +13,7 @@
 
 from foldhoist.configlog.versions import Version
 from foldhoist.membership.registration import registration_of
+from foldhoist.membership.upstream import LEAVING_SILENT_S
 from foldhoist_adapter.configuration import translate
 from foldhoist_adapter.endpoints import _HEARTBEATS, _announcement
 from tests.adapter.cluster import Cluster, call, start_two, until, with_cluster
@@ -192,16 +194,39 @@
     assert cluster.targets["a"].ran
 
 
+@with_cluster
+async def test_a_leaving_is_not_acknowledged_unless_it_is_applied(cluster: Cluster) -> None:
+    """Guards against a binding 200 for the leaving of a target whose clock was set back."""
+    await start_two(cluster)
+    await heartbeat(cluster, 9000, "ready", sequence=50)
+    await heartbeat(cluster, 8000, "ready", sequence=1)
+    assert await leave(cluster, 8000) == 409
+    await heartbeat(cluster, 8000, "draining", sequence=2, status=409)
+    assert state_at_b(cluster) == "ready"
+    await asyncio.sleep(LEAVING_SILENT_S)
+    assert await leave(cluster, 8000) == 200
+    await until(lambda: state_at_b(cluster) == "gone")
+
+
+async def leave(cluster: Cluster, born: int) -> int:
+    """Say that target a leaves, and return the status of the answer."""
+    address = cluster.daemons["a"].addresses["control"]
+    content = json.dumps({"born": born}).encode()
+    return (await call(address, "DELETE", "/foldhoist/instances/i-a", body=content)).status
+
+
 def state_at_b(cluster: Cluster) -> str:
     """Return the state of the upstream of daemon a as daemon b knows it."""
     upstream = cluster.daemons["b"].registry.peers["a"].upstream
     return upstream["state"] if upstream is not None else ""
 
 
-async def heartbeat(cluster: Cluster, born: int, state: str, sequence: int) -> None:
-    """Send a heartbeat of target a with its start time in milliseconds."""
-    status = {"state": state, "sequence": sequence, "cold_remaining_s": 0}
-    body = {"info": {"service": "shop", "slots": 4}, "status": status, "born": born}
+async def heartbeat(
+    cluster: Cluster, born: int, state: str, sequence: int, status: int = 200
+) -> None:
+    """Send a heartbeat of target a with its start time in milliseconds; it gets this status."""
+    current = {"state": state, "sequence": sequence, "cold_remaining_s": 0}
+    body = {"info": {"service": "shop", "slots": 4}, "status": current, "born": born}
     address = cluster.daemons["a"].addresses["control"]
     content = json.dumps(body).encode()
-    assert (await call(address, "PUT", "/foldhoist/instances/i-a", body=content)).status == 200
+    assert (await call(address, "PUT", "/foldhoist/instances/i-a", body=content)).status == status
--- a/tests/unit/membership/test_upstream_incarnations.py
+++ b/tests/unit/membership/test_upstream_incarnations.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from foldhoist.membership.upstream import (
+    LEAVING_SILENT_S,
     REORDER_WINDOW_S,
     SILENT_S,
     AnnouncementResult,
@@ -80,6 +81,61 @@
         )
 
 
+def restarted_with_the_clock_set_back() -> OwnUpstream:
+    """Return what is known after the third start, which has announced itself once as ready."""
+    own = OwnUpstream()
+    own.apply_announcement(announcement(1000, 57), 0.0)
+    own.apply_announcement(announcement(9000, 1), 1.0)
+    own.apply_announcement(announcement(8000, 1), 2.0)
+    return own
+
+
+def test_a_departure_after_the_clock_was_set_back_is_applied() -> None:
+    """Guards against a departure that is acknowledged and not applied."""
+    own = restarted_with_the_clock_set_back()
+    left_at = 1.0 + LEAVING_SILENT_S
+    assert own.apply_departure("i-1", left_at, 99_000, 8000) is AnnouncementResult.LEAVING
+    assert own.current is not None
+    assert own.current["state"] == "gone"
+    assert own.apply_announcement(announcement(8000, 2), left_at) is AnnouncementResult.NOTHING
+    assert own.current["state"] == "gone"
+
+
+def test_an_announced_leaving_after_the_clock_was_set_back_is_applied() -> None:
+    own = restarted_with_the_clock_set_back()
+    leaving = announcement(8000, 2, "leaving")
+    assert own.apply_announcement(leaving, 1.0 + LEAVING_SILENT_S) is AnnouncementResult.LEAVING
+    assert own.current is not None
+    assert own.current["state"] == "gone"
+
+
+def test_a_leaving_that_may_be_late_is_not_acknowledged() -> None:
+    """Guards against an acknowledgement that binds nothing, and against ending the one that runs.
+
+    The known incarnation has just announced itself, or the older one has not repeated itself.
+    """
+    own = restarted_with_the_clock_set_back()
+    own.apply_announcement(announcement(9000, 2), 2.5)
+    assert own.apply_departure("i-1", 2.6, 99_000, 8000) is AnnouncementResult.UNSURE
+    leaving = announcement(8000, 3, "leaving")
+    assert own.apply_announcement(leaving, 2.7) is AnnouncementResult.UNSURE
+    silent = OwnUpstream()
+    silent.apply_announcement(announcement(9000, 1), 0.0)
+    late_at = 2 * LEAVING_SILENT_S
+    assert silent.apply_departure("i-1", late_at, 99_000, 8000) is AnnouncementResult.UNSURE
+    for each in (own, silent):
+        assert each.current is not None
+        assert (each.current["born_ms"], each.current["state"]) == (9000, "ready")
+
+
+def test_the_known_incarnation_is_served_again_if_an_older_leaving_was_late() -> None:
+    own = restarted_with_the_clock_set_back()
+    own.apply_departure("i-1", 1.0 + LEAVING_SILENT_S, 99_000, 8000)
+    assert own.apply_announcement(announcement(9000, 2), 5.0) is AnnouncementResult.STATE
+    assert own.current is not None
+    assert own.current["state"] == "ready"
+
+
 def test_a_departure_without_a_start_applies_to_the_known_incarnation() -> None:
     own = OwnUpstream()
     own.apply_announcement(announcement(1000, 1), 0.0)
