Let the readers of a data centre read the store in turn

Cause: a read on a silent connection is given up only when its wait has ended, 2.9 to 5.9 s after it began. A change ends the waits of all readers at one moment, so that they all hang on silent connections then.

After news the second one waits half as long; later it keeps its distance to the first one's reports. A reader alone reads twice as often.

test_after_news_one_reader_waits_for_half_as_long failed before: `assert 4542 <= (0.5 * 5000)`.

--- a/foldhoist/configlog/versions.py
+++ b/foldhoist/configlog/versions.py
@@ -20,6 +20,8 @@
 """Interval of a reader's reports to its data centre, seconds."""
 REPORT_TIMEOUT_S = 1.3
 """A report older than this does not count, seconds."""
+SHORTEST_WAIT_SHARE = 0.5
+"""Shortest wait of a read as a share of the time between two readers' reads."""
 TAKEOVER_STEP_S = 0.25
 """Additional delay of the takeover for each rank behind the readers, seconds."""
 NO_ANSWER_AGE_MS = 3_600_000
@@ -117,10 +119,34 @@
             self._uncovered_since = max(now, self._started_at + REPORT_INTERVAL_S)
         return now - self._uncovered_since >= (rank - READERS) * TAKEOVER_STEP_S
 
+    def poll_wait_s(self, now: float, cycle_s: float, has_news: bool) -> float:
+        """Return how long this reader's next read may wait for news, seconds.
+
+        The readers read in turn, each once in `cycle_s`, so that one of them soon begins a read
+        while the others wait on connections that have gone silent. A reader alone reads as often
+        as all of them. `has_news`: the last read returned news, as those of the others then did.
+        """
+        step_s = cycle_s / READERS
+        first, *others = self._order[:READERS]
+        if self.name == first:
+            return cycle_s if any(self._reports_now(now, name) for name in others) else step_s
+        if self.name not in others or not self._reports_now(now, first):
+            return step_s
+        offset_s = step_s * (1 + others.index(self.name))
+        if has_news:
+            return offset_s
+        reported_at, age_s = self._reports[first]
+        due = reported_at - age_s + offset_s
+        shortest_s = step_s * SHORTEST_WAIT_SHARE
+        return shortest_s + (due - now - shortest_s) % cycle_s
+
     def _covered(self, now: float) -> bool:
-        for name, (reported_at, age_s) in self._reports.items():
-            if name not in self._order or now - reported_at > REPORT_TIMEOUT_S:
-                continue
-            if age_s + (now - reported_at) <= self._max_age_s:
-                return True
-        return False
+        return any(name in self._order and self._reports_now(now, name) for name in self._reports)
+
+    def _reports_now(self, now: float, name: str) -> bool:
+        """Return whether a daemon's last report counts."""
+        if name not in self._reports:
+            return False
+        reported_at, age_s = self._reports[name]
+        since_s = now - reported_at
+        return since_s <= REPORT_TIMEOUT_S and age_s + since_s <= self._max_age_s
--- a/foldhoist/daemon/versions_task.py
+++ b/foldhoist/daemon/versions_task.py
@@ -43,8 +43,8 @@
 """Longest such timeout after repeated failures, seconds, since the store may only be slow."""
 ANSWER_TIMEOUT_GROWTH = 1.5
 """Factor by which that timeout grows while the store does not answer."""
-MIN_POLL_WAIT_SHARE = 0.4
-"""Shortest wait of a poll as a share of the longest; the wait is random in between."""
+POLL_JITTER = 0.05
+"""Largest part of a poll's wait that is left out at random."""
 CHECK_INTERVAL_S = 0.2
 """Interval at which a daemon that does not read the store checks whether it should, seconds."""
 PEER_LIST_TIMEOUT_S = 0.5
@@ -102,6 +102,7 @@
         self._on_adopt = on_adopt
         self._rng = rng
         self._answered_at = float("-inf")
+        self._has_news = False
         self._requested_at = float("-inf")
         self._answer_timeout_s = MIN_ANSWER_TIMEOUT_S
         self._remote_report: asyncio.TimerHandle | None = None
@@ -236,6 +237,7 @@
         self._answered_at = self._loop.time()
         self._set_store_ok(True)
         data = answer.ok
+        self._has_news = data.version is not None or bool(data.evacuations.records)
         if self.evacuations.apply_stored(data.evacuations):
             self._on_evacuations_changed()
             self._peers.broadcast("Fresh", self._fresh(wanted=False), local=True)
@@ -257,13 +259,14 @@
     def _poll_wait_ms(self) -> int:
         """Return how long the store may wait for data, milliseconds; 0 if its last call failed.
 
-        A call to a store that stops answering hangs until its timeout, even if the store recovers
-        earlier. So readers wait for different times, and not at all after a failure.
+        A call to a store that stops answering, or on a connection that has gone silent, hangs until
+        its timeout. So readers begin to wait at different times, and not at all after a failure.
         """
         if not self.store_ok:
             return 0
-        share = MIN_POLL_WAIT_SHARE + (1.0 - MIN_POLL_WAIT_SHARE) * self._rng.random()
-        return int(self._wait_ms * share)
+        now = self._loop.time()
+        wait_s = self._readers.poll_wait_s(now, self._wait_ms / 1000, self._has_news)
+        return int(wait_s * 1000 * (1.0 - POLL_JITTER * self._rng.random()))
 
     def _set_store_ok(self, ok: bool, what: str = "") -> None:
         if ok == self.store_ok:
--- a/foldhoist/schema/settings.py
+++ b/foldhoist/schema/settings.py
@@ -109,7 +109,7 @@
     """
     wait_ms: int
     """
-    Longest time that a read of an adapter's store waits for news, milliseconds.
+    How often each reader reads an adapter's store while there is no news, milliseconds.
     """
     first_start: bool
     """
--- a/tests/unit/configlog/test_versions.py
+++ b/tests/unit/configlog/test_versions.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from random import Random
+from typing import NamedTuple
+
+import pytest
+
 from foldhoist.configlog.versions import (
     READERS,
     REPORT_INTERVAL_S,
@@ -107,3 +112,68 @@
     assert held.reply(5, asked=False) is Reply.NOTHING
     assert held.reply(5, asked=True) is Reply.NUMBER
     assert held.reply(9, asked=True) is Reply.REQUEST
+
+
+CONTACT_S = 3.0
+"""A host is in touch again this long after its connections have gone silent, seconds."""
+CYCLE_S = 3.2
+"""The default interval of a reader's reads, seconds."""
+GIVEN_UP_AFTER_S = 0.9 + 0.15
+"""A read that hangs is followed by the next one after its wait and this time, seconds."""
+
+
+class Read(NamedTuple):
+    """A read of the store and when its wait ends, seconds."""
+
+    began: float
+    ends: float
+
+
+def reads_of(names: list[str], seed: int, until: float) -> dict[str, list[Read]]:
+    """Return the reads of these readers, which begin at random moments and get no news."""
+    rng = Random(seed)
+    found = {name: ReaderElection(name, CYCLE_S + 1.5) for name in names}
+    reads: dict[str, list[Read]] = {}
+    for name, readers in found.items():
+        readers.set_peers(names)
+        began = rng.random() * CYCLE_S
+        reads[name] = [Read(began, began)]
+    report_at = 0.0
+    while True:
+        name = min(names, key=lambda each: reads[each][-1].ends)
+        now = reads[name][-1].ends
+        if report_at < now:
+            for sender in names:
+                for each in names:
+                    if each != sender and reads[sender][-1].began <= report_at:
+                        age_s = report_at - reads[sender][-1].began
+                        found[each].on_report(report_at, sender, age_s)
+            report_at += REPORT_INTERVAL_S
+            continue
+        if now > until:
+            return reads
+        wait_s = found[name].poll_wait_s(now, CYCLE_S, has_news=False)
+        reads[name].append(Read(now, now + wait_s * (1.0 - 0.05 * rng.random())))
+
+
+@pytest.mark.parametrize("names", [["a", "b"], ["a"]])
+@pytest.mark.parametrize("seed", range(20))
+def test_a_reader_reads_again_soon_after_all_connections_went_silent(
+    names: list[str], seed: int
+) -> None:
+    """Guards against readers that wait on silent connections while a change is due."""
+    reads = reads_of(names, seed, until=100.0)
+    for moment in range(300, 900):
+        silent_at = moment / 10
+        hanging = [
+            each for own in reads.values() for each in own if each.began <= silent_at < each.ends
+        ]
+        again_at = min(each.ends for each in hanging) + GIVEN_UP_AFTER_S
+        assert again_at <= silent_at + CONTACT_S
+
+
+def test_readers_in_turn_read_no_more_often_than_once_each_in_a_cycle() -> None:
+    """Guards against corrections of the turn that cost calls."""
+    reads = reads_of(["a", "b"], seed=1, until=1000.0)
+    total = sum(len(own) for own in reads.values())
+    assert total <= 1.06 * READERS * 1000.0 / CYCLE_S
--- a/tests/unit/daemon/test_versions_task.py
+++ b/tests/unit/daemon/test_versions_task.py
@@ -136,6 +136,36 @@
     assert len(set(wait_times_ms)) > MAX_CALLS // 2
 
 
+def test_after_news_one_reader_waits_for_half_as_long() -> None:
+    """Guards against readers that all hang when connections go silent soon after a change."""
+
+    async def run() -> list[list[Call]]:
+        stores: list[Any] = []
+        names = ["a", "b"]
+        for name, other in (names, reversed(names)):
+            answers: list[Result[StoreData, StoreFault]] = [
+                Ok(StoreData(Version(number, b""), NO_CHANGE.evacuations)) for number in range(1, 9)
+            ]
+            store: Any = ScriptedStore(answers)
+            adapter: Any = FakeAdapter()
+            peers: Any = FakePeers()
+            readers = ReaderElection(name, 6.0)
+            readers.set_peers(names)
+            readers.on_report(asyncio.get_running_loop().time(), other, 0.0)
+            rng = random.Random(1)
+            task = VersionsTask(adapter, store, readers, WAIT_MS, lambda *_: None, rng)
+            task.start(peers, first=True)
+            stores.append(store)
+            await store.ended.wait()
+            task.close()
+        return [[call for call in store.calls if call.kind == "poll"][:7] for store in stores]
+
+    for polls in zip(*asyncio.run(run()), strict=True):
+        shorter, longer = sorted(call.wait_ms for call in polls)
+        assert shorter <= 0.5 * WAIT_MS
+        assert longer >= 0.9 * WAIT_MS
+
+
 def test_a_store_that_has_failed_is_polled_without_waiting_for_data() -> None:
     """A call that hangs in a failed store must end soon after the store recovers."""
     calls = calls_to_store(
