Wait for addresses that a predecessor still holds

Callers saw (or may have): a daemon that was started while its predecessor still shut down ended with 4, and again at each further start until the predecessor had gone; its host served nobody meanwhile.

Cause: each part opened its own listener and any error of one ended the process; an address that is in use for now was taken for a wrong setting. In the daemon without an adapter an error of the control listener was an uncaught exception of its library.

Change: daemon/listeners.py binds all four addresses, then listens on all of them, or holds none and tries again every 0.1 s. Other errors and one address for two settings end the daemon at once and name the setting; SIGTERM while it waits ends it with 0. The adapter gets listening sockets (Adapter.listen). Both daemons accept traffic by one function now.

--- a/foldhoist/commands/daemon.py
+++ b/foldhoist/commands/daemon.py
@@ -15,6 +15,7 @@
 from foldhoist.commands.process_signals import SIGNALS
 from foldhoist.config.faults import show
 from foldhoist.config.settings import load_settings
+from foldhoist.exceptions import ListenError
 from foldhoist.observe.logs import set_up_logs
 
 if TYPE_CHECKING:
@@ -50,45 +51,72 @@
 
 
 async def _run(cfg: Settings, path: str, began: float) -> int:
-    running = _make(cfg, began)
-    if SIGNALS.stop is not None:
-        logger.info("{} received before the start", SIGNALS.stop.name)
-        return EXIT_OK
-    try:
-        await running.start()
-    except OSError as exc:
-        logger.error("cannot listen: {}; change the addresses under [listen]", exc)
-        return EXIT_UNREACHABLE
-    ready = {"ready": running.name, "addresses": running.addresses}
-    sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
-    sys.stdout.flush()
-    handler = _SignalHandler(running, path)
+    lifecycle = _Lifecycle(_make(cfg, began), path)
     loop = asyncio.get_running_loop()
-    SIGNALS.attach(loop, handler.act)
+    SIGNALS.attach(loop, lifecycle.act_on_signals)
     try:
-        await running.stopped.wait()
+        code = await lifecycle.run()
     finally:
         SIGNALS.detach(loop)
     logger.info("process ends, {} tasks left", len(asyncio.all_tasks()) - 1)
-    return EXIT_OK
+    return code
 
 
-class _SignalHandler:
-    """Acts on the recorded signals of a running daemon."""
+class _Lifecycle:
+    """Starts a daemon and waits until it has stopped; acts on the signals of the process."""
 
     def __init__(self, running: Daemon | MeshDaemon, path: str) -> None:
         self._running = running
         self._path = path
+        self._started = False
+        self._listening: asyncio.Task[None] | None = None
         self._drain: asyncio.Task[None] | None = None
 
-    def act(self) -> None:
-        """Read the settings again, or shut the daemon down, if a signal requests it."""
+    async def run(self) -> int:
+        """Run the daemon until it has stopped; returns the exit code."""
+        try:
+            if not await self._listen():
+                return EXIT_OK
+            await self._running.start()
+        except ListenError as exc:
+            logger.error("cannot listen: {}", exc)
+            return EXIT_UNREACHABLE
+        self._started = True
+        _announce(self._running)
+        self.act_on_signals()
+        await self._running.stopped.wait()
+        return EXIT_OK
+
+    def act_on_signals(self) -> None:
+        """Read the settings again, or end the daemon, if a signal requests it."""
+        if not self._started:
+            if SIGNALS.stop is not None and self._listening is not None:
+                self._listening.cancel()
+            return
         if SIGNALS.take_reload() and not self._running.stopped.is_set():
             _reload(self._running, self._path)
         if SIGNALS.stop is not None and self._drain is None:
             logger.info("{} received", SIGNALS.stop.name)
             self._drain = asyncio.get_running_loop().create_task(self._running.drain())
 
+    async def _listen(self) -> bool:
+        """Listen, unless a signal ends the daemon before; returns whether it listens."""
+        if SIGNALS.stop is None:
+            self._listening = asyncio.get_running_loop().create_task(self._running.listen())
+            await asyncio.wait({self._listening})
+            if not self._listening.cancelled():
+                self._listening.result()
+                return True
+        logger.info("stopped by a signal before it listened")
+        return False
+
+
+def _announce(running: Daemon | MeshDaemon) -> None:
+    """Print the line that says where the daemon listens."""
+    ready = {"ready": running.name, "addresses": running.addresses}
+    sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
+    sys.stdout.flush()
+
 
 def _reload(running: Daemon | MeshDaemon, path: str) -> None:
     """Read the settings again; if the file has errors, the current settings stay."""
--- a/foldhoist/daemon/control.py
+++ b/foldhoist/daemon/control.py
@@ -13,7 +13,7 @@
 
 from foldhoist.admission.bucket import TokenBucket
 from foldhoist.delivery.codec import decode_frame, encode
-from foldhoist.exceptions import ProtocolError
+from foldhoist.exceptions import ListenError, ProtocolError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -95,7 +95,10 @@
         rate, burst = cfg["control_bytes_per_s"], cfg["control_burst_bytes"]
         self._bucket = TokenBucket(rate, burst, loop.time())
         self._socket = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES)
-        listener = self._socket.listen(f"tcp://{address}")
+        try:
+            listener = self._socket.listen(f"tcp://{address}")
+        except pynng.NNGException as exc:
+            raise ListenError("control", address, str(exc)) from exc
         self.address = str(listener.local_address).removeprefix("tcp://")
         self._task = loop.create_task(self._receive_loop())
 
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -16,7 +16,6 @@
 from foldhoist.config.fleet import evacuated
 from foldhoist.config.reload import RELOADABLE_LIMITS, merge_reloadable
 from foldhoist.daemon.caller_state import ServerState
-from foldhoist.daemon.callers import CallerConnection
 from foldhoist.daemon.configuration import ConfigurationTask
 from foldhoist.daemon.control import Control
 from foldhoist.daemon.garbage import configure_gc
@@ -24,6 +23,7 @@
 from foldhoist.daemon.handover import HandoverTask
 from foldhoist.daemon.ingress_task import IngressTask
 from foldhoist.daemon.links import LinkEvents, Links
+from foldhoist.daemon.listeners import accept_traffic, addresses_of, open_listeners
 from foldhoist.daemon.operators import OperatorServer
 from foldhoist.daemon.owner_task import OwnerTask
 from foldhoist.daemon.prober import Prober
@@ -44,6 +44,8 @@
 from foldhoist.quarantine.table import Quarantine
 
 if TYPE_CHECKING:
+    from socket import socket
+
     from foldhoist.configlog.fold import State
     from foldhoist.delivery.dispatch import Ended
     from foldhoist.schema.fleet import Fleet
@@ -68,6 +70,7 @@
         self._targets: frozenset[str] = frozenset()
         self.stopped = asyncio.Event()
         self.addresses: dict[str, str] = {}
+        self._sockets: dict[str, socket] = {}
         self.latencies = Latencies()
         self.records = RecordBuffer(cfg["observe"]["records"])
         observe, centre = cfg["observe"], cfg["daemon"]["data_centre"]
@@ -80,8 +83,15 @@
             "schema": SCHEMA_VERSION,
         }
 
+    async def listen(self) -> None:
+        """Listen on all addresses; waits while another process holds one of them."""
+        self._sockets = await open_listeners(self.cfg["listen"])
+        self.addresses = addresses_of(self._sockets)
+
     async def start(self) -> None:
-        """Open every socket and start every task."""
+        """Serve at all addresses and start every task."""
+        if not self._sockets:
+            await self.listen()
         cfg = self.cfg
         limit = cfg["limits"]["body_bytes"] + FRAME_OVERHEAD_BYTES
         platform = cfg["platform"]
@@ -119,17 +129,20 @@
             lambda: self._targets,
             lambda hosts: self.links.connect(hosts - {self.name}),
         )
-        await self._listen()
+        self.callers = ServerState(
+            cfg["limits"], self.ingress_task.arrive, self.ingress_task.caller_disconnected
+        )
+        self._servers = await accept_traffic(self._sockets, self.callers, self.owner_task)
         self.shutdown = GracefulShutdown(self, LeaveFirst())
-        self.control = Control(cfg["listen"]["control"], cfg["measuring"], self._on_control)
-        self.addresses["control"] = self.control.address
+        # The library of control messages opens its listener itself.
+        self._sockets["control"].close()
+        self.control = Control(self.addresses["control"], cfg["measuring"], self._on_control)
         self.configuration = ConfigurationTask(
             cfg, self.client, self.control, self._on_adopt, self.rng
         )
         self.handover = HandoverTask(self.owner, self.control)
         self.prober = Prober(cfg, self.client, self.owner_task.set_state, self._on_host_state)
-        self.operators = OperatorServer(self)
-        self.addresses["operators"] = self.operators.address
+        self.operators = OperatorServer(self, self._sockets["operators"])
         for task in (self.configuration, self.handover, self.prober, self.owner_task):
             task.start()
         self._overdue_task = asyncio.get_running_loop().create_task(self.callers.close_overdue())
@@ -195,22 +208,6 @@
             "generation": self.configuration.state.generation,
         }
 
-    async def _listen(self) -> None:
-        cfg = self.cfg
-        loop = asyncio.get_running_loop()
-        self.callers = ServerState(
-            cfg["limits"], self.ingress_task.arrive, self.ingress_task.caller_disconnected
-        )
-        host, port = _split_address(cfg["listen"]["callers"])
-        callers = await loop.create_server(
-            lambda: CallerConnection(self.callers), host, port, backlog=1024
-        )
-        host, port = _split_address(cfg["listen"]["frames"])
-        frames = await loop.create_server(self.owner_task.connection, host, port, backlog=1024)
-        self._servers = [callers, frames]
-        for name, server in (("callers", callers), ("frames", frames)):
-            self.addresses[name] = "{}:{}".format(*server.sockets[0].getsockname()[:2])
-
     def _on_adopt(self, state: State, fleet: Fleet) -> None:
         own_target = fleet["targets"].get(self.name)
         if own_target is not None:
@@ -290,8 +287,3 @@
         while every > 0:
             await asyncio.sleep(every)
             logger.info("counters {}", self.counters())
-
-
-def _split_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/foldhoist/daemon/handlers.py
+++ b/foldhoist/daemon/handlers.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, NamedTuple, TypeAlias
+from typing import TYPE_CHECKING, Any, TypeAlias
 
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from socket import socket
 
 MAX_REQUEST_BYTES = 64 * 1024
 """Limit of a request's head and of its body, bytes; those of upstreams and operators are small."""
@@ -47,18 +47,9 @@
         self.finish(self.metrics())
 
 
-class ListeningServer(NamedTuple):
-    """A server and its bound address, which has the port that the system chose for port 0."""
-
-    server: HTTPServer
-    address: str
-
-
-def listen(routes: list[RouteSpec], address: str) -> ListeningServer:
-    """Serve these routes at an address, IP:port; requests are not logged."""
+def serve(routes: list[RouteSpec], sock: socket) -> HTTPServer:
+    """Serve these routes at a listening socket; requests are not logged."""
     app = Application(list(routes), log_function=lambda handler: None)
-    host, _, port = address.rpartition(":")
-    sockets = bind_sockets(int(port), host.strip("[]"))
     server = HTTPServer(app, max_header_size=MAX_REQUEST_BYTES, max_body_size=MAX_REQUEST_BYTES)
-    server.add_sockets(sockets)
-    return ListeningServer(server, "{}:{}".format(*sockets[0].getsockname()[:2]))
+    server.add_socket(sock)
+    return server
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -17,11 +17,11 @@
 from foldhoist.config.reload import RELOADABLE_LIMITS, merge_reloadable
 from foldhoist.configlog.versions import ReaderElection
 from foldhoist.daemon.caller_state import ServerState
-from foldhoist.daemon.callers import CallerConnection
 from foldhoist.daemon.garbage import configure_gc
 from foldhoist.daemon.graceful_shutdown import GracefulShutdown, NoticeFirst
 from foldhoist.daemon.ingress_task import IngressTask
 from foldhoist.daemon.links import LinkEvents, Links
+from foldhoist.daemon.listeners import accept_traffic, addresses_of, open_listeners
 from foldhoist.daemon.owner_task import OwnerTask
 from foldhoist.daemon.peer_messages import PeerMessages
 from foldhoist.daemon.peers_task import PeersTask
@@ -45,6 +45,8 @@
 from foldhoist.quarantine.table import Quarantine
 
 if TYPE_CHECKING:
+    from socket import socket
+
     from foldhoist.configlog.versions import Version
     from foldhoist.delivery.call import Record
     from foldhoist.delivery.dispatch import Ended, Refused
@@ -79,6 +81,7 @@
         self.rng = rng or random.Random()
         self.stopped = asyncio.Event()
         self.addresses: dict[str, str] = {}
+        self._sockets: dict[str, socket] = {}
         self._reports_made = 0
         self._unknown_evacuated: frozenset[str] = frozenset()
         self._announced_service = cfg["upstream"]["service"]
@@ -92,8 +95,15 @@
             "schema": SCHEMA_VERSION,
         }
 
+    async def listen(self) -> None:
+        """Listen on all addresses; waits while another process holds one of them."""
+        self._sockets = await open_listeners(self.cfg["listen"])
+        self.addresses = addresses_of(self._sockets)
+
     async def start(self) -> None:
-        """Open every socket and start every task."""
+        """Serve at all addresses and start every task."""
+        if not self._sockets:
+            await self.listen()
         cfg = self.cfg
         self._make_roles()
         self.store = self.adapter.store()
@@ -124,10 +134,15 @@
             self._on_adopt,
             self.rng,
         )
-        await self._listen()
+        task = self.ingress_task
+        self.callers = ServerState(
+            cfg["limits"], task.arrive, task.caller_disconnected, self.adapter.dialect
+        )
+        self._servers = await accept_traffic(self._sockets, self.callers, self.owner_task)
         self.shutdown = GracefulShutdown(self, NoticeFirst())
-        self.endpoints = self.adapter.listen(self.upstream, self._is_ready, self.metrics)
-        self.addresses.update(self.endpoints.addresses)
+        self.endpoints = self.adapter.listen(
+            self._sockets, self.upstream, self._is_ready, self.metrics
+        )
         self.upstream.start(self.peers, first=cfg["platform"]["first_start"])
         self.peers.start(cfg["platform"]["first_start"])
         self.versions.start(self.peers, cfg["platform"]["first_start"])
@@ -254,24 +269,6 @@
             self._on_quota_servers,
         )
 
-    async def _listen(self) -> None:
-        cfg = self.cfg
-        loop = asyncio.get_running_loop()
-        task = self.ingress_task
-        self.callers = ServerState(
-            cfg["limits"], task.arrive, task.caller_disconnected, self.adapter.dialect
-        )
-        self._servers: list[asyncio.Server] = []
-        factories = {
-            "callers": lambda: CallerConnection(self.callers),
-            "frames": self.owner_task.connection,
-        }
-        for name, factory in factories.items():
-            host, _, port = str(cfg["listen"][name]).rpartition(":")  # type: ignore[literal-required]
-            server = await loop.create_server(factory, host, int(port), backlog=1024)
-            self._servers.append(server)
-            self.addresses[name] = "{}:{}".format(*server.sockets[0].getsockname()[:2])
-
     def stop_accepting(self) -> None:
         """Stop accepting connections of callers."""
         self._servers[0].close()
--- a/foldhoist/daemon/operators.py
+++ b/foldhoist/daemon/operators.py
@@ -11,10 +11,12 @@
 from foldhoist import __version__
 from foldhoist.configlog.fold import to_snapshot
 from foldhoist.daemon.configuration import describe
-from foldhoist.daemon.handlers import MetricsHandler, RouteSpec, listen
+from foldhoist.daemon.handlers import MetricsHandler, RouteSpec, serve
 from foldhoist.observe.records import record_report
 
 if TYPE_CHECKING:
+    from socket import socket
+
     from foldhoist.daemon.daemon import Daemon
 
 
@@ -64,7 +66,8 @@
 class OperatorServer:
     """The operators' HTTP server of a daemon."""
 
-    def __init__(self, daemon: Daemon) -> None:
+    def __init__(self, daemon: Daemon, sock: socket) -> None:
+        """Serve at a listening socket."""
         shared = {"daemon": daemon}
         routes: list[RouteSpec] = [
             (r"/status", _Status, shared),
@@ -74,12 +77,11 @@
             (r"/explain/([0-9a-f]{32})", _Explain, shared),
             (r"/drain", _Drain, shared),
         ]
-        self._listener = listen(routes, daemon.cfg["listen"]["operators"])
-        self.address = self._listener.address
+        self._server = serve(routes, sock)
 
     def close(self) -> None:
         """Stop listening."""
-        self._listener.server.stop()
+        self._server.stop()
 
 
 def status_of(daemon: Daemon) -> dict[str, Any]:
--- a/foldhoist/daemon/ports.py
+++ b/foldhoist/daemon/ports.py
@@ -10,7 +10,8 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol, cast
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
+    from socket import socket
 
     from expression import Result
 
@@ -82,9 +83,7 @@
 
 
 class Endpoints(Protocol):
-    """The servers for the platform and the upstream; `addresses` maps their names to IP:port."""
-
-    addresses: dict[str, str]
+    """The servers for the platform and the upstream."""
 
     def close(self) -> None:
         """Stop listening."""
@@ -103,11 +102,15 @@
 
     def listen(
         self,
+        sockets: Mapping[str, socket],
         announcements: AnnouncementHandler,
         is_ready: Callable[[], bool],
         metrics: Callable[[], bytes],
     ) -> Endpoints:
-        """Start the servers for the platform and the upstream."""
+        """Start the servers for the platform and the upstream.
+
+        `sockets` are listening, by the options `control` and `operators` of the settings.
+        """
 
     def translate(self, version: Version) -> Result[Fleet, str]:
         """Return the configuration as a fleet, or the reason why it cannot be used."""
--- a/foldhoist/exceptions.py
+++ b/foldhoist/exceptions.py
@@ -15,5 +15,12 @@
     """A daemon or the platform did not answer."""
 
 
+class ListenError(FoldhoistError):
+    """An address under `[listen]` cannot be listened on, and waiting would not help."""
+
+    def __init__(self, option: str, address: str, problem: str) -> None:
+        super().__init__(f"[listen] {option} = {address}: {problem}; write an address of this host")
+
+
 class ProtocolError(FoldhoistError):
     """A peer sent bytes that are not a valid message of this schema version."""
