Start whatever the standard streams are connected to

Callers saw (or may have): a daemon whose standard output is closed, full or a pipe without a reader ended with 1 as soon as it listened, each time it was started; with a full pipe that nobody reads it listened, stood still in that write for good and did not react to SIGTERM. With standard error closed it ended with 1 before it could say so.

Cause: the ready line was a blocking write that must succeed. Beside it, the same cause: lines of asyncio and tornado were written to standard error by logging's last resort, which waits for a reader.

Change: the ready line goes by the writer of log lines, which drops what is not taken; closed streams are opened on the null device first, so that no socket gets their descriptors; lines of libraries go through loguru, with the traceback as a field of JSON lines.

Tests: tests/integration/test_standard_streams.py, before 10 of 13 failed (`assert process.poll() is None` with 1, `condition not met`: no answer in time); tests/unit/observe/test_logs.py, before both failed (JSONDecodeError, TimeoutExpired).

--- a/foldhoist/__main__.py
+++ b/foldhoist/__main__.py
@@ -6,12 +6,14 @@
 
 from foldhoist.commands.launch_time import LAUNCH_TIME_S
 from foldhoist.commands.process_signals import SIGNALS
+from foldhoist.commands.standard_streams import open_missing_streams
 
 
 def main() -> None:
     """Run the command and exit with its code."""
     if sys.argv[1:2] == ["daemon"]:
         SIGNALS.install()
+        open_missing_streams()
     code = _run_reporting_errors()
     if SIGNALS.installed:
         SIGNALS.ignore()
--- a/foldhoist/commands/daemon.py
+++ b/foldhoist/commands/daemon.py
@@ -16,7 +16,7 @@
 from foldhoist.config.faults import show
 from foldhoist.config.settings import load_settings
 from foldhoist.exceptions import ListenError
-from foldhoist.observe.logs import set_up_logs
+from foldhoist.observe.logs import LineWriter, set_up_logs
 
 if TYPE_CHECKING:
     from foldhoist.daemon.daemon import Daemon
@@ -112,10 +112,12 @@
 
 
 def _announce(running: Daemon | MeshDaemon) -> None:
-    """Print the line that says where the daemon listens."""
+    """Print the line that says where the daemon listens, if standard output takes it."""
     ready = {"ready": running.name, "addresses": running.addresses}
-    sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
-    sys.stdout.flush()
+    writer = LineWriter(sys.stdout.fileno())
+    writer.write(msgspec.json.encode(ready).decode())
+    if writer.dropped:
+        logger.warning("standard output does not take the ready line")
 
 
 def _reload(running: Daemon | MeshDaemon, path: str) -> None:
--- a/foldhoist/observe/logs.py
+++ b/foldhoist/observe/logs.py
@@ -5,9 +5,11 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import select
 import sys
+import traceback
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -23,6 +25,8 @@
 """Format of a text line."""
 MAX_LINE_BYTES = 4096
 """Longest line with its newline: a pipe that polls as writable accepts this much at once."""
+MAX_TRACEBACK_CHARS = 2000
+"""Longest end of a traceback in a JSON line, characters."""
 
 
 class LineWriter:
@@ -49,9 +53,24 @@
             self.dropped += 1
 
 
+class _LibraryHandler(logging.Handler):
+    """Passes on what libraries log, which would otherwise be written to standard error directly.
+
+    Such a write waits while nobody reads the pipe, and the event loop with it.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log the record of a library."""
+        logger.opt(exception=record.exc_info).log(
+            record.levelname, "{}: {}", record.name, record.getMessage()
+        )
+
+
 def set_up_logs(cfg: Observe, name: str) -> LineWriter:
     """Send log lines to standard error in the format of the settings; returns the writer."""
     writer = LineWriter(sys.stderr.fileno())
+    logging.basicConfig(handlers=[_LibraryHandler()], level=logging.WARNING, force=True)
+    logging.captureWarnings(True)
     logger.remove()
     logger.configure(extra={"daemon": name})
     if cfg["log_format"] == "json":
@@ -87,4 +106,7 @@
         "message": extra.get("event", record["message"]),
         **extra,
     }
+    if record["exception"] is not None:
+        lines = traceback.format_exception(record["exception"].value)
+        line["traceback"] = "".join(lines)[-MAX_TRACEBACK_CHARS:]
     return msgspec.json.encode(line, enc_hook=str).decode()
