--- a/foldhoist/daemon/ports.py
+++ b/foldhoist/daemon/ports.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from importlib import import_module
 from typing import TYPE_CHECKING, NamedTuple, Protocol, cast
 
@@ -66,22 +65,15 @@
         """Close every connection."""
 
 
-class Acknowledgement(Enum):
-    """Whether an announcement is acknowledged, and why not."""
-
-    GIVEN = "given"
-    """It was handled; a departure is applied, or its incarnation was replaced before."""
-    UNKNOWN_SERVICE = "unknown-service"
-    """The upstream is ready for a service that is not in the configuration."""
-    UNSURE = "unsure"
-    """It says that an upstream leaves that may be a previous incarnation of the current one."""
-
-
 class AnnouncementHandler(Protocol):
     """Receives announcements; an endpoint answers the upstream after the method returns."""
 
-    async def on_announcement(self, announced: Announced) -> Acknowledgement:
-        """Handle an announcement; return whether it is acknowledged."""
+    async def on_announcement(self, announced: Announced) -> bool:
+        """Handle an announcement; return whether it is acknowledged.
+
+        It is not if its upstream is ready for an unknown service, or leaves and may be a previous
+        incarnation of the current one.
+        """
 
     async def on_departure(self, instance: str, born_ms: int) -> bool:
         """Handle the departure of an incarnation; return whether it is acknowledged.
--- a/foldhoist/daemon/upstream_task.py
+++ b/foldhoist/daemon/upstream_task.py
@@ -13,7 +13,6 @@
 from loguru import logger
 
 from foldhoist.admission.bucket import TokenBucket
-from foldhoist.daemon.ports import Acknowledgement
 from foldhoist.membership.incarnations import UpstreamIncarnation, incarnation_of
 from foldhoist.membership.startup_barrier import StartupBarrier
 from foldhoist.membership.upstream import AnnouncementResult, OwnUpstream
@@ -119,16 +118,20 @@
             "cold_ms": 0,
         }
 
-    async def on_announcement(self, announced: Announced) -> Acknowledgement:
-        """Apply an announcement; a departure returns once it may be acknowledged."""
+    async def on_announcement(self, announced: Announced) -> bool:
+        """Apply an announcement; a departure returns once it may be acknowledged.
+
+        Returns False if the upstream is ready and its service is not in the configuration, or if it
+        leaves and may be a previous incarnation.
+        """
         if announced["state"] == "ready" and not self._is_service(announced["service"]):
-            return Acknowledgement.UNKNOWN_SERVICE
+            return False
         self.count.heard += 1
         before = self.known.current
         result = self.known.apply_announcement(announced, self._loop.time())
         if result is AnnouncementResult.UNSURE:
             self._log_unsure(incarnation_of(announced))
-            return Acknowledgement.UNSURE
+            return False
         if result is not AnnouncementResult.NOTHING:
             logger.info(
                 "upstream {} of {}: {}, sequence {}",
@@ -144,7 +147,7 @@
             await self._record_departure(incarnation_of(announced))
         elif announced["state"] != "ready":
             await self._until_recorded(announced["instance"])
-        return Acknowledgement.GIVEN
+        return True
 
     def on_invalid(self, fault: str) -> None:
         """Count a rejected announcement or departure, and log it within the rate limit."""
