Return the memory of large bodies to the system

Seen (a trial by processes): after eight answers of 30 MiB, six of them refused, an owner's daemon kept 180 MB though nothing held them, and peaked at 210 MB.

Cause: the C library raises the size from which blocks are mapped on their own to the largest one freed, up to 32 MiB, and keeps twice that at the end of the heap. A frame was copied three times while it was decoded.

A frame's parts are dropped once they are joined, and its body is copied once.

Tests failed before: test_memory_of_large_bodies_is_returned (`assert <`), test_body_of_a_long_message_is_copied_once (`assert < (2.5 * 8388608)`).

--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -15,6 +15,7 @@
 from foldhoist.admission.slots import QueueLimits
 from foldhoist.config.fleet import evacuated
 from foldhoist.config.reload import RELOADABLE_LIMITS, merge_reloadable
+from foldhoist.daemon.allocator import configure_allocator
 from foldhoist.daemon.caller_state import ServerState
 from foldhoist.daemon.callers import CallerConnection
 from foldhoist.daemon.configuration import ConfigurationTask
@@ -134,6 +135,7 @@
             task.start()
         self._overdue_task = asyncio.get_running_loop().create_task(self.callers.close_overdue())
         self._counters_task = asyncio.get_running_loop().create_task(self._log_counters())
+        configure_allocator()
         configure_gc()
         logger.info("daemon {} started, incarnation {}", self.name, self.incarnation)
 
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -16,6 +16,7 @@
 from foldhoist.config.fleet import evacuated, limits_of
 from foldhoist.config.reload import RELOADABLE_LIMITS, merge_reloadable
 from foldhoist.configlog.versions import ReaderElection
+from foldhoist.daemon.allocator import configure_allocator
 from foldhoist.daemon.caller_state import ServerState
 from foldhoist.daemon.callers import CallerConnection
 from foldhoist.daemon.garbage import configure_gc
@@ -134,6 +135,7 @@
         self.owner_task.start()
         self.ingress_task.local_up(self.incarnation)
         self._overdue_task = asyncio.get_running_loop().create_task(self.callers.close_overdue())
+        configure_allocator()
         configure_gc()
         logger.info("daemon {} started, incarnation {}", self.name, self.incarnation)
 
--- a/foldhoist/delivery/codec.py
+++ b/foldhoist/delivery/codec.py
@@ -126,7 +126,7 @@
     def feed(self, data: bytes) -> list[tuple[str, Any]]:
         """Return the messages completed by `data`; raises ProtocolError if one is invalid.
 
-        The parts of a long message are joined only once it is complete.
+        The parts of a long message are joined only once it is complete; its body is copied once.
         """
         if self._parts:
             self._parts.append(data)
@@ -134,6 +134,8 @@
             if self._buffered < self._needed:
                 return []
             data = b"".join(self._parts)
+            self._parts.clear()
+        view = memoryview(data)
         found: list[tuple[str, Any]] = []
         offset = 0
         size = len(data)
@@ -146,13 +148,13 @@
             if end > size:
                 self._needed = HEADER.size + length
                 break
-            found.append(self._decode(number, data[offset + HEADER.size : end]))
+            found.append(self._decode(number, view[offset + HEADER.size : end]))
             offset = end
         self._parts = [data[offset:]] if offset < size else []
         self._buffered = size - offset
         return found
 
-    def _decode(self, number: int, fields: bytes) -> tuple[str, Any]:
+    def _decode(self, number: int, fields: memoryview) -> tuple[str, Any]:
         if not number & DEFLATED:
             return decode(number, fields)
         if len(fields) < DEFLATED_HEADER.size:
@@ -167,5 +169,5 @@
             raise ProtocolError(f"cannot inflate fields: {exc}") from exc
         kind, body = decode(number & ~DEFLATED, plain)
         if split < len(fields):
-            body["body"] = fields[split:]
+            body["body"] = bytes(fields[split:])
         return kind, body
--- /dev/null
+++ b/tests/unit/daemon/test_allocator.py
@@ -0,0 +1,41 @@
+"""Tests that the memory of large bodies goes back to the system when they are freed.
+
+Guards against a daemon that holds as much as its largest bodies took, though they are gone.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+BODY_BYTES = 30 * 1024 * 1024
+MAX_KEPT_BYTES = 10 * 1024 * 1024
+"""What may stay resident after bodies of 145 MiB, bytes."""
+PROGRAM = f"""
+import ctypes
+from pathlib import Path
+from foldhoist.daemon.allocator import configure_allocator
+
+def resident() -> int:
+    return int(Path("/proc/self/statm").read_text().split()[1]) * 4096
+
+configure_allocator()
+warm = bytes({BODY_BYTES})
+del warm
+before = resident()
+held = []
+for _ in range(5):
+    held += [b"x" * ({BODY_BYTES} - 1024 * 1024), bytearray(1000)]
+bodies = held[::2]
+held = held[1::2]
+del bodies
+print(resident() - before)
+"""
+
+
+@pytest.mark.skipif(not sys.platform.startswith("linux"), reason="reads /proc/self/statm")
+def test_memory_of_large_bodies_is_returned() -> None:
+    run = subprocess.run([sys.executable, "-c", PROGRAM], capture_output=True, check=True)
+    assert int(run.stdout) < MAX_KEPT_BYTES
--- a/tests/unit/delivery/test_codec.py
+++ b/tests/unit/delivery/test_codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -104,3 +106,22 @@
             assert isinstance(body, dict)
     except ProtocolError:
         return
+
+
+def test_body_of_a_long_message_is_copied_once() -> None:
+    """Guards against a message that takes several times its size while it is decoded."""
+    size = 8 * 1024 * 1024
+    frame = StreamEncoder().encode("Dispatch", dispatch_of("POST", body=bytes(size)))
+    decoder = StreamDecoder(2 * size)
+    parts = [frame[at : at + 262144] for at in range(0, len(frame), 262144)]
+    del frame
+    for part in parts[:-1]:
+        assert decoder.feed(part) == []
+    last = parts.pop()
+    parts.clear()
+    tracemalloc.start()
+    found = decoder.feed(last)
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(found[0][1]["body"]) == size
+    assert peak < 2.5 * size
