--- a/tests/adapter/target.py
+++ b/tests/adapter/target.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from typing import TYPE_CHECKING, NamedTuple
 
 from standins.ports import AddressPool
@@ -31,6 +33,14 @@
     repeated: bytes
 
 
+class Scripted(NamedTuple):
+    """An answer that is sent as it is, in segments of `size` bytes; then the connection ends."""
+
+    data: bytes
+    reset: bool
+    size: int = 1 << 20
+
+
 class FakeTarget:
     """One target; its attributes set its behaviour."""
 
@@ -63,6 +73,7 @@
         self.extra_body = b""
         self.endless_bytes = 0
         self.endless: dict[str, Endless] = {}
+        self.scripted: dict[str, Scripted] = {}
         self.address = ""
         self._pool = AddressPool()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -134,6 +145,9 @@
             return
         req = Request(method, path, headers, body)
         self.ran.append(req)
+        if path in self.scripted:
+            await _send_scripted(writer, self.scripted[path])
+            raise ConnectionResetError
         await self._work(reader)
         if path == self.crash_path:
             self.crash()
@@ -213,6 +227,17 @@
         disconnected.cancel()
 
 
+async def _send_scripted(writer: asyncio.StreamWriter, answer: Scripted) -> None:
+    """Send an answer and end the connection, in order or by a reset."""
+    for at in range(0, len(answer.data), answer.size):
+        writer.write(answer.data[at : at + answer.size])
+        await asyncio.sleep(0)
+    if answer.reset:
+        linger = struct.pack("ii", 1, 0)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+
 def _answer(status: int, attempt: str, body: bytes, signed: bool = True, more: str = "") -> bytes:
     head = f"HTTP/1.1 {status} Status\r\nX-Attempt-Id: {attempt}\r\n{more}"
     if signed:
