Wait for a call that still runs when its owner is connected again

Cause: the limit on the wait for the outcome runs from the loss. An owner that is asked sends the outcomes that it has, and nothing for a call that runs; the limit went on. It is now for the time without a connection: asking ends it, another loss starts it again. A restarted or unreachable owner, and the deadline, end the call as before.

--- a/foldhoist/delivery/attempt_fates.py
+++ b/foldhoist/delivery/attempt_fates.py
@@ -49,7 +49,11 @@
         return actions
 
     def link_up(self, now: float, target: str, fresh: bool) -> list[Action]:
-        """Ask the owner for the outcomes; a `fresh` owner process does not know them."""
+        """Ask the owner for the outcomes; a `fresh` owner process does not know them.
+
+        It sends none for a call that still runs, whose answer follows: only another loss of the
+        connection limits the wait for it again.
+        """
         asked = self._calls.awaiting_fate(target)
         if not asked:
             return []
@@ -57,6 +61,8 @@
             return self.owner_ended(now, target, "owner-restarted")
         self._count.fate_asked += len(asked)
         seqs = [attempt.seq for _, attempt in asked]
+        for _, attempt in asked:
+            attempt.fate_due = 0.0
         return [SendTo(target, OwnerFrame("FateAsk", {"seqs": seqs}))]
 
     def owner_ended(self, now: float, target: str, reason: str) -> list[Action]:
--- a/tests/unit/delivery/test_ingress.py
+++ b/tests/unit/delivery/test_ingress.py
@@ -9,11 +9,12 @@
 from foldhoist.admission.completion import TIME_MARGIN
 from foldhoist.config.fleet import parse_fleet
 from foldhoist.delivery.admission_checks import DAEMON_LEAVING, DAEMON_STOPPED
+from foldhoist.delivery.attempt_fates import FATE_TIMEOUT_S
 from foldhoist.delivery.call import CallerRequest, Reply, SendTo
 from foldhoist.delivery.ingress import Ingress
 from foldhoist.delivery.rules import MAX_PARK_S
 from foldhoist.delivery.services import ANNOUNCEMENT_TIMEOUT_S
-from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun
+from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response
 from foldhoist.membership.view import homes, tracked
 from foldhoist.quarantine.identity import identity_of
 from foldhoist.quarantine.table import QUARANTINE_S, QUARANTINED, Quarantine
@@ -211,6 +212,31 @@
     assert asked.frame.body == {"seqs": [first.frame.body["seq"]]}
 
 
+def test_an_owner_that_was_asked_may_take_its_time() -> None:
+    """Guards against a 502 for a call that is still at work at an owner that is connected again."""
+    ingress = make()
+    ingress._services.get("depo").cfg["deadline_ms"] = 30_000
+    (first,) = sent(ingress.arrive(1.0, 1, request("POST")))
+    ingress.link_lost(1.1, first.target)
+    ingress.link_up(1.2, first.target, "incarnation-1")
+    assert replies(ingress.tick(1.1 + 2 * FATE_TIMEOUT_S)) == []
+    answer: Any = {"seq": first.frame.body["seq"], "status": 200, "headers": [], "body": b"late"}
+    answer |= {"ahead": 0, "waited_us": 0, "served_us": 0, "load": LOAD}
+    (verdict,) = replies(ingress.answer(4.0, first.target, answer))
+    assert verdict == Answered(Response(200, [], b"late"))
+
+
+def test_an_owner_that_is_lost_once_more_has_the_same_time_again() -> None:
+    ingress = make()
+    ingress._services.get("depo").cfg["deadline_ms"] = 30_000
+    (first,) = sent(ingress.arrive(1.0, 1, request("POST")))
+    ingress.link_lost(1.1, first.target)
+    ingress.link_up(1.2, first.target, "incarnation-1")
+    ingress.link_lost(2.0, first.target)
+    assert replies(ingress.tick(1.9 + FATE_TIMEOUT_S)) == []
+    assert replies(ingress.tick(2.0 + FATE_TIMEOUT_S)) == [MayHaveRun("owner-unreachable")]
+
+
 def test_a_hedge_is_sent_for_a_slow_repeatable_call_and_the_loser_withdrawn() -> None:
     ingress = make()
     ingress._services.get("depo").cfg["hedge_ms"] = 20
