Start tasks in one way: none ends by an exception unnoticed

Callers saw (or may have): a daemon that answers ready and follows no configuration, no peers or no health of its upstream any more; calls that wait for their deadline; at a start, a daemon that never gets ready.

Cause: each part started its tasks itself and nobody looked at their end. An unexpected exception ended one for good, told only by asyncio's logger when the task was collected. One control message that could not be handled, or an error of its library, ended the receiving of control messages.

Change: daemon/background.py. run_task starts a task again after a pause that grows from 0.1 to 5 s; run_once acts on a failure (a call gets upstream-unreachable, a failed shutdown ends the process). Both log the task's name and count. The event loop's exception handler logs through loguru within a rate limit and counts; handlers that answer 500 are counted. The ingress sets its timer again after a check that raised. Text log lines do not show values of variables in tracebacks any more.

--- a/foldhoist/commands/daemon.py
+++ b/foldhoist/commands/daemon.py
@@ -15,6 +15,7 @@
 from foldhoist.commands.process_signals import SIGNALS
 from foldhoist.config.faults import show
 from foldhoist.config.settings import load_settings
+from foldhoist.daemon.background import report_callback_errors, run_once
 from foldhoist.exceptions import ListenError
 from foldhoist.observe.logs import LineWriter, set_up_logs
 
@@ -53,6 +54,7 @@
 async def _run(cfg: Settings, path: str, began: float) -> int:
     lifecycle = _Lifecycle(_make(cfg, began), path)
     loop = asyncio.get_running_loop()
+    report_callback_errors(loop)
     SIGNALS.attach(loop, lifecycle.act_on_signals)
     try:
         code = await lifecycle.run()
@@ -97,7 +99,7 @@
             _reload(self._running, self._path)
         if SIGNALS.stop is not None and self._drain is None:
             logger.info("{} received", SIGNALS.stop.name)
-            self._drain = asyncio.get_running_loop().create_task(self._running.drain())
+            self._drain = run_once("shutdown", self._running.drain, self._running.stopped.set)
 
     async def _listen(self) -> bool:
         """Listen, unless a signal ends the daemon before; returns whether it listens."""
--- a/foldhoist/daemon/configuration.py
+++ b/foldhoist/daemon/configuration.py
@@ -21,6 +21,7 @@
 )
 from foldhoist.configlog.refresh import SnapshotRefresher
 from foldhoist.configlog.spread import PeerSelector, role_of
+from foldhoist.daemon.background import run_task
 from foldhoist.logservice.client import pack_snapshot, unpack
 from foldhoist.logservice.state import read_retained
 
@@ -85,8 +86,10 @@
 
     def start(self) -> None:
         """Start reading the log and asking peers."""
-        loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(self._read_loop()), loop.create_task(self._ask_loop())]
+        self._tasks = [
+            run_task("configuration reader", self._read_loop),
+            run_task("configuration requests", self._ask_loop),
+        ]
 
     def close(self) -> None:
         """Cancel all tasks."""
--- a/foldhoist/daemon/control.py
+++ b/foldhoist/daemon/control.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from foldhoist.admission.bucket import TokenBucket
+from foldhoist.daemon.background import run_task
 from foldhoist.delivery.codec import decode_frame, encode
 from foldhoist.exceptions import ListenError, ProtocolError
 
@@ -55,7 +56,7 @@
         self._socket.reconnect_time_min = 50
         self._socket.reconnect_time_max = 2000
         self._socket.dial(f"tcp://{address}", block=False)
-        self._task = asyncio.get_running_loop().create_task(self._send_loop())
+        self._task = run_task("control sender", self._send_loop)
 
     def send(self, data: bytes) -> None:
         if self._queue.full():
@@ -75,9 +76,12 @@
             except pynng.Timeout:
                 self._count.dropped += 1
                 continue
-            except pynng.NNGException:
-                self._count.dropped += 1
+            except pynng.Closed:
                 return
+            except pynng.NNGException as exc:
+                self._count.dropped += 1
+                logger.warning("sending a control message failed: {!r}", exc)
+                continue
             self._count.sent += 1
             self._count.sent_bytes += len(data) + FRAMING_BYTES
 
@@ -100,7 +104,7 @@
         except pynng.NNGException as exc:
             raise ListenError("control", address, str(exc)) from exc
         self.address = str(listener.local_address).removeprefix("tcp://")
-        self._task = loop.create_task(self._receive_loop())
+        self._task = run_task("control receiver", self._receive_loop)
 
     def send(self, address: str, kind: str, body: object) -> bool:
         """Queue a message for a peer if the byte limit allows it; returns whether it was queued."""
@@ -130,8 +134,7 @@
         while True:
             try:
                 data = await self._socket.arecv()
-            except pynng.NNGException as exc:
-                logger.warning("receiving control messages failed: {}", exc)
+            except pynng.Closed:
                 return
             self.count.received += 1
             self.count.received_bytes += len(data) + FRAMING_BYTES
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -15,6 +15,7 @@
 from foldhoist.admission.slots import QueueLimits
 from foldhoist.config.fleet import evacuated
 from foldhoist.config.reload import RELOADABLE_LIMITS, merge_reloadable
+from foldhoist.daemon.background import COUNT, run_task
 from foldhoist.daemon.caller_state import ServerState
 from foldhoist.daemon.configuration import ConfigurationTask
 from foldhoist.daemon.control import Control
@@ -145,8 +146,8 @@
         self.operators = OperatorServer(self, self._sockets["operators"])
         for task in (self.configuration, self.handover, self.prober, self.owner_task):
             task.start()
-        self._overdue_task = asyncio.get_running_loop().create_task(self.callers.close_overdue())
-        self._counters_task = asyncio.get_running_loop().create_task(self._log_counters())
+        self._overdue_task = run_task("callers", self.callers.close_overdue)
+        self._counters_task = run_task("counters", self._log_counters)
         configure_gc()
         logger.info("daemon {} started, incarnation {}", self.name, self.incarnation)
 
@@ -197,6 +198,7 @@
             **traffic_counters(self.ingress_task, self.owner_task, self.callers),
             "control": counters_of(self.control.count),
             "configuration": counters_of(self.configuration.count),
+            "process": counters_of(COUNT),
             "prober": counters_of(self.prober.count),
             "quotas": self.quotas.counters(),
         }
--- a/foldhoist/daemon/handlers.py
+++ b/foldhoist/daemon/handlers.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, TypeAlias
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from foldhoist.daemon.background import COUNT
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from socket import socket
@@ -48,8 +51,13 @@
 
 
 def serve(routes: list[RouteSpec], sock: socket) -> HTTPServer:
-    """Serve these routes at a listening socket; requests are not logged."""
-    app = Application(list(routes), log_function=lambda handler: None)
+    """Serve these routes at a listening socket; requests are not logged, errors are counted."""
+    app = Application(list(routes), log_function=_count_error)
     server = HTTPServer(app, max_header_size=MAX_REQUEST_BYTES, max_body_size=MAX_REQUEST_BYTES)
     server.add_socket(sock)
     return server
+
+
+def _count_error(handler: RequestHandler) -> None:
+    if handler.get_status() == HTTPStatus.INTERNAL_SERVER_ERROR:
+        COUNT.handler_errors += 1
--- a/foldhoist/daemon/handover.py
+++ b/foldhoist/daemon/handover.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from foldhoist.config.fleet import homes_of, targets_of
+from foldhoist.daemon.background import run_task
 
 if TYPE_CHECKING:
     from foldhoist.daemon.control import Control
@@ -30,7 +31,7 @@
 
     def start(self) -> None:
         """Start repeating the requests that are not answered."""
-        self._task = asyncio.get_running_loop().create_task(self._retry_loop())
+        self._task = run_task("handover", self._retry_loop)
 
     def close(self) -> None:
         """Cancel the task."""
--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -23,6 +23,9 @@
     from foldhoist.routing.picker import Member
     from foldhoist.schema.fleet import Fleet
 
+TICK_RETRY_S = 0.1
+"""Pause after a check of the calls that raised an exception, seconds."""
+
 
 class IngressTask:
     """The ingress role of a daemon: carries out the actions that the ingress returns."""
@@ -176,4 +179,9 @@
 
     def _tick(self) -> None:
         self._timer = None
-        self._carry_out(self.ingress.tick(self._loop.time()))
+        try:
+            self._carry_out(self.ingress.tick(self._loop.time()))
+        except Exception:
+            if self._timer is None:
+                self._timer = self._loop.call_later(TICK_RETRY_S, self._tick)
+            raise
--- a/foldhoist/daemon/links.py
+++ b/foldhoist/daemon/links.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
+from foldhoist.daemon.background import run_task
 from foldhoist.daemon.frames import FrameConnection
 from foldhoist.delivery.codec import SCHEMA_VERSION
 
@@ -70,7 +71,7 @@
         self._hello_event = asyncio.Event()
         self._attempt_started_at = 0.0
         self._timeout: asyncio.Timeout | None = None
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = run_task(f"link to {name}", self._run)
 
     def send(self, kind: str, body: Mapping[str, Any]) -> bool:
         """Send a message; returns False if the link is down."""
--- a/foldhoist/daemon/lost_calls.py
+++ b/foldhoist/daemon/lost_calls.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
+from foldhoist.daemon.background import run_task
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -44,7 +46,7 @@
         """Add a call whose connection was lost before its answer was complete."""
         self._lost.append(LostCall(ticket, result))
         if self._task is None:
-            self._task = asyncio.get_running_loop().create_task(self._check_upstream())
+            self._task = run_task("lost calls", self._check_upstream)
 
     def close(self) -> None:
         """Cancel the check; the delayed calls get no result."""
@@ -56,4 +58,6 @@
         running = self._pool.has_connection or await self._pool.try_connect()
         lost, self._lost = self._lost, []
         self._task = None
+        if not lost:
+            return
         self._on_known(lost, not running)
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -16,6 +16,7 @@
 from foldhoist.config.fleet import evacuated, limits_of
 from foldhoist.config.reload import RELOADABLE_LIMITS, merge_reloadable
 from foldhoist.configlog.versions import ReaderElection
+from foldhoist.daemon.background import COUNT, run_task
 from foldhoist.daemon.caller_state import ServerState
 from foldhoist.daemon.garbage import configure_gc
 from foldhoist.daemon.graceful_shutdown import GracefulShutdown, NoticeFirst
@@ -148,7 +149,7 @@
         self.versions.start(self.peers, cfg["platform"]["first_start"])
         self.owner_task.start()
         self.ingress_task.local_up(self.incarnation)
-        self._overdue_task = asyncio.get_running_loop().create_task(self.callers.close_overdue())
+        self._overdue_task = run_task("callers", self.callers.close_overdue)
         configure_gc()
         logger.info("daemon {} started, incarnation {}", self.name, self.incarnation)
 
@@ -198,6 +199,7 @@
         return {
             **traffic_counters(self.ingress_task, self.owner_task, self.callers),
             "configuration": counters_of(self.versions.count),
+            "process": counters_of(COUNT),
             "quotas": self.quotas.counters(),
             "upstream": counters_of(self.upstream.count),
             "store": {"passed_over": self.store.passed_over},
--- a/foldhoist/daemon/operators.py
+++ b/foldhoist/daemon/operators.py
@@ -5,11 +5,11 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from tornado.ioloop import IOLoop
 from tornado.web import RequestHandler
 
 from foldhoist import __version__
 from foldhoist.configlog.fold import to_snapshot
+from foldhoist.daemon.background import run_once
 from foldhoist.daemon.configuration import describe
 from foldhoist.daemon.handlers import MetricsHandler, RouteSpec, serve
 from foldhoist.observe.records import record_report
@@ -59,7 +59,7 @@
 
 class _Drain(_Handler):
     def post(self) -> None:
-        IOLoop.current().spawn_callback(self.daemon.drain)
+        run_once("shutdown", self.daemon.drain, self.daemon.stopped.set)
         self.write_json({"draining": True})
 
 
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from foldhoist.daemon.background import run_task
 from foldhoist.daemon.frames import FrameConnection
 from foldhoist.daemon.goaway import GoawayExchange
 from foldhoist.daemon.lost_calls import LostCalls
@@ -111,15 +112,14 @@
 
     def start(self) -> None:
         """Start the periodic checks and the sampler."""
-        self._task = self._loop.create_task(self._tick())
+        self._task = run_task("owner", self._tick)
         self.sampler.start()
 
     def close(self) -> None:
         """Close every connection."""
-        if self._task is not None:
-            self._task.cancel()
-        if self._timer is not None:
-            self._timer.cancel()
+        for pending in (self._task, self._timer):
+            if pending is not None:
+                pending.cancel()
         for conn in list(self._conns.values()):
             conn.close()
         self.pool.close()
--- a/foldhoist/daemon/peers_task.py
+++ b/foldhoist/daemon/peers_task.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from foldhoist.daemon.background import run_task
 from foldhoist.membership.incarnations import incarnations_from_rows
 from foldhoist.membership.registration import Registration, quarantined_call, suspect_of
 from foldhoist.membership.registry import Connect, Disconnect, UpstreamChanged
@@ -90,11 +91,10 @@
     def start(self, first: bool) -> None:
         """Register and read all records; `first` means that there was no earlier incarnation."""
         self._may_write = first
-        create = self._loop.create_task
         self._tasks = [
-            create(self._join(first)),
-            create(self._update_links_periodically()),
-            create(self._expire_periodically()),
+            run_task("registration", lambda: self._join(first)),
+            run_task("peer links", self._update_links_periodically),
+            run_task("peer expiry", self._expire_periodically),
         ]
 
     def close(self) -> None:
@@ -223,7 +223,7 @@
 
     def rewrite_record(self) -> None:
         """Write this daemon's record to the store again, with retries until it succeeds."""
-        self._tasks.append(self._loop.create_task(self._retry_until_done(self.write_record)))
+        self._tasks.append(run_task("record", lambda: self._retry_until_done(self.write_record)))
 
     async def write_record(self) -> bool:
         """Write this daemon's record to the store; returns whether that succeeded.
--- a/foldhoist/daemon/prober.py
+++ b/foldhoist/daemon/prober.py
@@ -13,6 +13,7 @@
 
 from foldhoist.admission.bucket import TokenBucket
 from foldhoist.daemon.answer_size import MAX_HEAD_BYTES
+from foldhoist.daemon.background import run_task
 from foldhoist.daemon.health_connection import MAX_HEALTH_BYTES
 
 if TYPE_CHECKING:
@@ -67,10 +68,9 @@
 
     def start(self) -> None:
         """Start probing and reading the host list."""
-        loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(self._probe())]
+        self._tasks = [run_task("prober", self._probe)]
         if self._cfg["platform"]["hosts"]:
-            self._tasks.append(loop.create_task(self._read_hosts()))
+            self._tasks.append(run_task("host list", self._read_hosts))
 
     def close(self) -> None:
         """Cancel both tasks and close the HTTP client."""
--- a/foldhoist/daemon/quota_task.py
+++ b/foldhoist/daemon/quota_task.py
@@ -9,6 +9,7 @@
 
 from foldhoist.customers.candidates import quota_server_candidates
 from foldhoist.customers.quota_server import Hosts, QuotaServer
+from foldhoist.daemon.background import run_task
 from foldhoist.delivery.call_finisher import LOCAL_LINK
 
 if TYPE_CHECKING:
@@ -58,7 +59,7 @@
         self.server.adopt(self._loop.time(), customers)
         if customers.has_limited and self._task is None:
             logger.info("quotas enabled, {} customers", len(list(customers.customers())))
-            self._task = self._loop.create_task(self._update_loop())
+            self._task = run_task("quotas", self._update_loop)
         elif not customers.has_limited and self._task is not None:
             logger.info("quotas disabled")
             self.close()
--- a/foldhoist/daemon/reconnector.py
+++ b/foldhoist/daemon/reconnector.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from foldhoist.daemon.background import run_task
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -36,7 +38,7 @@
         """Start to connect unless it is under way."""
         if self._task is None and self._is_announced():
             self._set_state("down")
-            self._task = asyncio.get_running_loop().create_task(self._run())
+            self._task = run_task("reconnector", self._run)
 
     async def _run(self) -> None:
         while self._is_announced():
--- a/foldhoist/daemon/sampler.py
+++ b/foldhoist/daemon/sampler.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from foldhoist.daemon.background import run_task
 from foldhoist.daemon.health_connection import SAMPLE_TIMEOUT_S, HealthConnection
 from foldhoist.daemon.http import write_head
 
@@ -62,7 +63,7 @@
 
     def start(self) -> None:
         """Start sampling."""
-        self._task = self._loop.create_task(self._run())
+        self._task = run_task("sampler", self._run)
 
     def close(self) -> None:
         """Stop sampling and close the connection."""
--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -10,6 +10,7 @@
 
 from foldhoist.admission.body_memory import LARGE_BODY_SHARE, SMALL_BODY_BYTES, BodyMemory
 from foldhoist.admission.bucket import TokenBucket
+from foldhoist.daemon.background import run_once
 from foldhoist.daemon.dialect import DefaultDialect
 from foldhoist.daemon.http import write_head
 from foldhoist.daemon.upstream_connection import (
@@ -99,7 +100,11 @@
         if self.open >= self.max_connections:
             self._on_result(call.ticket, Incomplete(False, "upstream-connections-used-up"))
             return
-        task = asyncio.get_running_loop().create_task(self._connect(call, data))
+        task = run_once(
+            "upstream connection",
+            lambda: self._connect(call, data),
+            lambda: self._on_connect_failed(call.ticket),
+        )
         self._connecting[call.ticket] = task
 
     def cancel(self, ticket: int, reason: str = "cancelled") -> None:
@@ -170,6 +175,15 @@
         self._busy[ticket] = conn
         conn.call(call, data)
 
+    def _on_connect_failed(self, ticket: int) -> None:
+        """End a call whose connection failed for an unexpected reason."""
+        if self._connecting.pop(ticket, None) is not None:
+            self._on_result(ticket, Incomplete(False, "upstream-unreachable"))
+            return
+        conn = self._busy.get(ticket)
+        if conn is not None:
+            conn.abort("connection-failed")
+
     def _on_call_end(self, conn: UpstreamConnection, result: Result) -> None:
         self._busy.pop(conn.ticket, None)
         if conn.usable:
--- a/foldhoist/daemon/upstream_task.py
+++ b/foldhoist/daemon/upstream_task.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from foldhoist.admission.bucket import TokenBucket
+from foldhoist.daemon.background import run_once, run_task
 from foldhoist.membership.incarnations import UpstreamIncarnation, incarnation_of
 from foldhoist.membership.startup_barrier import StartupBarrier
 from foldhoist.membership.upstream import AnnouncementResult, OwnUpstream
@@ -182,7 +183,7 @@
         if not self.known.add_ended([incarnation]):
             return
         self._publish(before)
-        task = self._loop.create_task(self._record_departure(incarnation))
+        task = run_once("departure", lambda: self._record_departure(incarnation))
         self._writes.add(task)
         task.add_done_callback(self._writes.discard)
 
@@ -244,7 +245,7 @@
         """Wait until a peer or the store has recorded the departure, to survive a restart."""
         pending = _PendingRecord(incarnation.born_ms, asyncio.Event())
         self._pending_records[incarnation.instance] = pending
-        task = self._loop.create_task(self._write_to_store(pending.done))
+        task = run_task("departure record", lambda: self._write_to_store(pending.done))
         self._writes.add(task)
         task.add_done_callback(self._writes.discard)
         if not await self._until_recorded(incarnation.instance):
--- a/foldhoist/daemon/versions_task.py
+++ b/foldhoist/daemon/versions_task.py
@@ -19,6 +19,7 @@
     Reply,
     Version,
 )
+from foldhoist.daemon.background import run_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -114,11 +115,10 @@
         self._read_alone_at = (
             float("inf") if first else self._loop.time() + PEER_CONFIGURATION_TIMEOUT_S
         )
-        create = self._loop.create_task
         self._tasks = [
-            create(self._read_loop()),
-            create(self._report_loop()),
-            create(self._ask_loop()),
+            run_task("store reader", self._read_loop),
+            run_task("store reports", self._report_loop),
+            run_task("version requests", self._ask_loop),
         ]
 
     def close(self) -> None:
--- a/foldhoist/observe/logs.py
+++ b/foldhoist/observe/logs.py
@@ -81,6 +81,8 @@
         level=cfg["log_level"],
         format=TEXT_FORMAT,
         colorize=False,
+        backtrace=False,
+        diagnose=False,
     )
     return writer
 
