Do not spin when the process has no descriptor left

Callers saw (or may have): a daemon that takes a whole core and answers late, while its descriptors are used up by connections to its control or operators' port.

Cause: tornado's accept handler raises on EMFILE and leaves the connection in the queue, which wakes up the event loop again at once.

Change: these two servers listen with a socket that gives up a spare descriptor to accept and close a connection that there is no descriptor for, and counts it.

--- a/foldhoist/daemon/background.py
+++ b/foldhoist/daemon/background.py
@@ -29,10 +29,11 @@
 
 @dataclass(slots=True)
 class Counters:
-    """Counters of the unexpected exceptions in this process."""
+    """Counters of unexpected exceptions, and of connections without a descriptor left."""
 
     callback_errors: int = 0
     handler_errors: int = 0
+    rejected_connections: int = 0
     task_failures: int = 0
 
 
--- a/foldhoist/daemon/handlers.py
+++ b/foldhoist/daemon/handlers.py
@@ -8,6 +8,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from foldhoist.daemon.accepting import SparingSocket
 from foldhoist.daemon.background import COUNT
 
 if TYPE_CHECKING:
@@ -54,7 +55,7 @@
     """Serve these routes at a listening socket; requests are not logged, errors are counted."""
     app = Application(list(routes), log_function=_count_error)
     server = HTTPServer(app, max_header_size=MAX_REQUEST_BYTES, max_body_size=MAX_REQUEST_BYTES)
-    server.add_socket(sock)
+    server.add_socket(SparingSocket(sock))
     return server
 
 
