--- a/tests/unit/daemon/test_connection_memory.py
+++ b/tests/unit/daemon/test_connection_memory.py
@@ -17,14 +17,15 @@
 
 import pytest
 
-from bench.stages import default_settings
+from bench.stages import FakeTransport, default_settings
+from foldhoist.admission.body_memory import BodyMemory
 from foldhoist.daemon.caller_state import ServerState
 from foldhoist.daemon.callers import CallerConnection
 from foldhoist.daemon.dialect import DefaultDialect
 from foldhoist.daemon.health_connection import HealthConnection
 from foldhoist.daemon.upstream import UpstreamPool
 from foldhoist.daemon.upstream_connection import UpstreamConnection
-from foldhoist.delivery.dispatch import Result, StartCall
+from foldhoist.delivery.dispatch import Incomplete, Result, StartCall
 from foldhoist.delivery.verdict import Answered, Response
 from tests.unit.daemon.calls import dispatch_of
 
@@ -282,3 +283,20 @@
         return await freed(ref)
 
     assert asyncio.run(play())
+
+
+def test_body_that_follows_a_cancelled_call_is_not_counted() -> None:
+    """Guards against bytes that stay on the books: the call is cancelled by its answer's head."""
+    bodies = BodyMemory(100_000)
+    results: list[Result] = []
+    conn = UpstreamConnection(
+        8000,
+        lambda conn, result: results.append(result),
+        on_signals=lambda ticket, signals: conn.abort("cancelled"),
+        bodies=bodies,
+    )
+    conn.connection_made(FakeTransport())
+    conn.call(StartCall(1, dispatch_of("POST", body=BODY), 1.0), b"request")
+    conn.data_received(ANSWER % 7000 + b"Upstream-State: leaving\r\n\r\n" + BODY)
+    assert results == [Incomplete(True, "cancelled")]
+    assert bodies.used == 0
