Let a large body cost nothing but itself on a connection between daemons

Cause: the limit of the send buffer, meant for a peer that does not read, counted one large message like many small ones.

Change: the limit is on what waits already. A body over 1 MiB is accepted while less than 16 MiB wait; else the call is not run and tried at another owner (owner-connection-full), and an answer is replaced by 'may have run'. Small messages beyond 16 MiB, a large body apart, still end the connection to a peer that does not read. Answers over 1 MiB go in pieces on every route, the way bulk answers do; those that a peer could not hold together wait for each other.

--- a/foldhoist/daemon/frames.py
+++ b/foldhoist/daemon/frames.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING, Any
 
 from foldhoist.delivery.codec import StreamDecoder, StreamEncoder
-from foldhoist.delivery.pieces import PIECE_BYTES, Fragmenter, Reassembler
+from foldhoist.delivery.pieces import LARGE_BODY_BYTES, PIECE_BYTES, Fragmenter, Reassembler
+from foldhoist.delivery.replies import answer_not_sent
 from foldhoist.exceptions import ProtocolError
 
 if TYPE_CHECKING:
@@ -16,9 +17,9 @@
 PEER_TIMEOUT_MS = 1500
 """A connection is closed if the peer's host acknowledges nothing for this long, milliseconds."""
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
-"""Limit of the send buffer and of the pieces still to be sent, bytes.
+"""While more than this waits to be sent, no message with a large body is accepted, bytes.
 
-The connection is closed if either exceeds it.
+The connection is closed if its other messages exceed it.
 """
 PIECE_RETRY_S = 0.005
 """Pause before further pieces while the send buffer holds more than one piece, seconds."""
@@ -27,7 +28,7 @@
 class FrameConnection(asyncio.Protocol):
     """One connection; `on_message(conn, kind, body)` and `on_lost(conn)` run in the event loop.
 
-    `limit` bounds each message, and all incomplete answers together, bytes.
+    `limit` bounds each message, and all incomplete answers together, bytes. The peer's is the same.
     """
 
     def __init__(
@@ -41,7 +42,10 @@
         self.faults = 0
         self._decoder = StreamDecoder(limit)
         self._encoder = StreamEncoder()
-        self._fragmenter = Fragmenter()
+        self._limit = limit
+        self._large_bytes = 0
+        self._large_end = 0
+        self._fragmenter = Fragmenter(limit)
         self._reassembler = Reassembler(limit)
         self._piece_timer: asyncio.TimerHandle | None = None
         self._on_message = on_message
@@ -52,7 +56,7 @@
         """Set the limits of the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+        transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES + self._limit)
         enable_keepalive(transport)
 
     def data_received(self, data: bytes) -> None:
@@ -78,21 +82,45 @@
         """Close the connection to a peer that does not read."""
         self.close()
 
-    def send(self, kind: str, body: Mapping[str, Any]) -> None:
-        """Send a message; without a connection it is dropped."""
+    def send(self, kind: str, body: Mapping[str, Any]) -> bool:
+        """Send a message; returns False if it is not sent.
+
+        That is so without a connection, and for a large body while too much waits to be sent.
+        """
         if self._transport is None:
-            return
-        self._write(kind, self._fragmenter.first(body))
-        if self._fragmenter.pending_bytes > MAX_UNSENT_BYTES:
+            return False
+        size = len(body.get("body", b""))
+        if size > LARGE_BODY_BYTES and self._unsent_bytes >= MAX_UNSENT_BYTES:
+            return False
+        first = self._fragmenter.first(body) if kind == "Answer" else body
+        if first is not None:
+            self._write(kind, first)
+        if first is body and size > LARGE_BODY_BYTES:
+            self._large_bytes, self._large_end = size, self.sent_bytes
+        if self._buffered_beside_large > MAX_UNSENT_BYTES:
             self.close()
         elif self._fragmenter.pending_bytes and self._piece_timer is None:
             self._send_pieces()
+        return True
 
     def close(self) -> None:
         """Close the connection at once; data that waits to be sent is dropped."""
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def _unsent_bytes(self) -> int:
+        """Return the bytes in the send buffer and those of pieces."""
+        buffered = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        return buffered + self._fragmenter.pending_bytes
+
+    @property
+    def _buffered_beside_large(self) -> int:
+        """Return the bytes in the send buffer, but for a large body that is being sent."""
+        buffered = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        is_sent = self.sent_bytes - buffered >= self._large_end
+        return buffered if is_sent else buffered - self._large_bytes
+
     def _write(self, kind: str, body: Mapping[str, Any]) -> None:
         if self._transport is None:
             return
@@ -108,8 +136,9 @@
                 loop = asyncio.get_running_loop()
                 self._piece_timer = loop.call_later(PIECE_RETRY_S, self._send_pieces)
                 return
-            piece = self._fragmenter.next_piece()
-            if piece is not None:
+            if (answer := self._fragmenter.next_answer()) is not None:
+                self._write("Answer", answer)
+            elif (piece := self._fragmenter.next_piece()) is not None:
                 self._write("Piece", piece)
 
     def _reassemble(self, messages: list[tuple[str, Any]]) -> list[tuple[str, Any]]:
@@ -127,6 +156,12 @@
         return complete
 
 
+def send_or_refuse(conn: FrameConnection, kind: str, body: Any) -> None:
+    """Send a message of an owner; an answer that is not accepted is replaced by a refusal."""
+    if not conn.send(kind, body) and kind == "Answer":
+        conn.send(*answer_not_sent(body))
+
+
 def enable_keepalive(transport: asyncio.BaseTransport) -> None:
     """Have the operating system close the connection if the peer's host stops responding."""
     sock = transport.get_extra_info("socket")
--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -151,7 +151,8 @@
         if target == self._name:
             self._loop.call_soon(self._owner_task.local_message, kind, body)
             return
-        self._links.send(target, kind, body)
+        if not self._links.send(target, kind, body) and kind == "Dispatch":
+            self._carry_out(self.ingress.fates.not_sent(self._loop.time(), body["seq"]))
 
     def _record_call(self, record: Record) -> None:
         self._records.add_call(record)
--- a/foldhoist/daemon/links.py
+++ b/foldhoist/daemon/links.py
@@ -73,11 +73,8 @@
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def send(self, kind: str, body: Mapping[str, Any]) -> bool:
-        """Send a message; returns False if the link is down."""
-        if self._conn is None or not self.up:
-            return False
-        self._conn.send(kind, body)
-        return True
+        """Send a message; returns False if it is not sent, as the link is down or full."""
+        return self._conn is not None and self.up and self._conn.send(kind, body)
 
     def retry_now(self) -> None:
         """Retry without a pause, and limit the wait of a pending attempt: the peer is running."""
@@ -240,7 +237,7 @@
             link.retry_now()
 
     def send(self, name: str, kind: str, body: Mapping[str, Any]) -> bool:
-        """Send a message to an owner; returns False if the link to it is down."""
+        """Send a message to an owner; returns False if it is not sent."""
         link = self._links.get(name)
         return link is not None and link.send(kind, body)
 
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from foldhoist.daemon.frames import FrameConnection
+from foldhoist.daemon.frames import FrameConnection, send_or_refuse
 from foldhoist.daemon.goaway import GoawayExchange
 from foldhoist.daemon.lost_calls import LostCalls
 from foldhoist.daemon.reconnector import Reconnector
@@ -350,7 +350,7 @@
             self._loop.call_soon(self._on_local, kind, body)
             return
         if (conn := self._conns.get(link)) is not None:
-            conn.send(kind, body)
+            send_or_refuse(conn, kind, body)
 
     def _is_announced(self) -> bool:
         return self.owner.status.upstream is not None
--- a/foldhoist/delivery/attempt_fates.py
+++ b/foldhoist/delivery/attempt_fates.py
@@ -1,10 +1,11 @@
-"""Finds out what became of attempts whose connection to their owner was lost; no I/O."""
+"""Finds out what became of attempts whose connection to their owner failed; no I/O."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from foldhoist.delivery.call import OwnerFrame, SendTo, Timer
+from foldhoist.delivery.rules import CONNECTION_FULL, CONNECTION_FULL_RETRY_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -72,6 +73,19 @@
             actions += self._lost(now, call, attempt, reason)
         return actions
 
+    def not_sent(self, now: float, seq: int) -> list[Action]:
+        """Retry a call that the connection to its owner did not take: it has not run."""
+        call = self._calls.by_seq.pop(seq, None)
+        if call is None:
+            return []
+        attempt = call.pending.pop(seq)
+        state = self._services.get(call.service)
+        if state is not None:
+            state.picker.abandoned(attempt.target, seq, now)
+        call.add_attempt(now, attempt, f"no:{CONNECTION_FULL}", 0, 0)
+        call.arrivals -= 1
+        return self._retry(now, call, CONNECTION_FULL, CONNECTION_FULL_RETRY_S)
+
     def end_overdue(self, now: float, call: Call) -> list[Action]:
         """Give up on the outcomes that a call has waited for too long."""
         actions: list[Action] = []
--- a/foldhoist/delivery/ingress.py
+++ b/foldhoist/delivery/ingress.py
@@ -66,7 +66,7 @@
         self.intake = RequestIntake(self.admission, self._services)
         self._calls = CallTable()
         self._shutdown = ShutdownLimits(self.admission, self._services, self._calls)
-        self._fates = AttemptFates(self._calls, self._services, self.count, self._retry)
+        self.fates = AttemptFates(self._calls, self._services, self.count, self._retry)
         self.gate = QuotaGate(self._calls, self.count, rng)
         self._incarnations: dict[str, str] = {}
         self._connected: set[str] = set()
@@ -162,7 +162,7 @@
         self._services.linked(now, target, True, fresh)
         return [
             *self._signal_cache.update_for(now, target),
-            *self._fates.link_up(now, target, fresh),
+            *self.fates.link_up(now, target, fresh),
             *self._unpark(now),
         ]
 
@@ -174,11 +174,11 @@
 
     def link_lost(self, now: float, target: str) -> list[Action]:
         """Handle the loss of the connection to an owner."""
-        return [*self.link_closing(now, target), *self._fates.link_lost(now, target)]
+        return [*self.link_closing(now, target), *self.fates.link_lost(now, target)]
 
     def link_refused(self, now: float, target: str) -> list[Action]:
         """Handle the end of an owner's process: the outcome of its calls stays unknown."""
-        return self._fates.owner_ended(now, target, "owner-gone")
+        return self.fates.owner_ended(now, target, "owner-gone")
 
     def caller_disconnected(self, now: float, call_id: int) -> list[Action]:
         """Withdraw a call whose caller has closed its connection."""
@@ -248,7 +248,7 @@
             case Timer.HEDGE:
                 return self._hedge(now, call)
             case Timer.FATE_TIMEOUT:
-                return self._fates.end_overdue(now, call)
+                return self.fates.end_overdue(now, call)
             case Timer.LAST_START:
                 return self._withdraw_waiting(now, call)
             case Timer.PARK_TIMEOUT if self._calls.unpark(call.call_id):
--- a/foldhoist/delivery/pieces.py
+++ b/foldhoist/delivery/pieces.py
@@ -1,4 +1,4 @@
-"""Splits large answers of bulk routes, so that other messages can be interleaved; no I/O.
+"""Splits large answers, so that other messages can be interleaved; no I/O.
 
 An answer is delivered complete or not at all: one cut off by a lost connection is dropped.
 """
@@ -20,33 +20,62 @@
 
 It takes 11 ms on a link of 12 Mbit/s.
 """
+LARGE_BODY_BYTES = 1024 * 1024
+"""Answers with a larger body are split on every route, bytes."""
 
 
 class _Remainder(NamedTuple):
-    """The part of an answer's body that is still to be sent."""
+    """The part of an answer's body that is still to be sent; `size` is that of the whole body."""
 
     number: int
     body: memoryview
+    size: int
 
 
 class Fragmenter:
-    """Splits the answers sent over one connection; pieces of several answers alternate."""
+    """Splits the answers sent over one connection; pieces of several answers alternate.
 
-    def __init__(self) -> None:
+    `limit` is the largest total size of answers that are sent at the same time, bytes; others wait
+    for them. The receiver must be able to hold as much.
+    """
+
+    def __init__(self, limit: int) -> None:
         self.pending_bytes = 0
+        self._limit = limit
         self._next = 1
+        self._started_bytes = 0
         self._remainders: deque[_Remainder] = deque()
+        self._waiting: deque[Mapping[str, Any]] = deque()
+
+    def first(self, body: Mapping[str, Any]) -> Mapping[str, Any] | None:
+        """Return the message to send now, None if the answer has to wait for others.
 
-    def first(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
-        """Return the message to send now; `next_piece` returns the rest of a large bulk answer."""
+        `next_answer` returns it then, and `next_piece` the rest of an answer that is split.
+        """
         raw: bytes = body.get("body", b"")
-        if len(raw) <= PIECE_BYTES or not body.get("bulk", False):
+        if len(raw) <= PIECE_BYTES:
+            return body
+        if len(raw) <= LARGE_BODY_BYTES and not body.get("bulk", False):
             return body
+        self.pending_bytes += len(raw)
+        self._waiting.append(body)
+        return self.next_answer()
+
+    def next_answer(self) -> Mapping[str, Any] | None:
+        """Return the first part of the next answer that waits, or None if it has to wait on."""
+        if not self._waiting:
+            return None
+        size = len(self._waiting[0]["body"])
+        if self._started_bytes and self._started_bytes + size > self._limit:
+            return None
+        body = self._waiting.popleft()
         number = self._next
         self._next += 1
-        self._remainders.append(_Remainder(number, memoryview(raw)[PIECE_BYTES:]))
-        self.pending_bytes += len(raw) - PIECE_BYTES
-        return {**body, "body": raw[:PIECE_BYTES], "rest": number}
+        rest = memoryview(body["body"])[PIECE_BYTES:]
+        self._remainders.append(_Remainder(number, rest, size))
+        self._started_bytes += size
+        self.pending_bytes -= PIECE_BYTES
+        return {**body, "body": body["body"][:PIECE_BYTES], "rest": number}
 
     def next_piece(self) -> Piece | None:
         """Return the next piece, or None if nothing is left to send."""
@@ -56,7 +85,9 @@
         sent, left = rest.body[:PIECE_BYTES], rest.body[PIECE_BYTES:]
         self.pending_bytes -= len(sent)
         if left:
-            self._remainders.append(_Remainder(rest.number, left))
+            self._remainders.append(rest._replace(body=left))
+        else:
+            self._started_bytes -= rest.size
         return {"number": rest.number, "last": not left, "body": bytes(sent)}
 
 
--- a/foldhoist/delivery/replies.py
+++ b/foldhoist/delivery/replies.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from foldhoist.delivery.dispatch import Complete, Ended, Frame, Incomplete, Refused, Replaced, Shed
+from foldhoist.delivery.rules import CONNECTION_FULL, CONNECTION_FULL_RETRY_S
 from foldhoist.delivery.upstream_status import REPLACED
 
 if TYPE_CHECKING:
@@ -63,6 +64,12 @@
     return Frame("Refusal", body)
 
 
+def answer_not_sent(answer: Answer) -> Frame:
+    """Return the refusal in place of an answer that its connection did not take; the call ran."""
+    reason, retry_after_s = CONNECTION_FULL, CONNECTION_FULL_RETRY_S
+    return refusal_frame(answer["seq"], "maybe", reason, retry_after_s, answer["load"])
+
+
 def denied_frame(seq: int, denial: Deny, load: Load) -> Frame:
     """Return the refusal of a call whose idempotency key was denied."""
     return refusal_frame(seq, denial.ran, denial.reason, denial.retry_after_s, load)
--- a/foldhoist/delivery/rules.py
+++ b/foldhoist/delivery/rules.py
@@ -22,6 +22,10 @@
 
 DEADLINE_PASSED = "deadline-passed"
 """Reason of a call whose deadline passed, at the ingress or at the owner."""
+CONNECTION_FULL = "owner-connection-full"
+"""Reason of a call, or of an answer, that a connection between daemons did not take."""
+CONNECTION_FULL_RETRY_S = 0.5
+"""Retry delay after that, seconds."""
 MAX_REFUSALS = 3
 """Refusals by owners after which a call may still be retried."""
 SERVER_ERROR = 500
--- a/tests/adapter/cluster.py
+++ b/tests/adapter/cluster.py
@@ -65,6 +65,7 @@
         self.daemons: dict[str, MeshDaemon] = {}
         self.data_centres: dict[str, str] = {}
         self.customers: list[dict[str, Any]] = []
+        self.max_body_bytes = 1000
         self.sequence = 0
         self.pool = AddressPool()
 
@@ -122,7 +123,11 @@
         body = {
             "version": f"{version:08x}",
             "services": [{"name": service, **of_services} for service in services],
-            "limits": {"max_body_bytes": 1000, "idle_timeout_s": 15, "header_timeout_s": 3},
+            "limits": {
+                "max_body_bytes": self.max_body_bytes,
+                "idle_timeout_s": 15,
+                "header_timeout_s": 3,
+            },
             "virtual_hosts": [{"host": "shop.example", "route_paths": routes}],
         }
         if self.customers:
--- a/tests/unit/delivery/test_ingress.py
+++ b/tests/unit/delivery/test_ingress.py
@@ -12,7 +12,7 @@
 from foldhoist.delivery.attempt_fates import FATE_TIMEOUT_S
 from foldhoist.delivery.call import CallerRequest, Reply, SendTo
 from foldhoist.delivery.ingress import Ingress
-from foldhoist.delivery.rules import MAX_PARK_S
+from foldhoist.delivery.rules import CONNECTION_FULL, CONNECTION_FULL_RETRY_S, MAX_PARK_S
 from foldhoist.delivery.services import ANNOUNCEMENT_TIMEOUT_S
 from foldhoist.delivery.verdict import Answered, MayHaveRun, NotRun, Response
 from foldhoist.membership.view import homes, tracked
@@ -237,6 +237,22 @@
     assert replies(ingress.tick(2.0 + FATE_TIMEOUT_S)) == [MayHaveRun("owner-unreachable")]
 
 
+def test_a_call_that_its_connection_does_not_take_goes_to_others_and_is_not_run() -> None:
+    """Guards against a call that waits for the answer of an owner that never got it."""
+    ingress = make()
+    (attempt,) = sent(ingress.arrive(1.0, 1, request("POST")))
+    seen = []
+    while True:
+        seen.append(attempt.target)
+        actions = ingress.fates.not_sent(1.0, attempt.frame.body["seq"])
+        if replies(actions):
+            break
+        (attempt,) = sent(actions)
+    assert sorted(seen) == ["depo-0", "depo-1", "depo-2"]
+    assert replies(actions) == [NotRun(CONNECTION_FULL, CONNECTION_FULL_RETRY_S)]
+    assert ingress.fates.not_sent(1.0, attempt.frame.body["seq"]) == []
+
+
 def test_a_hedge_is_sent_for_a_slow_repeatable_call_and_the_loser_withdrawn() -> None:
     ingress = make()
     ingress._services.get("depo").cfg["hedge_ms"] = 20
--- a/tests/unit/delivery/test_pieces.py
+++ b/tests/unit/delivery/test_pieces.py
@@ -41,7 +41,7 @@
 def test_every_answer_is_reassembled_unchanged(sizes: list[int]) -> None:
     rng = random.Random(1)
     answers = [answer(seq, rng.randbytes(size)) for seq, size in enumerate(sizes)]
-    fragmenter = Fragmenter()
+    fragmenter = Fragmenter(LIMIT)
     found = received(sent(fragmenter, *answers), Reassembler(LIMIT))
     assert sorted(found, key=lambda each: each["seq"]) == answers
     assert fragmenter.pending_bytes == 0
@@ -50,7 +50,7 @@
 @given(st.integers(0, 30))
 def test_answer_cut_off_by_a_lost_connection_is_not_delivered(kept: int) -> None:
     messages = sent(
-        Fragmenter(), answer(1, bytes(5 * PIECE_BYTES)), answer(2, bytes(3 * PIECE_BYTES))
+        Fragmenter(LIMIT), answer(1, bytes(5 * PIECE_BYTES)), answer(2, bytes(3 * PIECE_BYTES))
     )
     for found in received(messages[:kept], Reassembler(LIMIT)):
         assert len(found["body"]) == {1: 5, 2: 3}[found["seq"]] * PIECE_BYTES
@@ -58,7 +58,7 @@
 
 def test_pieces_of_several_answers_alternate() -> None:
     messages = sent(
-        Fragmenter(), answer(1, bytes(20 * PIECE_BYTES)), answer(2, bytes(3 * PIECE_BYTES))
+        Fragmenter(LIMIT), answer(1, bytes(20 * PIECE_BYTES)), answer(2, bytes(3 * PIECE_BYTES))
     )
     at = next(at for at, (kind, body) in enumerate(messages) if kind == "Piece" and body["last"])
     assert at <= 2 + 2 * 2 + 1
@@ -66,7 +66,7 @@
 
 
 def test_only_large_answers_of_bulk_routes_are_split() -> None:
-    fragmenter = Fragmenter()
+    fragmenter = Fragmenter(LIMIT)
     for body in (answer(1, bytes(PIECE_BYTES)), answer(2, bytes(9 * PIECE_BYTES), bulk=False)):
         assert fragmenter.first(body) is body
     assert fragmenter.next_piece() is None
@@ -77,7 +77,7 @@
     with pytest.raises(ProtocolError):
         Reassembler(LIMIT).on_piece(piece)
     reassembler = Reassembler(PIECE_BYTES + 1)
-    first, *rest = sent(Fragmenter(), answer(1, bytes(4 * PIECE_BYTES)))
+    first, *rest = sent(Fragmenter(LIMIT), answer(1, bytes(4 * PIECE_BYTES)))
     assert reassembler.on_answer(first[1]) is None
     with pytest.raises(ProtocolError):
         received(rest, reassembler)
