A stopping owner ends only when its answers have reached the other daemons

Callers saw: 502 (or a second run of a safe request) for a request that its target had answered, as the owner's daemon stopped.

Cause: the Goaway of a stopping owner was waited for at most 1 s, however far the limit of the stop was, and the connections were then aborted with what was still to be sent. Pieces of bulk answers even went behind the Goaway, so that its acknowledgement told nothing about them.

Evidence: a link that takes some 1.7 s for an answer of 900 kB, which the target gives after the notice of the stop: 502 at the caller, for a safe and for a bulk route.

Change: the Goaway is the last message on its link. It is sent once the peer's host has acknowledged everything else (the kernel is asked), until the limit of the stop; the 1 s count from there.

Test: test_a_stopping_owner_ends_only_when_its_answers_have_arrived[safe, bulk]; before: assert (502, False) == (200, True). Failed tries at the test: a link that isn't read at all (the peer's kernel ends it after 1.5 s, rightly), links slower than the stop is long.

--- a/foldhoist/daemon/frames.py
+++ b/foldhoist/daemon/frames.py
@@ -6,6 +6,7 @@
 import socket
 from typing import TYPE_CHECKING, Any
 
+from foldhoist.daemon.socket_state import unacknowledged_bytes
 from foldhoist.delivery.codec import StreamDecoder, StreamEncoder
 from foldhoist.delivery.pieces import PIECE_BYTES, Fragmenter, Reassembler
 from foldhoist.exceptions import ProtocolError
@@ -88,6 +89,14 @@
         elif self._fragmenter.pending_bytes and self._piece_timer is None:
             self._send_pieces()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of messages the peer's host does not have yet."""
+        if self._transport is None:
+            return 0
+        written = self._transport.get_write_buffer_size() + unacknowledged_bytes(self._transport)
+        return self._fragmenter.pending_bytes + written
+
     def close(self) -> None:
         """Close the connection at once; data that waits to be sent is dropped."""
         if self._transport is not None:
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -50,8 +50,6 @@
 
 TICK_S = 0.05
 """Interval at which waiting and running calls are checked against their limits, seconds."""
-GOAWAY = {"reason": "drain"}
-"""The message to an ingress when this owner takes no more calls."""
 UPSTREAM_UNREACHABLE = "upstream-unreachable"
 """Reason of a call for which no connection to the upstream could be opened."""
 
@@ -189,7 +187,7 @@
         Calls that arrive meanwhile are refused. `limit` is when to be done, monotonic seconds.
         """
         links = self._accepted_links - {LOCAL_LINK}
-        await self.goaway.run(links, lambda link: self._send(link, "Goaway", GOAWAY), limit)
+        await self.goaway.run({link: self._conns[link] for link in links}, limit)
 
     def ingresses(self) -> list[tuple[int, str]]:
         """Return the connections from other daemons, each with the name of the daemon."""
--- a/tests/adapter/test_stopping.py
+++ b/tests/adapter/test_stopping.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import socket
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+import pytest
 
 from foldhoist.daemon.callers import CallerConnection
 from tests.adapter.cluster import (
@@ -18,6 +20,9 @@
     with_cluster,
 )
 
+if TYPE_CHECKING:
+    from foldhoist.daemon.frames import FrameConnection
+
 CONNECTIONS = 12
 """Number of connections that stay open until they are used."""
 FIRST_USE_S = 2.5
@@ -209,3 +214,63 @@
     assert (answer.status, answer.closed) == (200, True)
     await drained
     assert {(await each).status for each in running} == {200}
+
+
+LARGE_ANSWER_BYTES = 900_000
+"""Size of an answer that no buffer between two daemons holds."""
+SMALL_BUFFER_BYTES = 32768
+"""Buffers of the sockets between two daemons in that test, in bytes."""
+AFTER_NOTICE_S = 2.5
+"""Service time of its target, in seconds, so that it comes while the owner stops."""
+SLOW_READ_S = 0.12
+"""Pause of a slow link between two reads, in seconds; the answer takes longer than a Goaway may."""
+
+
+def slow_down(reading: FrameConnection, writing: FrameConnection) -> asyncio.Task[None]:
+    """Make a link between two daemons slow in one direction."""
+    transports = [conn._transport for conn in (reading, writing)]
+    for transport in transports:
+        assert transport is not None
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    link = transports[0]
+    assert link is not None
+
+    async def read_slowly() -> None:
+        while not link.is_closing():
+            link.pause_reading()
+            await asyncio.sleep(SLOW_READ_S)
+            link.resume_reading()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+
+    return asyncio.create_task(read_slowly())
+
+
+@pytest.mark.parametrize("kind", ["safe", "bulk"])
+def test_a_stopping_owner_ends_only_when_its_answers_have_arrived(kind: str) -> None:
+    """Large answers that were still on a slow link were dropped when the Goaway timed out."""
+
+    @with_cluster
+    async def stop(cluster: Cluster) -> None:
+        await cluster.add("a", service="web")
+        await cluster.add("b")
+        await cluster.configure(1, [route(route_type=kind, attempts=1)])
+        await cluster.settle(1)
+        await warm_up(cluster)
+        owner = cluster.daemons["b"]
+        to_owner = cluster.daemons["a"].links._links["b"]._conn
+        assert to_owner is not None
+        links = owner.owner_task._conns
+        slow = slow_down(to_owner, links[owner.owner_task.ingresses()[0][0]])
+        target = cluster.targets["b"]
+        target.extra_body, target.work_s = b"x" * LARGE_ANSWER_BYTES, AFTER_NOTICE_S
+        sent = asyncio.create_task(cluster.send("a", attempt="ab"))
+        await until(lambda: owner.owner.calls == 1)
+        await owner.drain()
+        answer = await sent
+        await slow
+        assert (answer.status, len(answer.body) > LARGE_ANSWER_BYTES) == (200, True)
+
+    stop()
