A stop and the idle timeout leave nothing unread, unaccepted or unsent

Callers saw: a connection reset or closed without an answer, for requests that had been sent well before.

Causes and changes, all for an event loop that is late or a process that stood still: - A listening socket that is closed resets the connections in its queue. The daemon now accepts all that wait in the same step in which it stops listening, and the stop waits for them. - Idle connections were closed, at the stop and at the idle timeout, without a look at what had come meanwhile. The kernel is asked now; a request that waits there is read and answered. - The process ended 0.05 s after its limit, with answers in its own buffers. Last answers get 0.3 s beyond the limit, which is 5.8 s for drain_ms = 5500, and a line tells how many bytes are cut off after all.

Tests, seen failing before: - test_a_connection_that_waits_to_be_accepted_is_served: TimeoutError waiting for its requests - test_an_idle_connection_is_not_closed_over_a_request_that_waits_unread[stop, idle timeout]: TimeoutError, the same - test_an_answer_that_waits_to_be_sent_at_the_limit_is_sent_before_the_process_ends: assert 703514 == 0 Touched: tests/unit/daemon, tests/adapter (stopping, process, reload), tests/integration (planned_stop, last_bytes, leaving): pass.

--- a/foldhoist/daemon/caller_state.py
+++ b/foldhoist/daemon/caller_state.py
@@ -57,6 +57,7 @@
         self.bodies = BodyMemory(limits["held_bytes"])
         self.open: set[CallerConnection] = set()
         self.slow_readers: set[CallerConnection] = set()
+        self.arriving: set[asyncio.Task[object]] = set()
         self.closing = False
         self.refusing = False
 
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -16,6 +16,7 @@
 from foldhoist.daemon.http import CHUNKED, HeadReader, codings, status_line, write_head
 from foldhoist.daemon.lingering_close import LingeringClose
 from foldhoist.daemon.request import BadRequest
+from foldhoist.daemon.socket_state import is_readable
 from foldhoist.delivery.verdict import NotRun, Verdict
 
 if TYPE_CHECKING:
@@ -227,8 +228,8 @@
         return self._transport.get_write_buffer_size() if self._transport is not None else 0
 
     def close(self) -> None:
-        """Close the connection after the write buffer is sent."""
-        if not self._ended:
+        """Close the connection after the write buffer is sent, unless a request waits unread."""
+        if not self._ended and not self._has_unread():
             self._end()
 
     def abort(self) -> None:
@@ -284,7 +285,11 @@
             self._state.count.slow += 1
             self._fail(BadRequest(408, "request-too-slow"))
             return
-        self._end()
+        self.close()
+
+    def _has_unread(self) -> bool:
+        """Return whether the system holds bytes of the caller, as it does if the loop was late."""
+        return self._transport is not None and is_readable(self._transport)
 
     def _end(self) -> None:
         self._ended = True
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -15,6 +15,7 @@
 from foldhoist.admission.slots import QueueLimits
 from foldhoist.config.fleet import evacuated
 from foldhoist.config.reload import RELOADABLE_LIMITS, merge_reloadable
+from foldhoist.daemon.caller_listener import stop_listening
 from foldhoist.daemon.caller_state import ServerState
 from foldhoist.daemon.callers import CallerConnection
 from foldhoist.daemon.configuration import ConfigurationTask
@@ -159,7 +160,7 @@
 
     def stop_accepting(self) -> None:
         """Stop accepting connections of callers."""
-        self._servers[0].close()
+        stop_listening(self._servers[0], self.callers)
 
     async def stop(self) -> None:
         """Close every socket and end every task."""
--- a/foldhoist/daemon/graceful_shutdown.py
+++ b/foldhoist/daemon/graceful_shutdown.py
@@ -25,8 +25,8 @@
 """Time for callers to send a last request on an open connection, seconds."""
 CHECK_INTERVAL_S = 0.02
 """Interval at which open connections and calls are checked, seconds."""
-REPLY_GRACE_S = 0.05
-"""Time left to callers to read their last answer, seconds."""
+FLUSH_S = 0.3
+"""Time beyond the limit in which last answers are sent and last requests refused, seconds."""
 
 OWNER_STOPPED = "owner-stopped"
 """Reason of a call that was at the upstream when this process had to end."""
@@ -92,7 +92,9 @@
         await self._end_calls()
         await self._daemon.owner_task.send_goaway(limit)
         self._log_step("goaway")
-        await asyncio.sleep(REPLY_GRACE_S)
+        await self._wait_until(self._is_finished, limit + FLUSH_S)
+        if unread := sum(conn.unread_bytes for conn in self._daemon.callers.open):
+            logger.warning("shutdown: {} bytes of answers are cut off", unread)
         await self._daemon.stop()
         self._log_step("close")
 
@@ -146,7 +148,8 @@
         """
         for conn in [conn for conn in self._daemon.callers.open if conn.idle]:
             conn.close()
-        return not self._daemon.callers.open and self._owner_is_idle()
+        callers = self._daemon.callers
+        return not callers.open and not callers.arriving and self._owner_is_idle()
 
     async def _wait_until(self, is_done: Callable[[], bool], limit: float) -> None:
         while not is_done() and self._loop.time() < limit:
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -16,6 +16,7 @@
 from foldhoist.config.fleet import evacuated, limits_of
 from foldhoist.config.reload import RELOADABLE_LIMITS, merge_reloadable
 from foldhoist.configlog.versions import ReaderElection
+from foldhoist.daemon.caller_listener import stop_listening
 from foldhoist.daemon.caller_state import ServerState
 from foldhoist.daemon.callers import CallerConnection
 from foldhoist.daemon.garbage import configure_gc
@@ -274,7 +275,7 @@
 
     def stop_accepting(self) -> None:
         """Stop accepting connections of callers."""
-        self._servers[0].close()
+        stop_listening(self._servers[0], self.callers)
 
     def _is_ready(self) -> bool:
         return self.versions.fleet is not None and not self.shutdown.started
--- a/tests/adapter/test_stopping.py
+++ b/tests/adapter/test_stopping.py
@@ -274,3 +274,40 @@
         assert (answer.status, len(answer.body) > LARGE_ANSWER_BYTES) == (200, True)
 
     stop()
+
+
+READ_AFTER_S = 0.1
+"""Time after the limit of a stop at which a slow caller reads, in seconds."""
+
+
+@with_cluster
+async def test_an_answer_that_waits_to_be_sent_at_the_limit_is_sent_before_the_process_ends(
+    cluster: Cluster,
+) -> None:
+    """The process ended 0.05 s after the limit with answers in its own buffers."""
+    await cluster.add("a")
+    await cluster.configure(1, [route()])
+    await cluster.settle(1)
+    daemon = cluster.daemons["a"]
+    cluster.targets["a"].extra_body = b"x" * LARGE_ANSWER_BYTES
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    host, _, port = daemon.addresses["callers"].rpartition(":")
+    sock.connect((host, int(port)))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=SMALL_BUFFER_BYTES)
+    await until(lambda: len(daemon.callers.open) == 1)
+    (conn,) = daemon.callers.open
+    assert conn._transport is not None
+    accepted = conn._transport.get_extra_info("socket")
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+    writer.write(request_bytes("GET", "/a/1", headers={"X-Attempt-Id": "ab"}))
+    await until(lambda: conn.unread_bytes > 0)
+    drained = asyncio.create_task(daemon.drain())
+    await until(lambda: daemon.callers.refusing)
+    await asyncio.sleep(READ_AFTER_S)
+    reading = asyncio.create_task(read_answer(reader))
+    await drained
+    assert conn.unread_bytes == 0
+    answer = await reading
+    writer.close()
+    assert (answer.status, len(answer.body) > LARGE_ANSWER_BYTES) == (200, True)
--- a/tests/integration/test_last_bytes.py
+++ b/tests/integration/test_last_bytes.py
@@ -10,7 +10,10 @@
 import time
 from typing import TYPE_CHECKING
 
+import pytest
+
 from bench.stages import default_settings
+from foldhoist.daemon.caller_listener import stop_listening
 from foldhoist.daemon.caller_state import ServerState
 from foldhoist.daemon.callers import CallerConnection
 from foldhoist.delivery.verdict import Answered, Response
@@ -194,6 +197,43 @@
     assert (answer.status, answer.body, answer.closed) == (200, b"yes", True)
 
 
+@pytest.mark.parametrize("how", ["stop", "idle timeout"])
+def test_an_idle_connection_is_not_closed_over_a_request_that_waits_unread(how: str) -> None:
+    """An event loop that was late closed idle connections before it read what had come."""
+
+    @with_server()
+    async def close(server: Server) -> None:
+        reader, _ = await server.open()
+        await until(lambda: len(server.state.open) == 1)
+        (conn,) = server.state.open
+        server.writers[0].write(GET)
+        conn.close() if how == "stop" else conn.on_timeout()
+        await until(lambda: len(server.conns) == 1)
+        server.answer(b"yes")
+        assert (await read_answer(reader)).status == 200
+        conn.close()
+        assert await reader.read() == b""
+
+    close()
+
+
+@with_server()
+async def test_a_connection_that_waits_to_be_accepted_is_served(server: Server) -> None:
+    """The system had accepted a connection that was reset when the daemon stopped listening."""
+    waiting = [server.connect() for _ in range(3)]
+    for sock in waiting:
+        sock.sendall(LAST_GET)
+    stop_listening(server.server, server.state)
+    await until(lambda: len(server.conns) == len(waiting))
+    for sock in waiting:
+        server.answer(b"yes")
+        read = await asyncio.to_thread(read_slowly, sock)
+        sock.close()
+        assert read.startswith(b"HTTP/1.1 200 "), read
+    with pytest.raises(ConnectionRefusedError):
+        server.connect()
+
+
 @with_server()
 async def test_a_caller_that_has_closed_is_reported_within_half_a_second(server: Server) -> None:
     """The wait for half-closed callers must not hide those that are gone."""
