An error of our own beside a request gets an answer, a line and a counter

Callers saw: a 400 for a proper request, or a connection that was closed or hung without an answer; no line, no counter.

Cause: an error raised while a request is read or started came out of the parser as a fault of the caller (400), and its call went on without anybody to answer. An error while an answer is encoded or a reply is recorded ended the loop over all actions, with the answers of other callers.

Change: the request gets a 500 and its call is withdrawn; an answer that can't be encoded is replaced by a 500; an action of the ingress that fails does not stop the others. Each writes a line with the traceback; callers count 'faults'.

Tests, three in tests/unit/daemon/test_callers.py, seen failing before: assert False (no 500), ValueError: of our own, assert False. Touched folders pass: tests/unit/daemon, tests/adapter (stopping, path, process, headers), tests/integration (planned_stop, last_bytes).

--- a/foldhoist/daemon/caller_state.py
+++ b/foldhoist/daemon/caller_state.py
@@ -29,6 +29,7 @@
     bad: int = 0
     bodies_full: int = 0
     connections: int = 0
+    faults: int = 0
     refused_connections: int = 0
     slow: int = 0
     too_large: int = 0
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -12,12 +12,13 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import httptools
+from loguru import logger
 
 from foldhoist.daemon.http import CHUNKED, HeadReader, codings, status_line, write_head
 from foldhoist.daemon.lingering_close import LingeringClose
 from foldhoist.daemon.request import BadRequest
 from foldhoist.daemon.socket_state import is_readable
-from foldhoist.delivery.verdict import NotRun, Verdict
+from foldhoist.delivery.verdict import MayHaveRun, NotRun, Verdict
 
 if TYPE_CHECKING:
     from foldhoist.daemon.caller_state import ServerState
@@ -28,6 +29,12 @@
 """Complete requests that may wait on a connection; reading pauses above it."""
 WRITE_BUFFER_HIGH_BYTES = 16 * 1024
 """Write buffer size above which a caller counts as a slow reader, bytes."""
+OWN_FAULT = "internal-error"
+"""Reason of a request that an error of this process has hit."""
+FAULT_ANSWER = (
+    b"HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+"""The answer if an answer can't be encoded."""
 HALF_CLOSED_S = 0.25
 """Time to answer a caller that has closed its sending side, seconds; then it counts as gone.
 
@@ -118,7 +125,10 @@
         except httptools.HttpParserUpgrade:
             return
         except (httptools.HttpParserError, _RefusedError) as exc:
-            self._reject(_fault_of(exc))
+            bad = _fault_of(exc)
+            if bad.reason == OWN_FAULT:
+                self._count_fault()
+            self._reject(bad)
             return
         if not self._head_done and self._head_bytes > self._state.limits["header_bytes"]:
             self._reject(BadRequest(431, "headers-too-large"))
@@ -207,7 +217,12 @@
         begun = bool(self._waiting) or self._in_request
         keep_alive = answered.keep_alive and (begun or not ends)
         self._state.bodies.release(answered.body_bytes)
-        self._write(_answer_bytes(self._state.dialect, verdict, trace, self._method, keep_alive))
+        try:
+            data = _answer_bytes(self._state.dialect, verdict, trace, self._method, keep_alive)
+        except Exception:
+            self._count_fault()
+            data, keep_alive = FAULT_ANSWER, False
+        self._write(data)
         if not keep_alive:
             self._linger(discards=self._in_request)
             return
@@ -247,7 +262,26 @@
             self._fail(req)
             return
         self._method = req.method
-        self._state.on_request(self, req)
+        try:
+            self._state.on_request(self, req)
+        except Exception:
+            self._on_fault()
+
+    def _on_fault(self) -> None:
+        """Withdraw and answer the current request, which an error of this process has hit."""
+        self._count_fault()
+        if not self._busy:
+            return
+        call_id, self._call_id = self._call_id, None
+        if call_id is not None:
+            self._state.on_disconnect(call_id)
+        self._unanswered[0] = self._unanswered[0]._replace(keep_alive=False)
+        self.answer(MayHaveRun(OWN_FAULT, 500), "")
+
+    def _count_fault(self) -> None:
+        """Count and log the error that is being handled."""
+        self._state.count.faults += 1
+        logger.opt(exception=True).error("a request of a caller failed by an error of this daemon")
 
     def _reset(self) -> None:
         self._url = b""
@@ -270,7 +304,7 @@
             self._state.count.bodies_full += 1
         elif bad.status in (413, 431):
             self._state.count.too_large += 1
-        else:
+        elif bad.reason != OWN_FAULT:
             self._state.count.bad += 1
         verdict = NotRun(bad.reason, 1.0 if bad.status == 503 else 0.0, bad.status)
         self._write(_answer_bytes(self._state.dialect, verdict, "", "", keep_alive=False))
@@ -325,6 +359,8 @@
     cause = exc.__context__ if not isinstance(exc, _RefusedError) else exc
     if isinstance(cause, _RefusedError):
         return cause.bad
+    if isinstance(exc, httptools.HttpParserCallbackError):
+        return BadRequest(500, OWN_FAULT)
     return BadRequest(400, "malformed-request")
 
 
--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -6,6 +6,8 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from loguru import logger
+
 from foldhoist.delivery.call import Connect, Reply, SendTo
 from foldhoist.observe.records import trace_id
 
@@ -134,19 +136,27 @@
         self.link_up(self._name, incarnation)
 
     def _carry_out(self, actions: list[Action]) -> None:
+        """Carry out each action; one that fails by an error does not stop the others."""
         for action in actions:
-            match action:
-                case SendTo(target, frame):
-                    self._send(target, frame.kind, frame.body)
-                case Reply(call_id, verdict, record):
-                    conn = self._callers.pop(call_id, None)
-                    if conn is not None:
-                        conn.answer(verdict, trace_id(record.trace))
-                    self._record_call(record)
-                case Connect(targets):
-                    self._links.connect(name for name in targets if name != self._name)
+            try:
+                self._carry_out_one(action)
+            except Exception:
+                kind = type(action).__name__
+                logger.opt(exception=True).error("an action of the ingress failed: {}", kind)
         self._set_timer()
 
+    def _carry_out_one(self, action: Action) -> None:
+        match action:
+            case SendTo(target, frame):
+                self._send(target, frame.kind, frame.body)
+            case Reply(call_id, verdict, record):
+                conn = self._callers.pop(call_id, None)
+                if conn is not None:
+                    conn.answer(verdict, trace_id(record.trace))
+                self._record_call(record)
+            case Connect(targets):
+                self._links.connect(name for name in targets if name != self._name)
+
     def _send(self, target: str, kind: str, body: Any) -> None:
         if target == self._name:
             self._loop.call_soon(self._owner_task.local_message, kind, body)
--- a/tests/unit/daemon/test_callers.py
+++ b/tests/unit/daemon/test_callers.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from foldhoist.delivery.call import CallerRequest
+    from foldhoist.delivery.verdict import Verdict
 
 
 class Wire:
@@ -127,6 +128,50 @@
     assert wire.transport.take().startswith(b"HTTP/1.1 408 ")
 
 
+def test_a_request_that_an_error_of_our_own_hits_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An error beside a request became a 400, without a line, and its call went on."""
+    wire = Wire()
+
+    def fail(conn: CallerConnection, req: CallerRequest) -> None:
+        wire.record(conn, req)
+        raise ValueError("of our own")
+
+    monkeypatch.setattr(wire.callers, "on_request", fail)
+    assert wire.send(GET).startswith(b"HTTP/1.1 500 ")
+    assert wire.disconnected == [1]
+    assert (wire.callers.count.faults, wire.callers.count.bad) == (1, 0)
+
+
+def test_an_answer_that_can_not_be_encoded_is_replaced(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its caller got no answer, and the answers of others that came with it were lost."""
+    wire = Wire()
+    wire.send(GET)
+
+    def fail(verdict: Verdict, trace: str) -> None:
+        raise ValueError("of our own")
+
+    monkeypatch.setattr(wire.callers.dialect, "answer", fail)
+    wire.conn.answer(OK, "t")
+    assert wire.transport.take().startswith(b"HTTP/1.1 500 ")
+    assert wire.callers.count.faults == 1
+
+
+def test_a_request_that_can_not_be_read_by_an_error_of_our_own_is_a_500(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Such an error counted as a fault of the caller."""
+    wire = Wire()
+
+    def fail(method: str, url: bytes, head: object, body: bytes) -> None:
+        raise ValueError("of our own")
+
+    monkeypatch.setattr(wire.callers.dialect, "read_request", fail)
+    assert wire.send(GET).startswith(b"HTTP/1.1 500 ")
+    assert (wire.callers.count.faults, wire.callers.count.bad) == (1, 0)
+
+
 def test_connection_above_the_limit_is_refused_and_the_others_stay() -> None:
     wire = Wire(callers=1)
     second = CallerConnection(wire.callers)
