Soak: a request that ends late and without an answer at a planned stop is a broken promise

The judge counted requests without an answer only if they ran. Stricter than before; nothing else changes. The test plays histories on both sides of each bound (tests/soak: pass); before, the judge found nothing in the first of them.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from soak.callers import DEADLINE_MS
 from soak.history import Violation
 from soak.signal_checker import signal_violations
 
@@ -26,6 +27,15 @@
 """
 MAX_STOP_S = 9.0
 """Longest planned stop, seconds: `drain_ms` of 5 s, and time to notify peers and exit."""
+LOSS_SLACK_S = 0.2
+"""Time from a request's last byte within which its connection may end at a planned stop, seconds.
+
+Such a request crosses the end of its connection.
+"""
+STOP_EFFECT_S = 7.0
+"""Time from the signal of a planned stop in which lost requests are laid to it, seconds."""
+DEADLINE_S = DEADLINE_MS / 1000
+"""Time after which a request may end without an answer, seconds."""
 
 
 def find_violations(history: History, *, check_stop_time: bool = True) -> list[Violation]:
@@ -40,6 +50,12 @@
         if _is_interrupted(result) and ran[result.attempt] and not _is_excused(result, history):
             evidence = f"{result.attempt} at {result.daemon} ran and ended as {result.status}"
             found.append(Violation("planned-stop-cuts-nothing", evidence))
+        if not ran[result.attempt] and _is_lost(result, history):
+            waited_s = result.ended - result.sent
+            evidence = (
+                f"{result.attempt} at {result.daemon} ended {waited_s:.2f} s after it was sent"
+            )
+            found.append(Violation("planned-stop-answers-all", evidence))
     for stop in history.stops:
         if stop.code != 0 or (check_stop_time and stop.took > MAX_STOP_S):
             found.append(Violation("planned-stop-ends", _stop_evidence(stop)))
@@ -75,6 +91,23 @@
     return result.status in (0, 502)
 
 
+def _is_lost(result: RequestResult, history: History) -> bool:
+    """Return whether a request's connection ended late and without an answer at a planned stop."""
+    if result.status != 0 or not LOSS_SLACK_S < result.ended - result.sent < DEADLINE_S:
+        return False
+    return _is_at_stop(result, history) and not _is_excused(result, history)
+
+
+def _is_at_stop(result: RequestResult, history: History) -> bool:
+    """Return whether a request ended during a planned stop of the daemon that took it."""
+    return any(
+        fault.kind == "stop"
+        and fault.daemon == result.daemon
+        and fault.began <= result.ended <= fault.began + STOP_EFFECT_S
+        for fault in history.faults
+    )
+
+
 def _is_excused(result: RequestResult, history: History) -> bool:
     return any(
         fault.kind in UNPLANNED
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from soak.checker import FAULT_EFFECT_S, MAX_STOP_S, find_violations
+from soak.checker import (
+    DEADLINE_S,
+    FAULT_EFFECT_S,
+    LOSS_SLACK_S,
+    MAX_STOP_S,
+    STOP_EFFECT_S,
+    find_violations,
+)
 from soak.history import Execution, Fault, History, PlannedStop, RequestResult
 
 GOOD = RequestResult("a1", "d0", False, 1.0, 1.1, 200, "a1", True)
@@ -66,6 +73,25 @@
     assert promises(history(cut, faults=(long_ago,))) == [promise]
 
 
+def test_a_request_that_did_not_run_is_lost_at_a_planned_stop() -> None:
+    """Requests without an answer counted only if they ran."""
+    lost = GOOD._replace(status=0, echo="", complete=False, ended=1.0 + LOSS_SLACK_S + 0.01)
+    stop = Fault("stop", "d0", 0.5, 5.0)
+
+    def found(result: RequestResult, *faults: Fault) -> list[str]:
+        return promises(history(result, executions=(), faults=faults))
+
+    assert found(lost, stop) == ["planned-stop-answers-all"]
+    assert found(lost) == []
+    assert found(lost, stop._replace(daemon="d1")) == []
+    assert found(lost, stop._replace(began=1.3)) == []
+    assert found(lost, stop._replace(began=1.2 - STOP_EFFECT_S)) == []
+    assert found(lost._replace(ended=1.0 + LOSS_SLACK_S - 0.01), stop) == []
+    assert found(lost._replace(ended=1.0 + DEADLINE_S), stop) == []
+    assert found(lost._replace(status=503), stop) == []
+    assert found(lost, stop, Fault("kill", "d1", 0.5, 0.9)) == []
+
+
 @pytest.mark.parametrize(("took", "code"), [(1.0, None), (1.0, 1), (MAX_STOP_S + 1, 0)])
 def test_a_planned_stop_is_late_or_fails(took: float, code: int | None) -> None:
     assert promises(history(stops=(PlannedStop("d0", took, code),))) == ["planned-stop-ends"]
