--- a/foldhoist/daemon/caller_state.py
+++ b/foldhoist/daemon/caller_state.py
@@ -29,6 +29,7 @@
     bad: int = 0
     bodies_full: int = 0
     connections: int = 0
+    faults: int = 0
     refused_connections: int = 0
     slow: int = 0
     too_large: int = 0
@@ -57,6 +58,7 @@
         self.bodies = BodyMemory(limits["held_bytes"])
         self.open: set[CallerConnection] = set()
         self.slow_readers: set[CallerConnection] = set()
+        self.arriving: set[asyncio.Task[object]] = set()
         self.closing = False
         self.refusing = False
 
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -12,10 +12,13 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import httptools
+from loguru import logger
 
 from foldhoist.daemon.http import CHUNKED, HeadReader, codings, status_line, write_head
+from foldhoist.daemon.lingering_close import LingeringClose
 from foldhoist.daemon.request import BadRequest
-from foldhoist.delivery.verdict import NotRun, Verdict
+from foldhoist.daemon.socket_state import is_readable
+from foldhoist.delivery.verdict import MayHaveRun, NotRun, Verdict
 
 if TYPE_CHECKING:
     from foldhoist.daemon.caller_state import ServerState
@@ -26,6 +29,17 @@
 """Complete requests that may wait on a connection; reading pauses above it."""
 WRITE_BUFFER_HIGH_BYTES = 16 * 1024
 """Write buffer size above which a caller counts as a slow reader, bytes."""
+OWN_FAULT = "internal-error"
+"""Reason of a request that an error of this process has hit."""
+FAULT_ANSWER = (
+    b"HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+"""The answer if an answer can't be encoded."""
+HALF_CLOSED_S = 0.25
+"""Time to answer a caller that has closed its sending side, seconds; then it counts as gone.
+
+A caller that has closed altogether looks the same until something is written to it.
+"""
 
 
 class _Unanswered(NamedTuple):
@@ -47,6 +61,8 @@
         self._unanswered: deque[_Unanswered] = deque()
         self._call_id: int | None = None
         self._busy = False
+        self._half_closed_until = float("inf")
+        self._lingering: LingeringClose | None = None
         self._method = ""
         self._ended = False
         self._in_request = False
@@ -66,7 +82,7 @@
         state.open.add(self)
         if len(state.open) > state.limits["callers"]:
             state.count.refused_connections += 1
-            self._fail(BadRequest(503, "too-many-connections"))
+            self._fail(BadRequest(503, "too-many-connections"), discards=False)
             return
         self._set_timer(state.limits["idle_ms"])
 
@@ -75,6 +91,8 @@
         self._state.open.discard(self)
         self._state.slow_readers.discard(self)
         self._transport = None
+        if self._lingering is not None:
+            self._lingering.cancel()
         self._ended = True
         call_id, self._call_id = self._call_id, None
         self._let_go()
@@ -91,6 +109,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse requests; an invalid one ends the connection, once the running one is answered."""
+        if self._lingering is not None:
+            self._lingering.discard(len(data))
         if self._ended or self._parser is None:
             return
         if not self._in_request and not self._busy:
@@ -103,15 +123,25 @@
         except httptools.HttpParserUpgrade:
             return
         except (httptools.HttpParserError, _RefusedError) as exc:
-            if not self._ended:
-                self._reject(_fault_of(exc))
+            if self._ended:
+                return
+            bad = _fault_of(exc)
+            if bad.reason == OWN_FAULT:
+                self._count_fault()
+            self._reject(bad)
             return
         if not self._head_done and self._head_bytes > self._state.limits["header_bytes"]:
             self._reject(BadRequest(431, "headers-too-large"))
 
     def eof_received(self) -> bool:
-        """Close the connection when the caller has closed its side."""
-        return False
+        """Close the connection, unless a complete request of the caller is still to be answered."""
+        if not self._busy:
+            return False
+        if self._half_closed_until == float("inf"):
+            self._half_closed_until = time.monotonic() + HALF_CLOSED_S
+            self.expires_at = self._half_closed_until
+            self._in_request = False
+        return True
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request; none is read once the connection has ended."""
@@ -179,25 +209,36 @@
         self._call_id = call_id
 
     def answer(self, verdict: Verdict, trace: str) -> None:
-        """Write the answer to the current request; start the next one or close the connection."""
+        """Write the answer to the current request; start the next one or close the connection.
+
+        A connection that is to be closed is closed after the requests that have begun to arrive.
+        """
         self._call_id = None
         self._busy = False
         answered = self._unanswered.popleft()
-        keep_alive = answered.keep_alive and not self._state.closing
+        ends = self._state.closing or self._half_closed_until < float("inf")
+        begun = bool(self._waiting) or self._in_request
+        keep_alive = answered.keep_alive and (begun or not ends)
         self._state.bodies.release(answered.body_bytes)
-        self._write(_answer_bytes(self._state.dialect, verdict, trace, self._method, keep_alive))
+        try:
+            data = _answer_bytes(self._state.dialect, verdict, trace, self._method, keep_alive)
+        except Exception:
+            self._count_fault()
+            data, keep_alive = FAULT_ANSWER, False
+        self._write(data)
         if not keep_alive:
-            self._end()
+            self._linger(discards=self._in_request)
             return
-        self._set_timer(self._state.limits["idle_ms"])
+        limits = self._state.limits
+        self._set_timer(limits["request_ms"] if self._in_request else limits["idle_ms"])
         if self._transport is not None and len(self._waiting) <= MAX_PIPELINED:
             self._transport.resume_reading()
         self._start_next()
 
     @property
     def idle(self) -> bool:
-        """Return whether no request is being received or served."""
-        return not self._busy and not self._in_request
+        """Return whether no request is being received or served, and no last answer is sent."""
+        return not self._busy and not self._in_request and not self._ended
 
     @property
     def unread_bytes(self) -> int:
@@ -205,8 +246,9 @@
         return self._transport.get_write_buffer_size() if self._transport is not None else 0
 
     def close(self) -> None:
-        """Close the connection after the write buffer is sent."""
-        self._end()
+        """Close the connection after the write buffer is sent, unless a request waits unread."""
+        if not self._ended and not self._has_unread():
+            self._end()
 
     def abort(self) -> None:
         """Close the connection at once and discard the write buffer."""
@@ -218,12 +260,31 @@
             return
         req = self._waiting.popleft()
         self._busy = True
-        self.expires_at = float("inf")
+        self.expires_at = self._half_closed_until
         if isinstance(req, BadRequest):
             self._fail(req)
             return
         self._method = req.method
-        self._state.on_request(self, req)
+        try:
+            self._state.on_request(self, req)
+        except Exception:
+            self._on_fault()
+
+    def _on_fault(self) -> None:
+        """Withdraw and answer the current request, which an error of this process has hit."""
+        self._count_fault()
+        if not self._busy:
+            return
+        call_id, self._call_id = self._call_id, None
+        if call_id is not None:
+            self._state.on_disconnect(call_id)
+        self._unanswered[0] = self._unanswered[0]._replace(keep_alive=False)
+        self.answer(MayHaveRun(OWN_FAULT, 500), "")
+
+    def _count_fault(self) -> None:
+        """Count and log the error that is being handled."""
+        self._state.count.faults += 1
+        logger.opt(exception=True).error("a request of a caller failed by an error of this daemon")
 
     def _reset(self) -> None:
         self._url = b""
@@ -242,26 +303,31 @@
             return
         self._fail(bad)
 
-    def _fail(self, bad: BadRequest) -> None:
+    def _fail(self, bad: BadRequest, discards: bool = True) -> None:
         if bad.reason == "bodies-full":
             self._state.count.bodies_full += 1
         elif bad.status in (413, 431):
             self._state.count.too_large += 1
-        else:
+        elif bad.reason != OWN_FAULT:
             self._state.count.bad += 1
         verdict = NotRun(bad.reason, 1.0 if bad.status == 503 else 0.0, bad.status)
         self._write(_answer_bytes(self._state.dialect, verdict, "", "", keep_alive=False))
-        self._end()
+        self._linger(discards)
 
     def on_timeout(self) -> None:
         """Close the overdue connection; a request that is being received is answered with 408."""
         if self._busy:
+            self.abort()
             return
         if self._in_request:
             self._state.count.slow += 1
             self._fail(BadRequest(408, "request-too-slow"))
             return
-        self._end()
+        self.close()
+
+    def _has_unread(self) -> bool:
+        """Return whether the system holds bytes of the caller, as it does if the loop was late."""
+        return self._transport is not None and is_readable(self._transport)
 
     def _end(self) -> None:
         self._ended = True
@@ -270,6 +336,15 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _linger(self, discards: bool) -> None:
+        """Close the connection after its last answer; bytes that still come may be discarded."""
+        self._ended = True
+        self.expires_at = float("inf")
+        self._let_go()
+        if self._transport is not None:
+            self._lingering = LingeringClose(self._transport, discards)
+            self._lingering.start()
+
     def _let_go(self) -> None:
         """Drop what has been received, apart from the request that runs; nothing more is parsed.
 
@@ -280,7 +355,9 @@
             self._state.bodies.release(self._unanswered.pop().body_bytes)
         self._waiting.clear()
         self._state.bodies.release(self._body_bytes)
+        in_request = self._in_request
         self._reset()
+        self._in_request = in_request
         self._parser = None
 
     def _write(self, data: bytes) -> None:
@@ -288,7 +365,7 @@
             self._transport.write(data)
 
     def _set_timer(self, ms: int) -> None:
-        self.expires_at = time.monotonic() + ms / 1000
+        self.expires_at = min(time.monotonic() + ms / 1000, self._half_closed_until)
 
 
 class _EndedError(Exception):
@@ -307,6 +384,8 @@
     cause = exc.__context__ if not isinstance(exc, _RefusedError) else exc
     if isinstance(cause, _RefusedError):
         return cause.bad
+    if isinstance(exc, httptools.HttpParserCallbackError):
+        return BadRequest(500, OWN_FAULT)
     return BadRequest(400, "malformed-request")
 
 
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -17,6 +17,7 @@
 from foldhoist.config.reload import RELOADABLE_LIMITS, merge_reloadable
 from foldhoist.daemon.allocator import configure_allocator
 from foldhoist.daemon.background import COUNT, run_task
+from foldhoist.daemon.caller_listener import stop_listening
 from foldhoist.daemon.caller_state import ServerState
 from foldhoist.daemon.configuration import ConfigurationTask
 from foldhoist.daemon.control import Control
@@ -175,7 +176,7 @@
 
     def stop_accepting(self) -> None:
         """Stop accepting connections of callers."""
-        self._servers[0].close()
+        stop_listening(self._servers[0], self.callers)
 
     async def stop(self) -> None:
         """Close every socket and end every task."""
--- a/foldhoist/daemon/frames.py
+++ b/foldhoist/daemon/frames.py
@@ -6,6 +6,7 @@
 import socket
 from typing import TYPE_CHECKING, Any
 
+from foldhoist.daemon.socket_state import unacknowledged_bytes
 from foldhoist.delivery.codec import StreamDecoder, StreamEncoder
 from foldhoist.delivery.pieces import LARGE_BODY_BYTES, PIECE_BYTES, Fragmenter, Reassembler
 from foldhoist.delivery.replies import answer_not_sent
@@ -103,6 +104,14 @@
             self._send_pieces()
         return True
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of messages the peer's host does not have yet."""
+        if self._transport is None:
+            return 0
+        written = self._transport.get_write_buffer_size() + unacknowledged_bytes(self._transport)
+        return self._fragmenter.pending_bytes + written
+
     def close(self) -> None:
         """Close the connection at once; data that waits to be sent is dropped."""
         if self._transport is not None:
