Follow what comes after an odd record in the store

Callers saw: nothing, until the next change: a daemon that met one odd record of the operator followed no configuration and no evacuation any more; after some of them, one that started didn't either.

Cause: each decoder had its own list of exceptions, and none of them was complete. RecursionError (nested deeply), OverflowError (a time of 1e308 s) and ValueError (a weight below 0, when the version was in force by number already) ended the task that read. A record of length 0, or half a record where reading goes on, was read again for ever. Numbers that no message can carry (a version of 20 hex digits, a rank of 1e300, a start of 30 digits) and addresses that nobody can dial (port) were taken, and harmed where they were used. A key that needs quoting led to the same page again and again.

Change: one place decodes what others write (decoding.py), one parses addresses (addresses.py); both raise DecodingError. Odd ones are counted (store passed_over) and logged within a rate limit. Versions, numbers, weights, names of services and health paths of a configuration are checked when it is decoded. A port with leading zeros, a host that is neither an IP address nor a plain name, and an evacuation of a name with a comma are refused from now on.

A deeply nested heartbeat got 500; it gets 400 and is counted.

Failed tries: a decoder of Raw fields inside a TypedDict refuses every text, so keys and values of items are decoded by two types.

--- a/foldhoist/daemon/ports.py
+++ b/foldhoist/daemon/ports.py
@@ -55,8 +55,9 @@
     async def register(self, registration: Registration) -> Result[None, StoreFault]:
         """Write this daemon's record; the newest record of a name counts."""
 
-    passed_over: int
-    """Number of invalid records ignored so far."""
+    @property
+    def passed_over(self) -> int:
+        """Return the number of invalid records ignored so far."""
 
     async def registrations(self) -> Result[list[Registration], StoreFault]:
         """Return the records of all daemons; invalid records are skipped and counted."""
--- a/foldhoist/exceptions.py
+++ b/foldhoist/exceptions.py
@@ -17,3 +17,7 @@
 
 class ProtocolError(FoldhoistError):
     """A peer sent bytes that are not a valid message of this schema version."""
+
+
+class DecodingError(FoldhoistError, ValueError):
+    """Bytes or a text from elsewhere are no valid entry of their kind."""
--- a/foldhoist/membership/incarnations.py
+++ b/foldhoist/membership/incarnations.py
@@ -5,16 +5,23 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Annotated, NamedTuple, TypeAlias
+
+from msgspec import Meta
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from foldhoist.schema.messages import Announced, EndedLife, UpstreamSignals
 
+MAX_MILLIS = 2**53
+"""Latest time accepted, milliseconds; it can be encoded in every message."""
 MAX_ENDED_NAMES = 16
 """Maximum number of upstream names whose ended incarnations are kept."""
 
+Millis: TypeAlias = Annotated[int, Meta(ge=0, le=MAX_MILLIS)]
+"""A time, wall clock in milliseconds; 0 if unknown."""
+
 
 class UpstreamIncarnation(NamedTuple):
     """One incarnation of an upstream.
@@ -23,7 +30,7 @@
     """
 
     instance: str
-    born_ms: int = 0
+    born_ms: Millis = 0
 
     def is_same(self, other: UpstreamIncarnation) -> bool:
         """Return whether both may be the same incarnation; an unknown start matches any."""
--- a/foldhoist/membership/registration.py
+++ b/foldhoist/membership/registration.py
@@ -6,7 +6,10 @@
 
 import msgspec
 
-from foldhoist.membership.incarnations import UpstreamIncarnation  # noqa: TC001 - msgspec reads it
+from foldhoist.addresses import parse_address
+from foldhoist.decoding import json_decoder
+from foldhoist.exceptions import DecodingError
+from foldhoist.membership.incarnations import Millis, UpstreamIncarnation  # noqa: TC001 - msgspec
 
 if TYPE_CHECKING:
     from foldhoist.schema.messages import Suspect
@@ -20,7 +23,7 @@
 
     call: str
     crashes: tuple[str, ...]
-    at_ms: int
+    at_ms: Millis
 
 
 class Registration(NamedTuple):
@@ -38,13 +41,6 @@
     service: str = ""
     held: tuple[QuarantinedCall, ...] = ()
 
-    @property
-    def has_address(self) -> bool:
-        """Return whether `frames` is a host and a valid port."""
-        host, _, port = self.frames.rpartition(":")
-        is_port = port.isascii() and port.isdigit() and 0 < int(port[:6]) < 65536
-        return bool(host) and is_port
-
     def as_bytes(self) -> bytes:
         """Return the record as the store keeps it, JSON."""
         return msgspec.json.encode(self)
@@ -54,18 +50,20 @@
     """Return the record stored under a daemon's name, or None if it is invalid for that name."""
     try:
         found = _REGISTRATIONS.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        parse_address(found.frames)
+    except DecodingError:
         return None
-    return found if found.has_address and found.name == name else None
+    return found if found.name == name else None
 
 
-_REGISTRATIONS = msgspec.json.Decoder(Registration)
+_REGISTRATIONS = json_decoder(Registration)
 
 
 def quarantined_call(suspect: Suspect, wall_ms: int) -> QuarantinedCall:
     """Return a quarantined call as the store keeps it."""
     crashes = set(suspect["crashes"]) - set(suspect["refuted"])
-    return QuarantinedCall(suspect["call"], tuple(sorted(crashes)), wall_ms - suspect["age_ms"])
+    at_ms = max(0, wall_ms - suspect["age_ms"])
+    return QuarantinedCall(suspect["call"], tuple(sorted(crashes)), at_ms)
 
 
 def suspect_of(held: QuarantinedCall, wall_ms: int) -> Suspect:
--- a/tests/adapter/keyed_log.py
+++ b/tests/adapter/keyed_log.py
@@ -16,7 +16,7 @@
 
     def __init__(self) -> None:
         self.first = 0
-        self.records: list[tuple[str, bytes]] = []
+        self.records: list[bytes] = []
         self.newest: dict[str, tuple[bytes, int]] = {}
         self.changed = asyncio.Condition()
 
@@ -28,13 +28,18 @@
     def append(self, key: str, value: bytes) -> int:
         """Append a record and return its offset; an empty value removes the key."""
         offset = self.end
-        self.records.append((key, value))
+        name = key.encode()
+        self.append_frame(framed(bytes([len(name)]) + name + value))
         if value:
             self.newest[key] = (value, offset)
         else:
             self.newest.pop(key, None)
         return offset
 
+    def append_frame(self, frame: bytes) -> None:
+        """Append the bytes of a record, its length included, which need not be valid."""
+        self.records.append(frame)
+
 
 class LogEndpoint:
     """The address at which one host reaches the log; a fault affects only this host.
@@ -65,6 +70,7 @@
         self.down = False
         self.delay_s = 0.0
         self.lose_answers = 0
+        self.page_items = 500
         self.calls: dict[str, int] = {}
         self.endpoints: dict[str, LogEndpoint] = {}
         self.address = self.endpoint("").address
@@ -86,6 +92,13 @@
         async with topic.changed:
             topic.changed.notify_all()
 
+    async def put_frame(self, name: str, frame: bytes) -> None:
+        """Append the bytes of a record, its length included, as another writer."""
+        topic = self.topic(name)
+        topic.append_frame(frame)
+        async with topic.changed:
+            topic.changed.notify_all()
+
     def forget(self, name: str) -> None:
         """Drop the history of a topic; the newest record of each key stays."""
         topic = self.topic(name)
@@ -129,7 +142,8 @@
                 for key, (value, offset) in sorted(topic.newest.items())
                 if key > self.get_query_argument("after", "")
             ]
-            self.finish({"items": items, "more": False, "end": topic.end})
+            page = items[: self.log.page_items]
+            self.finish({"items": page, "more": len(page) < len(items), "end": topic.end})
             return
         await self._read(topic)
 
@@ -157,13 +171,16 @@
         if start >= topic.end and wait_s:
             await _wait(topic, wait_s)
         answer = topic.end.to_bytes(8, "big") + topic.first.to_bytes(8, "big")
-        for key, value in topic.records[max(0, start - topic.first) :]:
-            record = bytes([len(key)]) + key.encode() + value
-            answer += len(record).to_bytes(4, "big") + record
+        answer += b"".join(topic.records[max(0, start - topic.first) :])
         self.set_header("Content-Type", "application/octet-stream")
         self.finish(answer)
 
 
+def framed(record: bytes) -> bytes:
+    """Return a record preceded by its length."""
+    return len(record).to_bytes(4, "big") + record
+
+
 async def _wait(topic: Topic, wait_s: float) -> None:
     try:
         async with asyncio.timeout(wait_s), topic.changed:
--- a/tests/adapter/test_others_write.py
+++ b/tests/adapter/test_others_write.py
@@ -11,8 +11,9 @@
 from hypothesis import strategies as st
 
 from foldhoist.configlog.versions import Version
-from foldhoist.membership.registration import registration_of
-from foldhoist_adapter.configuration import translate
+from foldhoist.membership.registration import registration_of, suspect_of
+from foldhoist.routing.routes import RouteTable
+from foldhoist_adapter.configuration import translate, version_number
 from foldhoist_adapter.endpoints import _HEARTBEATS, _announcement
 from tests.adapter.cluster import Cluster, call, start_two, until, with_cluster
 
@@ -29,7 +30,7 @@
 CONFIGURATION: dict[str, Any] = {
     "version": "0000000c",
     "services": [{"name": "shop", "health_path": "/health"}],
-    "limits": {"max_body_bytes": 1000},
+    "limits": {"max_body_bytes": 1000, "idle_timeout_s": 15},
     "tenants": [
         {"name": "huka", "api_keys": ["k-1", "k-2"], "priority": 1, "rate_per_s": 5, "burst": 5}
     ],
@@ -37,7 +38,16 @@
         {
             "host": "shop.example",
             "route_paths": [
-                {"path_prefix": "/a/", "route_type": "safe", "timeout_s": 1.5, "service": "shop"}
+                {
+                    "path_prefix": "/a/",
+                    "route_type": "safe",
+                    "timeout_s": 1.5,
+                    "service": "shop",
+                    "weighted_clusters": [{"service": "shop", "weight": 50}],
+                    "slo_latency_s": 0.5,
+                    "priority": 1,
+                    "attempts": 2,
+                }
             ],
         }
     ],
@@ -51,6 +61,26 @@
     st.dictionaries(st.text(max_size=3), st.integers(), max_size=2),
 )
 """Invalid values for any field: other types, numbers out of range, very long texts."""
+PLACE = "a place for bytes"
+ODD_BYTES = st.sampled_from(
+    [
+        b"[" * 100_000,
+        b'{"a":' * 100_000,
+        b"[" * 100_000 + b"]" * 100_000,
+        b"9" * 4301,
+        b"-" + b"9" * 5000,
+        b"9" * 400,
+        b"-" + b"9" * 400,
+        b"1e400",
+        b"-1e400",
+        b"NaN",
+        b"Infinity",
+        b"",
+        b'"\xff"',
+        b'"\\ud800"',
+    ]
+)
+"""Invalid values that no JSON encoder writes: depth, numbers beyond doubles, half a document."""
 
 
 def places(value: Any, path: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
@@ -85,7 +115,23 @@
         ODD,
         st.booleans(),
     )
-    return st.one_of(texts, st.binary(max_size=40))
+    spelled = st.builds(
+        lambda path, odd, field: written(document, path, odd, field),
+        st.sampled_from(list(places(document))),
+        ODD_BYTES,
+        st.booleans(),
+    )
+    return st.one_of(texts, spelled, st.binary(max_size=40))
+
+
+def written(document: Any, path: tuple[Any, ...], odd: bytes, field: bool) -> bytes:
+    """Return a document with these bytes at a path, or in a further field if it has fields."""
+    value: Any = document
+    for step in path:
+        value = value[step]
+    new = {**value, "further": PLACE} if field and isinstance(value, dict) else PLACE
+    text = json.dumps(changed(document, path, new, drop=False))
+    return text.encode().replace(json.dumps(PLACE).encode(), odd)
 
 
 def is_whole(value: Any) -> bool:
@@ -112,6 +158,8 @@
         return
     assert found.name == "a"
     assert 0 < int(found.frames.rpartition(":")[2]) < 65536
+    assert registration_of("a", found.as_bytes()) == found
+    msgspec.msgpack.encode([*found.ended, *(suspect_of(each, 0) for each in found.held)])
 
 
 @given(odd_ones(CONFIGURATION))
@@ -119,6 +167,10 @@
     translated = translate(Version(1, content))
     if translated.is_error():
         return
+    msgspec.msgpack.encode(translated.ok)
+    assert 0 <= version_number(content) < 2**32
+    RouteTable(translated.ok)
+    assert all(each["health_path"].isascii() for each in translated.ok["services"].values())
     for name, customer in translated.ok["customers"].items():
         assert name.isascii()
         assert name.isprintable()
@@ -164,6 +216,29 @@
     assert (await cluster.send("a")).status == 200
 
 
+@pytest.mark.parametrize("method", ["PUT", "DELETE"])
+@pytest.mark.parametrize(
+    "odd", [b"[" * 20_000, b"9" * 5000, b"1e400", b"-1", b"9" * 30, b"", b'"\xff'], ids=range(7)
+)
+def test_after_an_odd_heartbeat_the_next_one_is_followed(odd: bytes, method: str) -> None:
+    """An odd one is refused as such: 400 and counted, not an error of the daemon."""
+
+    @with_cluster
+    async def test(cluster: Cluster) -> None:
+        await cluster.add("a")
+        daemon = cluster.daemons["a"]
+        address = daemon.addresses["control"]
+        body = json.dumps(BEAT).encode()[:-1] + b',"further":' + odd + b',"born":' + odd + b"}"
+        answer = await call(address, method, "/foldhoist/instances/i-a", body=body)
+        assert answer.status == 400
+        assert daemon.upstream.count.passed_over == 1
+        await cluster.heartbeat("a", slots=7)
+        assert daemon.upstream.known.current is not None
+        assert daemon.upstream.known.current["slots"] == 7
+
+    test()
+
+
 @with_cluster
 async def test_invalid_records_are_ignored(cluster: Cluster) -> None:
     await start_two(cluster)
