Check the addresses that peers tell before they are followed

Callers saw: calls for an upstream lost its daemon: one report of a peer with an odd address replaced the good one, and the link to it was closed; the new link's task ended with OverflowError, ValueError or UnicodeError. Rows of a roster with odd addresses became peers, and were passed on.

Cause: addresses were parsed where a link is opened, in six places in as many ways; only OSError and TimeoutError were expected there.

Change: reports and rows are checked as they arrive; an odd one costs itself, a log line within a rate limit and the counter `peers passed_over`.

Evidence: 12 tests in tests/adapter/test_odd_entries.py (two or three running daemons each), all failed before: `assert {'b', 'good',...2', 'z3', ...} == {'b', 'good'}`, `assert '127.0.0.1:65536' == '127.0.0.1:21449'`; all pass now.

--- a/foldhoist/config/options.py
+++ b/foldhoist/config/options.py
@@ -5,12 +5,13 @@
 import re
 from difflib import get_close_matches
 from importlib.resources import files
-from ipaddress import ip_address
 from typing import Any, NamedTuple, TypeAlias
 
 import msgspec
 
+from foldhoist.addresses import is_ip, parse_address
 from foldhoist.customers.keys import parse_digests
+from foldhoist.exceptions import DecodingError
 from foldhoist.routing.routes import parse_split
 
 MAX_SHOWN_CHARS = 80
@@ -118,13 +119,11 @@
 def _address(text: str, option: dict[str, Any]) -> ParseResult:
     if not text and option.get("default") == "":
         return Valid(text)
-    host, colon, port = text.rpartition(":")
     try:
-        ip_address(host.strip("[]"))
-        in_range = bool(colon) and 0 <= int(port) <= 65535
-    except ValueError:
-        in_range = False
-    if not in_range:
+        is_valid = is_ip(parse_address(text, option.get("x-min-port", 0)).host)
+    except DecodingError:
+        is_valid = False
+    if not is_valid:
         return Invalid("is not an IP address and a port", "write it as 127.0.0.1:8000")
     return Valid(text)
 
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from foldhoist.addresses import parse_address
 from foldhoist.admission.body_memory import BodyMemory
 from foldhoist.admission.cold import ColdRate
 from foldhoist.admission.slots import QueueLimits
@@ -201,11 +202,11 @@
         self.callers = ServerState(
             cfg["limits"], self.ingress_task.arrive, self.ingress_task.caller_disconnected
         )
-        host, port = _split_address(cfg["listen"]["callers"])
+        host, port = parse_address(cfg["listen"]["callers"], min_port=0)
         callers = await loop.create_server(
             lambda: CallerConnection(self.callers), host, port, backlog=1024
         )
-        host, port = _split_address(cfg["listen"]["frames"])
+        host, port = parse_address(cfg["listen"]["frames"], min_port=0)
         frames = await loop.create_server(self.owner_task.connection, host, port, backlog=1024)
         self._servers = [callers, frames]
         for name, server in (("callers", callers), ("frames", frames)):
@@ -290,8 +291,3 @@
         while every > 0:
             await asyncio.sleep(every)
             logger.info("counters {}", self.counters())
-
-
-def _split_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/foldhoist/daemon/handlers.py
+++ b/foldhoist/daemon/handlers.py
@@ -8,6 +8,8 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from foldhoist.addresses import parse_address
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -57,8 +59,8 @@
 def listen(routes: list[RouteSpec], address: str) -> ListeningServer:
     """Serve these routes at an address, IP:port; requests are not logged."""
     app = Application(list(routes), log_function=lambda handler: None)
-    host, _, port = address.rpartition(":")
-    sockets = bind_sockets(int(port), host.strip("[]"))
+    bound = parse_address(address, min_port=0)
+    sockets = bind_sockets(bound.port, bound.host)
     server = HTTPServer(app, max_header_size=MAX_REQUEST_BYTES, max_body_size=MAX_REQUEST_BYTES)
     server.add_sockets(sockets)
     return ListeningServer(server, "{}:{}".format(*sockets[0].getsockname()[:2]))
--- a/foldhoist/daemon/links.py
+++ b/foldhoist/daemon/links.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
+from foldhoist.addresses import parse_address
 from foldhoist.daemon.frames import FrameConnection
 from foldhoist.delivery.codec import SCHEMA_VERSION
 
@@ -57,6 +58,7 @@
     ) -> None:
         self.name = name
         self.address = address
+        self._host, self._port = parse_address(address)
         self.up = False
         self.unwanted_since: float | None = None
         self._hello = hello
@@ -106,7 +108,6 @@
             pause = min(MAX_RETRY_S, pause * 2)
 
     async def _connect(self) -> bool:
-        host, _, port = self.address.rpartition(":")
         self._lost_event.clear()
         self._hello_event.clear()
         loop = asyncio.get_running_loop()
@@ -115,8 +116,8 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S) as self._timeout:
                 _, conn = await loop.create_connection(
                     lambda: FrameConnection(self._limit, self._on_message, self._on_lost),
-                    host,
-                    int(port),
+                    self._host,
+                    self._port,
                 )
                 self._conn = conn
                 self._epoch += 1
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from foldhoist.addresses import parse_address
 from foldhoist.admission.body_memory import BodyMemory
 from foldhoist.admission.cold import ColdRate, Tolerance
 from foldhoist.admission.due import DueQueue
@@ -186,6 +187,7 @@
             "quotas": self.quotas.counters(),
             "upstream": counters_of(self.upstream.count),
             "store": {"passed_over": self.store.passed_over},
+            "peers": {"passed_over": self.peers.passed_over.count},
         }
 
     def gauges(self) -> dict[str, float]:
@@ -267,8 +269,8 @@
             "frames": self.owner_task.connection,
         }
         for name, factory in factories.items():
-            host, _, port = str(cfg["listen"][name]).rpartition(":")  # type: ignore[literal-required]
-            server = await loop.create_server(factory, host, int(port), backlog=1024)
+            host, port = parse_address(cfg["listen"][name], min_port=0)  # type: ignore[literal-required]
+            server = await loop.create_server(factory, host, port, backlog=1024)
             self._servers.append(server)
             self.addresses[name] = "{}:{}".format(*server.sockets[0].getsockname()[:2])
 
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from foldhoist.addresses import parse_address
 from foldhoist.daemon.frames import FrameConnection
 from foldhoist.daemon.goaway import GoawayExchange
 from foldhoist.daemon.lost_calls import LostCalls
@@ -87,9 +88,9 @@
         self._next_link = LOCAL_LINK + 1
         self._accepted_links: set[int] = set()
         self.goaway = GoawayExchange()
-        host, _, port = cfg["upstream"]["address"].rpartition(":")
+        upstream_address = parse_address(cfg["upstream"]["address"], min_port=0)
         self.pool = UpstreamPool(
-            (host, int(port)),
+            upstream_address,
             cfg["upstream"]["connect_ms"] / 1000,
             cfg["limits"]["body_bytes"],
             cfg["limits"]["held_bytes"],
@@ -102,7 +103,7 @@
         self._lost_calls = LostCalls(self.pool, self._on_calls_lost)
         self.sampler = Sampler(
             SamplePlan(cfg["measuring"]["sample_cost"]),
-            (host, int(port)),
+            upstream_address,
             self.pool.dialect,
             self._on_sample,
         )
--- a/foldhoist/daemon/peers_task.py
+++ b/foldhoist/daemon/peers_task.py
@@ -8,6 +8,9 @@
 
 from loguru import logger
 
+from foldhoist.addresses import parse_address
+from foldhoist.daemon.passed_over import PassedOver
+from foldhoist.exceptions import DecodingError
 from foldhoist.membership.incarnations import incarnations_from_rows
 from foldhoist.membership.registration import Registration, quarantined_call, suspect_of
 from foldhoist.membership.registry import Connect, Disconnect, UpstreamChanged
@@ -64,6 +67,7 @@
         self.listed = asyncio.Event()
         self.knows_hosts = False
         self.store_reads = 0
+        self.passed_over = PassedOver()
         self._links = links
         self._store = store
         self._describe = describe
@@ -107,15 +111,18 @@
 
     def update_member(self, member: Member) -> None:
         """Apply a peer's report about itself, and retry a link to it that is down."""
+        if not self._is_usable(member):
+            return
         self.carry_out(self.registry.update_member(self._loop.time(), member))
         self._links.retry_now(member["name"])
 
     def on_roster(self, message: Roster) -> None:
         """Add rows received from a peer; relays them in this data centre if `spread` is set."""
-        self.carry_out(self.registry.add_relayed(self._loop.time(), message["rows"]))
+        rows = [row for row in message["rows"] if self._is_usable(row)]
+        self.carry_out(self.registry.add_relayed(self._loop.time(), rows))
         if not message["spread"]:
             return
-        self._rows_to_relay.update((row["name"], row) for row in message["rows"])
+        self._rows_to_relay.update((row["name"], row) for row in rows)
         if self._relay_timer is None:
             self._relay_timer = self._loop.call_later(RELAY_DELAY_S, self._relay)
 
@@ -237,6 +244,15 @@
             answer = await self._store.register(self._registration())
         return bool(answer.is_ok())
 
+    def _is_usable(self, told: Member | Row) -> bool:
+        """Return whether what is told of a daemon has a valid address; counts it if it has none."""
+        try:
+            parse_address(told["frames"])
+        except DecodingError as exc:
+            self.passed_over.add("address of daemon", told["name"], f"{told['frames']!r} {exc}")
+            return False
+        return True
+
     def _send_member(self, name: str) -> None:
         if self._links.send(name, "Member", self._describe()):
             self.record_reported(name)
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -216,3 +216,73 @@
         assert set(daemon.registry.peers) == {"a"}
 
     test()
+
+
+ODD_ADDRESSES = [
+    "127.0.0.1:0",
+    "127.0.0.1:65536",
+    "127.0.0.1:99999999999",
+    "127.0.0.1:" + "9" * 5000,
+    "127.0.0.1:x",
+    "127.0.0.1",
+    "",
+    "x" * 70 + ":9",
+    "127.0.0.1\x00:9",
+    "256.1.1.1:9",
+]
+
+
+@pytest.mark.parametrize("spread", [True, False])
+def test_an_odd_address_in_a_roster_costs_only_its_row(spread: bool) -> None:
+    """The row beside it is followed; no link is opened to it, and no peer hears of it."""
+
+    @with_cluster
+    async def test(cluster: Cluster) -> None:
+        await start_two(cluster)
+        rows: list[dict[str, str]] = [
+            row_of(f"z{number}", frames) for number, frames in enumerate(ODD_ADDRESSES)
+        ]
+        rows.append(row_of("good", "127.0.0.1:1"))
+        sent = {"rows": rows, "spread": spread, "wanted": False}
+        assert cluster.daemons["b"].links.send("a", "Roster", sent)
+        daemon = cluster.daemons["a"]
+        await until(lambda: "good" in daemon.registry.peers)
+        assert set(daemon.registry.peers) == {"b", "good"}
+        assert daemon.counters()["peers"]["passed_over"] == len(ODD_ADDRESSES)
+        await cluster.add("c")
+        await cluster.settle(3)
+        assert set(cluster.daemons["c"].registry.peers) <= {"a", "b", "good"}
+        await follows_after(cluster, 5)
+
+    test()
+
+
+@pytest.mark.parametrize("frames", ODD_ADDRESSES)
+def test_an_odd_address_in_a_report_leaves_the_link_to_the_peer(frames: str) -> None:
+    @with_cluster
+    async def test(cluster: Cluster) -> None:
+        await start_two(cluster)
+        a, b = cluster.daemons["a"], cluster.daemons["b"]
+        assert b.links.send("a", "Member", {**b.describe(), "frames": frames})
+        assert b.links.send("a", "Roster", {"rows": [row_of("good", "127.0.0.1:1")], **QUIET})
+        await until(lambda: "good" in a.registry.peers)
+        assert a.registry.peers["b"].frames == b.addresses["frames"]
+        assert a.counters()["peers"]["passed_over"] == 1
+        cluster.targets["a"].full = True
+        assert (await cluster.send("a")).status == 200
+        assert cluster.targets["b"].ran
+
+    test()
+
+
+QUIET = {"spread": False, "wanted": False}
+
+
+def row_of(name: str, frames: str) -> dict[str, str]:
+    return {
+        "name": name,
+        "incarnation": "l1",
+        "frames": frames,
+        "data_centre": "one",
+        "service": "shop",
+    }
