Read whole numbers in headers in one place, without a limit of digits

Callers saw: 504 at their deadline for a call that ran and was answered whole, if the answer's Keep-Alive named a time of more than 4,300 digits. Without an adapter, a Retry-After of more than 18 digits was told as a time that no message can carry.

Cause: int() refuses more than 4,300 digits with ValueError, float() makes infinity of more than 308; the exception left the protocol's callback before the call was told its end.

Change: parse_count in http.py reads them all; larger numbers count as 10**15.

--- a/foldhoist/daemon/dialect.py
+++ b/foldhoist/daemon/dialect.py
@@ -24,6 +24,7 @@
     URGENT,
     VERDICT,
     HeadRules,
+    parse_count,
     parse_decimal,
 )
 from foldhoist.daemon.request import BadRequest, read_request
@@ -158,5 +159,5 @@
 
 
 def _retry_after(values: dict[bytes, bytes]) -> float:
-    value = values.get(b"retry-after", b"")
-    return float(value) if value.isdigit() else SHED_RETRY_S
+    seconds = parse_count(values.get(b"retry-after", b""))
+    return SHED_RETRY_S if seconds is None else float(seconds)
--- a/foldhoist/daemon/http.py
+++ b/foldhoist/daemon/http.py
@@ -50,6 +50,8 @@
 """The only transfer coding that is undone here."""
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,9})?")
 """A number in a header: no sign, no exponent, bounded digits."""
+MAX_COUNT = 10**15
+"""Largest whole number read from a header; larger ones count as it."""
 _PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -140,6 +142,15 @@
     return float(text) if _DECIMAL.fullmatch(text) else None
 
 
+def parse_count(value: bytes) -> int | None:
+    """Return the whole number in a header's value, None if it is none; at most MAX_COUNT."""
+    text = value.strip()
+    if not text.isdigit():
+        return None
+    digits = text.lstrip(b"0")
+    return MAX_COUNT if len(digits) > len(str(MAX_COUNT)) else min(MAX_COUNT, int(digits or b"0"))
+
+
 def write_head(start_line: bytes, headers: Headers, length: int | None) -> bytes:
     """Return the encoded start line, headers and, unless `length` is None, content length."""
     parts = [start_line]
--- a/foldhoist/daemon/upstream_connection.py
+++ b/foldhoist/daemon/upstream_connection.py
@@ -10,7 +10,7 @@
 from foldhoist.admission.body_memory import BodyMemory
 from foldhoist.daemon.answer_size import AnswerSize, pieces
 from foldhoist.daemon.dialect import DefaultDialect
-from foldhoist.daemon.http import CHUNKED, HeadReader, codings
+from foldhoist.daemon.http import CHUNKED, HeadReader, codings, parse_count
 from foldhoist.delivery.dispatch import Incomplete, Result, StartCall
 
 if TYPE_CHECKING:
@@ -163,7 +163,7 @@
             return
         lower = name.lower()
         if lower == b"content-length":
-            self._announced_bytes = int(value) if value.isdigit() else 0
+            self._announced_bytes = parse_count(value) or 0
         if lower == b"transfer-encoding" and codings(value) != [CHUNKED]:
             raise _UnsupportedCodingError
         if lower in (b"content-length", b"transfer-encoding"):
@@ -281,6 +281,7 @@
     """Return how long the connection may be idle, limited by a Keep-Alive header, seconds."""
     for part in head.values.get(b"keep-alive", b"").split(b","):
         name, _, value = part.partition(b"=")
-        if name.strip().lower() == b"timeout" and value.strip().isdigit():
-            return min(MAX_IDLE_S, max(0.0, int(value) - IDLE_MARGIN_S))
+        seconds = parse_count(value)
+        if name.strip().lower() == b"timeout" and seconds is not None:
+            return min(MAX_IDLE_S, max(0.0, seconds - IDLE_MARGIN_S))
     return MAX_IDLE_S
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -286,3 +286,17 @@
         "data_centre": "one",
         "service": "shop",
     }
+
+
+@pytest.mark.parametrize("digits", [20, 4300, 5000])
+def test_a_long_number_in_keep_alive_leaves_the_call_its_answer(digits: int) -> None:
+    @with_cluster
+    async def test(cluster: Cluster) -> None:
+        await cluster.add("a")
+        await cluster.configure(3, [route()])
+        await cluster.settle(3)
+        cluster.targets["a"].pace = f"100\r\nKeep-Alive: timeout={'9' * digits}"
+        answer = await cluster.send("a", headers={"X-Deadline-Ms": "5000"})
+        assert (answer.status, len(cluster.targets["a"].ran)) == (200, 1)
+
+    test()
--- a/tests/unit/daemon/test_upstream.py
+++ b/tests/unit/daemon/test_upstream.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench.stages import FakeTransport
-from foldhoist.daemon.upstream_connection import UpstreamConnection
+from foldhoist.daemon.upstream_connection import MAX_IDLE_S, UpstreamConnection
 from foldhoist.delivery.dispatch import Complete, Incomplete, Result, Shed, StartCall
 from tests.unit.daemon.calls import dispatch_of
 
@@ -186,3 +186,36 @@
     wire.call(OK.replace(b"\r\n\r\n", b"\r\nConnection: " + value + b"\r\n\r\n"))
     assert [type(each) for each in wire.results] == [Complete]
     assert not wire.conn.usable
+
+
+@pytest.mark.parametrize(
+    "value", [b"9" * 5000, b"9" * 20, b"0" * 5000 + b"7", b"1e400", b"-1", b"nan", b"\xb2", b""]
+)
+def test_an_odd_keep_alive_leaves_the_answer_and_the_connection(value: bytes) -> None:
+    wire = Wire()
+    wire.call(OK.replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=" + value + b"\r\n\r\n"))
+    assert wire.results == [Complete(200, [], b"abc")]
+    assert wire.conn.usable
+    assert 0 <= wire.conn.idle_s <= MAX_IDLE_S
+
+
+@pytest.mark.parametrize(
+    "value", [b"9" * 5000, b"9" * 400, b"9" * 20, b"1e400", b"-1", b"nan", b"x"]
+)
+def test_an_odd_retry_after_leaves_the_call_shed(value: bytes) -> None:
+    """The time is told to the caller as a whole number of milliseconds, so it is finite."""
+    wire = Wire()
+    head = b"HTTP/1.1 503 No\r\nNot-Run: 1\r\nRetry-After: " + value
+    wire.call(head + b"\r\nContent-Length: 0\r\n\r\n")
+    assert [type(each) for each in wire.results] == [Shed]
+    shed = wire.results[0]
+    assert isinstance(shed, Shed)
+    assert 0 <= int(shed.retry_after_s * 1000) < 2**63
+
+
+@pytest.mark.parametrize("value", [b"9" * 5000, b"9" * 20, b"-1", b"x", b"1e3", b"\xb2"])
+def test_an_odd_length_ends_the_call_as_incomplete(value: bytes) -> None:
+    wire = Wire()
+    wire.call(OK.replace(b"Content-Length: 3", b"Content-Length: " + value))
+    assert [type(each) for each in wire.results] == [Incomplete]
+    assert not wire.conn.usable
