Take odd answers and odd control messages as faults

Callers saw, with a daemon without adapter: no new configuration, an upstream that is never probed again, no control message heard any more; the tasks had ended. With an adapter: a redirection of the store to an odd place ended the task that reads or that joins.

Cause: as with the records of the store, a list of exceptions at each place. RecursionError and numbers beyond 64 bits in records of the log, KeyError and TypeError in the answer to an append, ValueError and UnicodeError of the HTTP client in all three of its uses, and an address to answer to that cannot be dialled, out of the task that receives control messages.

Change: all JSON of the log service, the prober and the frames between daemons is decoded by decoding.py. The three uses of the HTTP client take ValueError as a fault of the call. Control messages to an odd address are not sent, but counted (control passed_over) and logged within a rate limit.

--- a/foldhoist/daemon/control.py
+++ b/foldhoist/daemon/control.py
@@ -11,9 +11,11 @@
 import pynng
 from loguru import logger
 
+from foldhoist.addresses import parse_address
 from foldhoist.admission.bucket import TokenBucket
+from foldhoist.daemon.passed_over import PassedOver
 from foldhoist.delivery.codec import decode_frame, encode
-from foldhoist.exceptions import ProtocolError
+from foldhoist.exceptions import DecodingError, ProtocolError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -89,6 +91,7 @@
         self, address: str, cfg: Measuring, on_message: Callable[[str, Any], None]
     ) -> None:
         self.count = Counters()
+        self.passed_over = PassedOver()
         self._on_message = on_message
         self._peers: OrderedDict[str, _Peer] = OrderedDict()
         loop = asyncio.get_running_loop()
@@ -100,7 +103,15 @@
         self._task = loop.create_task(self._receive_loop())
 
     def send(self, address: str, kind: str, body: object) -> bool:
-        """Queue a message for a peer if the byte limit allows it; returns whether it was queued."""
+        """Queue a message for a peer if the byte limit allows it; returns whether it was queued.
+
+        The address may come from a message; nothing is sent to an invalid one.
+        """
+        try:
+            parse_address(address)
+        except DecodingError as exc:
+            self.passed_over.add("control address", address, str(exc))
+            return False
         data = zlib.compress(encode(kind, body), 1)
         now = asyncio.get_running_loop().time()
         if not self._bucket.take(now, len(data) + FRAMING_BYTES):
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -183,7 +183,8 @@
         """Return all counters, by part."""
         return {
             **traffic_counters(self.ingress_task, self.owner_task, self.callers),
-            "control": counters_of(self.control.count),
+            "control": counters_of(self.control.count)
+            | {"passed_over": self.control.passed_over.count},
             "configuration": counters_of(self.configuration.count),
             "prober": counters_of(self.prober.count),
             "quotas": self.quotas.counters(),
--- a/foldhoist/daemon/prober.py
+++ b/foldhoist/daemon/prober.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypedDict
 
-import msgspec
 from loguru import logger
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 from tornado.iostream import UnsatisfiableReadError
@@ -14,6 +13,7 @@
 from foldhoist.admission.bucket import TokenBucket
 from foldhoist.daemon.answer_size import MAX_HEAD_BYTES
 from foldhoist.daemon.health_connection import MAX_HEALTH_BYTES
+from foldhoist.decoding import json_decoder
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,6 +33,9 @@
     state: str
 
 
+_HEALTH = json_decoder(Health)
+
+
 @dataclass(slots=True)
 class Counters:
     """Counters of the prober."""
@@ -98,14 +101,14 @@
         req = HTTPRequest(url, connect_timeout=PROBE_TIMEOUT_S, request_timeout=PROBE_TIMEOUT_S)
         try:
             answer = await self._http.fetch(req)
-            health = msgspec.json.decode(answer.body, type=Health)
+            health = _HEALTH.decode(answer.body)
         except ConnectionRefusedError:
             self.count.failed += 1
             self._refused += 1
             if self._refused == DOWN_AFTER_REFUSALS:
                 self._on_state("down")
             return
-        except (HTTPClientError, UnsatisfiableReadError, OSError, msgspec.DecodeError) as exc:
+        except (HTTPClientError, UnsatisfiableReadError, OSError, ValueError) as exc:
             self.count.failed += 1
             self._log_failure(exc)
             return
--- a/foldhoist/daemon/store_client.py
+++ b/foldhoist/daemon/store_client.py
@@ -37,7 +37,7 @@
             return Error(StoreFault(f"answered {exc.code}", exc.code == 599))
         except ConnectionRefusedError:
             return Error(StoreFault("refused the connection", False))
-        except (OSError, TimeoutError, UnsatisfiableReadError) as exc:
+        except (OSError, TimeoutError, UnsatisfiableReadError, ValueError) as exc:
             return Error(StoreFault(f"did not answer: {exc}", True))
         return Ok(response.body)
 
--- a/foldhoist/delivery/codec.py
+++ b/foldhoist/delivery/codec.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from foldhoist.exceptions import ProtocolError
+from foldhoist.decoding import msgpack_decoder
+from foldhoist.exceptions import DecodingError, ProtocolError
 from foldhoist.schema import messages
 
 if TYPE_CHECKING:
@@ -64,7 +65,7 @@
 }
 _NUMBERS = {name: number for name, (number, _) in _KINDS.items()}
 _DECODERS: dict[int, tuple[str, Any]] = {
-    number: (name, msgspec.msgpack.Decoder(kind)) for name, (number, kind) in _KINDS.items()
+    number: (name, msgpack_decoder(kind)) for name, (number, kind) in _KINDS.items()
 }
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -83,7 +84,7 @@
     name, decoder = entry
     try:
         return name, decoder.decode(fields)
-    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
+    except DecodingError as exc:
         raise ProtocolError(f"{name}: {exc}") from exc
 
 
--- a/foldhoist/logservice/client.py
+++ b/foldhoist/logservice/client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, TypedDict
+from typing import Annotated, NamedTuple, TypedDict
 
 import msgspec
 from expression import Error, Ok, Result
@@ -10,6 +10,8 @@
 from tornado.iostream import UnsatisfiableReadError
 
 from foldhoist.configlog.fold import LogRecord, PublishRecord, SnapshotRecord
+from foldhoist.decoding import json_decoder
+from foldhoist.exceptions import DecodingError
 from foldhoist.schema.messages import Publish, Snapshot
 
 REQUEST_TIMEOUT_S = 5.0
@@ -18,6 +20,11 @@
 """Most records in one read."""
 
 
+MAX_OFFSET = 2**53
+"""Largest offset and generation accepted; every message can carry them."""
+Offset = Annotated[int, msgspec.Meta(ge=0, le=MAX_OFFSET)]
+
+
 class PlatformError(NamedTuple):
     """A request to the platform failed; `sent` says whether it may have taken effect."""
 
@@ -28,15 +35,21 @@
 class StoredRecord(TypedDict):
     """A record of the log; `data` is base64 in JSON."""
 
-    offset: int
+    offset: Offset
     data: bytes
 
 
+class Appended(TypedDict):
+    """The answer to an append: the offset of the record."""
+
+    offset: Offset
+
+
 class Page(TypedDict):
     """Records from an offset on, with the oldest offset retained and the next to be written."""
 
-    oldest: int
-    next: int
+    oldest: Offset
+    next: Offset
     records: list[StoredRecord]
 
 
@@ -47,10 +60,11 @@
     state: str
 
 
-_PAGES = msgspec.json.Decoder(Page)
-_HOSTS = msgspec.json.Decoder(Host)
-_PUBLISHES = msgspec.json.Decoder(Publish)
-_SNAPSHOTS = msgspec.json.Decoder(Snapshot)
+_APPENDED = json_decoder(Appended)
+_PAGES = json_decoder(Page)
+_HOSTS = json_decoder(Host)
+_PUBLISHES = json_decoder(Publish)
+_SNAPSHOTS = json_decoder(Snapshot)
 
 
 def pack_publish(body: Publish) -> bytes:
@@ -71,12 +85,20 @@
             case b"publish":
                 return PublishRecord(stored["offset"], _PUBLISHES.decode(fields))
             case b"keep":
-                return SnapshotRecord(stored["offset"], _SNAPSHOTS.decode(fields))
-    except msgspec.DecodeError:
+                snapshot = _SNAPSHOTS.decode(fields)
+                return SnapshotRecord(stored["offset"], snapshot) if _fits(snapshot) else None
+    except DecodingError:
         return None
     return None
 
 
+def _fits(snapshot: Snapshot) -> bool:
+    """Return whether every message can carry the numbers of a snapshot."""
+    numbers = [snapshot["generation"], snapshot["folded"]]
+    numbers += [outcome["generation"] for outcome in snapshot["outcomes"]]
+    return min(numbers) >= 0 and max(numbers) <= MAX_OFFSET
+
+
 class PlatformClient:
     """Reads and appends records of one stream, and reads the host list."""
 
@@ -94,7 +116,10 @@
         answer = await self._fetch(HTTPRequest(self.url, method="POST", body=data))
         match answer:
             case Result(tag="ok", ok=body):
-                return Ok(int(msgspec.json.decode(body)["offset"]))
+                try:
+                    return Ok(_APPENDED.decode(body)["offset"])
+                except DecodingError as exc:
+                    return Error(PlatformError(f"the log named no offset: {exc}", True))
         return Error(answer.error)
 
     async def read(self, offset: int) -> Result[Page, PlatformError]:
@@ -112,7 +137,7 @@
             case Result(tag="ok", ok=body):
                 try:
                     return Ok(_HOSTS.decode(body)["state"])
-                except msgspec.DecodeError as exc:
+                except DecodingError as exc:
                     return Error(
                         PlatformError(f"the host list returned an invalid host: {exc}", False)
                     )
@@ -127,7 +152,7 @@
             return Error(PlatformError(f"the platform answered {exc.code}", exc.code >= 500))
         except ConnectionRefusedError:
             return Error(PlatformError("the platform refused the connection", False))
-        except (OSError, TimeoutError, UnsatisfiableReadError) as exc:
+        except (OSError, TimeoutError, UnsatisfiableReadError, ValueError) as exc:
             return Error(PlatformError(f"the platform did not answer: {exc}", True))
         return Ok(response.body)
 
@@ -135,5 +160,5 @@
 def _decode_page(body: bytes) -> Result[Page, PlatformError]:
     try:
         return Ok(_PAGES.decode(body))
-    except msgspec.DecodeError as exc:
+    except DecodingError as exc:
         return Error(PlatformError(f"the log returned an invalid page: {exc}", False))
--- /dev/null
+++ b/tests/unit/logservice/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the client of the platform's log and host list."""
