Pass over an odd pace, an endless weight and an odd number of a record

A weight of `inf` in a fleet file sent all calls to the last service of the split. Operators got 500 for /records?after=x.

Cause: numbers that can be decoded, but that nothing can be computed with, were taken.

Evidence: tests/adapter/test_odd_entries.py (1 of 7 failed before: `assert 503 == 200`), tests/unit/routing/test_routes.py (3 of 7: DID NOT RAISE), tests/unit/daemon/test_operators.py (5 of 7: `assert 500 == 400`, `assert 200 == 400`, `assert 500 == 200`). All pass now. No test shows harm of a long cold time.

--- a/foldhoist/daemon/dialect.py
+++ b/foldhoist/daemon/dialect.py
@@ -40,6 +40,8 @@
 """Maximum length of an invalid limit in the log, characters."""
 NO_VALUE = "(empty)"
 """Stands for an empty limit in the log."""
+MAX_PACE = 1_000_000
+"""Slowest pace of an upstream that is believed, percent of the usual time for a call."""
 SHED_RETRY_S = 0.5
 """Retry delay after a shed call without a whole number in Retry-After, seconds."""
 
@@ -158,6 +160,14 @@
     return AnswerSignals(per_s, leaving)
 
 
+def parse_pace(value: bytes) -> int:
+    """Return the pace in a header's value, percent; 0 if it is none, or above MAX_PACE."""
+    pace = parse_decimal(value)
+    if not pace or pace > MAX_PACE:
+        return 0
+    return max(1, int(pace))
+
+
 def _retry_after(values: dict[bytes, bytes]) -> float:
     seconds = parse_count(values.get(b"retry-after", b""))
     return SHED_RETRY_S if seconds is None else float(seconds)
--- a/foldhoist/daemon/operators.py
+++ b/foldhoist/daemon/operators.py
@@ -12,6 +12,7 @@
 from foldhoist.configlog.fold import to_snapshot
 from foldhoist.daemon.configuration import describe
 from foldhoist.daemon.handlers import MetricsHandler, RouteSpec, listen
+from foldhoist.daemon.http import parse_count
 from foldhoist.observe.records import record_report
 
 if TYPE_CHECKING:
@@ -39,7 +40,10 @@
 
 class _Records(_Handler):
     def get(self) -> None:
-        after = int(self.get_query_argument("after", "0"))
+        after = parse_count(self.get_query_argument("after", "0").encode())
+        if after is None:
+            self.send_error(400)
+            return
         number, latest = self.daemon.records.since(after)
         self.write_json({"number": number, "records": [record_report(each) for each in latest]})
 
--- a/foldhoist/routing/routes.py
+++ b/foldhoist/routing/routes.py
@@ -92,7 +92,7 @@
 
 def _is_weight(text: str) -> bool:
     try:
-        return float(text) >= 0
+        return 0 <= float(text) < float("inf")
     except ValueError:
         return False
 
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import TYPE_CHECKING, Any
 
@@ -288,6 +289,23 @@
     }
 
 
+@pytest.mark.parametrize("pace", ["999999999999", "9" * 5000, "-5", "nan", "1e400", "x", ""])
+def test_an_upstream_with_an_odd_pace_goes_on_getting_calls(pace: str) -> None:
+    @with_cluster
+    async def test(cluster: Cluster) -> None:
+        await cluster.add("a")
+        await cluster.configure(3, [route()])
+        await cluster.settle(3)
+        target = cluster.targets["a"]
+        target.pace = f"{pace}\r\nX-Cold-Ms: 999999999999"
+        for _ in range(6):
+            answer = await cluster.send("a", headers={"X-Deadline-Ms": "5000"})
+            assert answer.status == 200
+            await asyncio.sleep(0.1)
+
+    test()
+
+
 @pytest.mark.parametrize("digits", [20, 4300, 5000])
 def test_a_long_number_in_keep_alive_leaves_the_call_its_answer(digits: int) -> None:
     @with_cluster
--- a/tests/unit/routing/test_routes.py
+++ b/tests/unit/routing/test_routes.py
@@ -14,6 +14,12 @@
 from foldhoist.routing.split import Split
 
 
+@pytest.mark.parametrize("weight", ["-1", "nan", "inf", "1e400", "x", "", "9" * 400])
+def test_a_weight_that_is_no_finite_number_is_refused(weight: str) -> None:
+    with pytest.raises(ValueError, match="is no service with a weight"):
+        parse_split(f"a:{weight}, b:1")
+
+
 def table(*routes: tuple[str, str, str]) -> RouteTable:
     plain: dict[str, Any] = {
         "methods": "",
