--- a/tests/unit/config/test_settings.py
+++ b/tests/unit/config/test_settings.py
@@ -35,3 +35,29 @@
 
 def test_a_missing_file_is_a_fault() -> None:
     assert load_settings("no-such-file.ini").error[0].problem.startswith("cannot be read")
+
+
+ODD_ADDRESSES = [
+    "127.0.0.1:65536",
+    "127.0.0.1:080",
+    "127.0.0.1:" + "9" * 5000,
+    "127.0.0.1:",
+    "[::1",
+]
+ODD_VALUES = ["9" * 5000, "1e400", "nan", "-inf", "", "[" * 100_000, "a\x00b", "\ud800", "%(x)s"]
+
+
+@pytest.mark.parametrize("address", [*ODD_ADDRESSES, "256.1.1.1:9", "localhost:9", "a b:9", ":9"])
+def test_an_odd_address_is_a_fault(address: str) -> None:
+    """Else the daemon would end when it listens, or a task when it connects."""
+    text = GOOD.replace("log = 127.0.0.1:19000", f"log = {address}")
+    assert [fault.option for fault in parse_settings(text, "x")[1]] == ["log"]
+
+
+@pytest.mark.parametrize("number", range(len(GOOD.splitlines())))
+def test_odd_lines_are_faults_and_raise_nothing(number: int) -> None:
+    lines = GOOD.splitlines()
+    name, equals, _ = lines[number].partition("=")
+    for odd in [*ODD_VALUES, *ODD_ADDRESSES]:
+        lines[number] = f"{name}= {odd}" if equals else odd
+        parse_settings("\n".join(lines), "x")
--- a/tests/unit/delivery/test_codec.py
+++ b/tests/unit/delivery/test_codec.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import zlib
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from foldhoist.delivery.codec import (
     DEFLATED,
+    DEFLATED_HEADER,
     HEADER,
     MEMORY_LEVEL,
     WINDOW_BITS,
@@ -104,3 +107,15 @@
             assert isinstance(body, dict)
     except ProtocolError:
         return
+
+
+@pytest.mark.parametrize("kind", range(256))
+def test_odd_fields_of_any_kind_raise_only_protocol_errors(kind: int) -> None:
+    """Nested deeply, announced as long and without bytes, or with an unknown field that is odd."""
+    deep = b"\x91" * 100_000
+    for fields in (deep, b"\x81\xa3new" + deep, b"\xdd\xff\xff\xff\xff", b"\xc1", b"", b"\xa1\xff"):
+        deflate = zlib.compressobj(1, zlib.DEFLATED, WINDOW_BITS)
+        deflated = deflate.compress(fields) + deflate.flush(zlib.Z_SYNC_FLUSH)
+        body = DEFLATED_HEADER.pack(len(deflated)) + deflated if kind & DEFLATED else fields
+        with pytest.raises(ProtocolError):
+            StreamDecoder(1 << 20).feed(HEADER.pack(len(body), kind) + body)
