--- a/foldhoist/daemon/listeners.py
+++ b/foldhoist/daemon/listeners.py
@@ -12,8 +12,9 @@
 
 from loguru import logger
 
+from foldhoist.addresses import parse_address
 from foldhoist.daemon.callers import CallerConnection
-from foldhoist.exceptions import ListenError
+from foldhoist.exceptions import DecodingError, ListenError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -97,10 +98,10 @@
 
 
 def _parse(option: str, text: str) -> _Address:
-    host, _, port = text.rpartition(":")
     try:
-        return _Address(option, text, ip_address(host.strip("[]")), int(port))
-    except ValueError as exc:
+        address = parse_address(text, min_port=0)
+        return _Address(option, text, ip_address(address.host), address.port)
+    except (DecodingError, ValueError) as exc:
         raise ListenError(option, text, str(exc)) from exc
 
 
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -206,6 +206,7 @@
             "quotas": self.quotas.counters(),
             "upstream": counters_of(self.upstream.count),
             "store": {"passed_over": self.store.passed_over},
+            "peers": {"passed_over": self.peers.passed_over.count},
         }
 
     def gauges(self) -> dict[str, float]:
--- a/tests/unit/delivery/test_codec.py
+++ b/tests/unit/delivery/test_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tracemalloc
+import zlib
 
 import pytest
 from hypothesis import given, settings
@@ -10,6 +11,7 @@
 
 from foldhoist.delivery.codec import (
     DEFLATED,
+    DEFLATED_HEADER,
     HEADER,
     MEMORY_LEVEL,
     WINDOW_BITS,
@@ -125,3 +127,15 @@
     tracemalloc.stop()
     assert len(found[0][1]["body"]) == size
     assert peak < 2.5 * size
+
+
+@pytest.mark.parametrize("kind", range(256))
+def test_odd_fields_of_any_kind_raise_only_protocol_errors(kind: int) -> None:
+    """Nested deeply, announced as long and without bytes, or with an unknown field that is odd."""
+    deep = b"\x91" * 100_000
+    for fields in (deep, b"\x81\xa3new" + deep, b"\xdd\xff\xff\xff\xff", b"\xc1", b"", b"\xa1\xff"):
+        deflate = zlib.compressobj(1, zlib.DEFLATED, WINDOW_BITS)
+        deflated = deflate.compress(fields) + deflate.flush(zlib.Z_SYNC_FLUSH)
+        body = DEFLATED_HEADER.pack(len(deflated)) + deflated if kind & DEFLATED else fields
+        with pytest.raises(ProtocolError):
+            StreamDecoder(1 << 20).feed(HEADER.pack(len(body), kind) + body)
