Tell an error that ends the daemon in its log

Cause: an exception that nothing expects, at the start or in the event loop, ended the process with a traceback of the interpreter, past the format of the log and by a write that can wait for a reader.

Change: it is a line of the log with its traceback; the exit code stays 1.

Test: tests/integration/test_standard_streams.py, an adapter that does not exist; before, json.decoder.JSONDecodeError for the first line of the log.

--- a/foldhoist/commands/daemon.py
+++ b/foldhoist/commands/daemon.py
@@ -11,7 +11,13 @@
 from loguru import logger
 
 from foldhoist.commands.launch_time import LAUNCH_TIME_S
-from foldhoist.commands.output import EXIT_FAULTS, EXIT_OK, EXIT_UNREACHABLE, print_faults
+from foldhoist.commands.output import (
+    EXIT_FAILED,
+    EXIT_FAULTS,
+    EXIT_OK,
+    EXIT_UNREACHABLE,
+    print_faults,
+)
 from foldhoist.commands.process_signals import SIGNALS
 from foldhoist.config.faults import show
 from foldhoist.config.settings import load_settings
@@ -46,7 +52,11 @@
         return EXIT_FAULTS
     cfg = loaded.ok
     set_up_logs(cfg["observe"], cfg["daemon"]["name"])
-    code = asyncio.run(_run(cfg, settings, began))
+    try:
+        code = asyncio.run(_run(cfg, settings, began))
+    except Exception as exc:
+        logger.opt(exception=exc).error("the daemon ends: {!r}", exc)
+        code = EXIT_FAILED
     logger.info("event loop closed, {} threads left", threading.active_count() - 1)
     return code
 
--- a/foldhoist/commands/output.py
+++ b/foldhoist/commands/output.py
@@ -22,6 +22,8 @@
 """It is unknown whether the configuration was accepted: apply it again with the same id."""
 EXIT_UNREACHABLE = 4
 """A daemon or the platform did not answer, or an address could not be listened on."""
+EXIT_FAILED = 1
+"""The daemon met an error that nothing expects; its log tells which."""
 EXIT_NOT_FOUND = 5
 """There is no configuration in force, or no record of the call."""
 
--- a/tests/integration/test_standard_streams.py
+++ b/tests/integration/test_standard_streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import shlex
 import signal
@@ -15,7 +16,7 @@
 
 from standins.ports import AddressPool
 from standins.processes import wait_until
-from tests.integration.held_process import ANY_ADDRESSES, TIMEOUT_S, settings
+from tests.integration.held_process import ANY_ADDRESSES, TIMEOUT_S, HeldProcess, settings
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -110,3 +111,16 @@
 ) -> None:
     """Guards against a process that ends with the reader of its output."""
     check_life(tmp_path / "p.ini", addresses, redirections, broken_pipe)
+
+
+def test_an_error_that_ends_a_daemon_is_a_line_of_its_log(
+    tmp_path: Path, addresses: dict[str, str]
+) -> None:
+    """Guards against an end that only the interpreter tells, past the format of the log."""
+    path = tmp_path / "p.ini"
+    lines = "adapter = no_such_adapter\n[observe]\nlog_format = json"
+    path.write_text(settings(lines, addresses))
+    with HeldProcess(tmp_path, path) as process:
+        assert process.exit_code() == 1
+        found = [json.loads(line) for line in process.log().splitlines()]
+    assert any("no_such_adapter" in line["message"] for line in found)
