--- a/tests/unit/daemon/test_operators.py
+++ b/tests/unit/daemon/test_operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from types import SimpleNamespace
 from typing import Any
 
@@ -21,12 +22,14 @@
 
     async def run() -> int:
         daemon: Any = SimpleNamespace(
-            cfg={"listen": {"operators": "127.0.0.1:0"}},
             metrics=SimpleNamespace(text=bytes),
             records=SimpleNamespace(since=since),
         )
-        server = OperatorServer(daemon)
-        answer = await call(server.address, "GET", f"/records?after={after}")
+        sock = socket.create_server(("127.0.0.1", 0))
+        sock.setblocking(False)
+        address = "{}:{}".format(*sock.getsockname())
+        server = OperatorServer(daemon, sock)
+        answer = await call(address, "GET", f"/records?after={after}")
         server.close()
         return answer.status
 
