End a call to the store at once when its answer is reset within the body

Seen in a test: an answer of the store with a length or in chunks, reset between its head and its last byte, was told as a fault only after the call's timeout: 2.0 s, for a read that waits for changes its whole wait and 2 s. The change in it is read that much later.

Cause: tornado's client raises the connection's error where nothing handles it ('Uncaught exception' in the log), and the call goes on. An end in order and a reset within the head were told at once, as an answer without a length that is reset.

--- a/foldhoist/daemon/store_client.py
+++ b/foldhoist/daemon/store_client.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING
 
 from expression import Error, Ok, Result
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+from tornado.httpclient import HTTPClientError
 from tornado.iostream import UnsatisfiableReadError
+from tornado.simple_httpclient import SimpleAsyncHTTPClient, _HTTPConnection
 
 from foldhoist.daemon.ports import StoreFault
 from foldhoist.daemon.waits import wait_tolerating_stalls
@@ -20,11 +22,32 @@
 """Longest time for which the HTTP client keeps a call after its timeout, seconds."""
 
 
+class _Connection(_HTTPConnection):
+    """Ends a call whose connection is reset within the body; tornado lets it wait for its timeout.
+
+    tornado raises the connection's error where nothing handles it.
+    """
+
+    def on_connection_close(self) -> None:
+        """End the call with the connection's error."""
+        try:
+            super().on_connection_close()
+        except OSError:
+            self._handle_exception(*sys.exc_info())
+
+
+class _Client(SimpleAsyncHTTPClient):
+    """tornado's client with these connections."""
+
+    def _connection_class(self) -> type:
+        return _Connection
+
+
 class StoreClient:
     """Connections to a store."""
 
     def __init__(self) -> None:
-        self._http = AsyncHTTPClient(force_instance=True)
+        self._http = _Client(force_instance=True)
 
     async def fetch(
         self, req: HTTPRequest, timeout_s: float = TIMEOUT_S
