Start pipelined requests one after the other, not one inside another

Cause: an answer starts the next request, whose answer starts the next: five frames each, to the interpreter's limit; the error left the connection busy for good. An error raised after an answer hit the request after it. Change: a loop starts requests while none runs; a request that can't be read doesn't make the connection busy. Failed before: 'assert 1 == 1001' in test_many_requests_that_wait_and_are_answered_at_once_are_all_answered, and test_an_error_after_an_answer_harms_no_later_request (the next one was withdrawn). Pass after, with all of tests/unit/daemon and test_last_bytes.

--- /dev/null
+++ b/foldhoist/daemon/caller_answers.py
@@ -0,0 +1,28 @@
+"""Encodes the answers to callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from foldhoist.daemon.http import status_line, write_head
+
+if TYPE_CHECKING:
+    from foldhoist.daemon.dialect import Dialect
+    from foldhoist.delivery.verdict import Verdict
+
+FAULT_ANSWER = (
+    b"HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+"""The answer if an answer can't be encoded."""
+
+
+def encode_answer(
+    dialect: Dialect, verdict: Verdict, trace: str, method: str, keep_alive: bool
+) -> bytes:
+    """Return the answer that tells a verdict; `method` is that of the request, empty if unknown."""
+    status, headers, body = dialect.answer(verdict, trace)
+    if not keep_alive:
+        headers = [*headers, [b"Connection", b"close"]]
+    bodiless = status == 204 or status == 304 or status < 200
+    head = write_head(status_line(status), headers, None if bodiless else len(body))
+    return head if bodiless or method == "HEAD" else head + body
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -14,7 +14,8 @@
 import httptools
 from loguru import logger
 
-from foldhoist.daemon.http import CHUNKED, HeadReader, codings, status_line, write_head
+from foldhoist.daemon.caller_answers import FAULT_ANSWER, encode_answer
+from foldhoist.daemon.http import CHUNKED, HeadReader, codings
 from foldhoist.daemon.lingering_close import LingeringClose
 from foldhoist.daemon.request import BadRequest
 from foldhoist.daemon.socket_state import is_readable
@@ -22,7 +23,6 @@
 
 if TYPE_CHECKING:
     from foldhoist.daemon.caller_state import ServerState
-    from foldhoist.daemon.dialect import Dialect
     from foldhoist.delivery.call import CallerRequest
 
 MAX_PIPELINED = 8
@@ -31,10 +31,6 @@
 """Write buffer size above which a caller counts as a slow reader, bytes."""
 OWN_FAULT = "internal-error"
 """Reason of a request that an error of this process has hit."""
-FAULT_ANSWER = (
-    b"HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
-"""The answer if an answer can't be encoded."""
 HALF_CLOSED_S = 0.25
 """Time to answer a caller that has closed its sending side, seconds; then it counts as gone.
 
@@ -61,6 +57,7 @@
         self._unanswered: deque[_Unanswered] = deque()
         self._call_id: int | None = None
         self._busy = False
+        self._starting = False
         self._half_closed_until = float("inf")
         self._lingering: LingeringClose | None = None
         self._method = ""
@@ -221,7 +218,7 @@
         keep_alive = answered.keep_alive and (begun or not ends)
         self._state.bodies.release(answered.body_bytes)
         try:
-            data = _answer_bytes(self._state.dialect, verdict, trace, self._method, keep_alive)
+            data = encode_answer(self._state.dialect, verdict, trace, self._method, keep_alive)
         except Exception:
             self._count_fault()
             data, keep_alive = FAULT_ANSWER, False
@@ -256,14 +253,20 @@
             self._transport.abort()
 
     def _start_next(self) -> None:
-        if self._busy or not self._waiting or self._ended:
+        """Start the requests that wait until one runs; each may be answered before it returns."""
+        if self._starting:
             return
-        req = self._waiting.popleft()
-        self._busy = True
-        self.expires_at = self._half_closed_until
+        self._starting = True
+        while self._waiting and not self._busy and not self._ended:
+            self._start(self._waiting.popleft())
+        self._starting = False
+
+    def _start(self, req: CallerRequest | BadRequest) -> None:
         if isinstance(req, BadRequest):
             self._fail(req)
             return
+        self._busy = True
+        self.expires_at = self._half_closed_until
         self._method = req.method
         try:
             self._state.on_request(self, req)
@@ -311,7 +314,7 @@
         elif bad.reason != OWN_FAULT:
             self._state.count.bad += 1
         verdict = NotRun(bad.reason, 1.0 if bad.status == 503 else 0.0, bad.status)
-        self._write(_answer_bytes(self._state.dialect, verdict, "", "", keep_alive=False))
+        self._write(encode_answer(self._state.dialect, verdict, "", "", keep_alive=False))
         self._linger(discards)
 
     def on_timeout(self) -> None:
@@ -387,14 +390,3 @@
     if isinstance(exc, httptools.HttpParserCallbackError):
         return BadRequest(500, OWN_FAULT)
     return BadRequest(400, "malformed-request")
-
-
-def _answer_bytes(
-    dialect: Dialect, verdict: Verdict, trace: str, method: str, keep_alive: bool
-) -> bytes:
-    status, headers, body = dialect.answer(verdict, trace)
-    if not keep_alive:
-        headers = [*headers, [b"Connection", b"close"]]
-    bodiless = status == 204 or status == 304 or status < 200
-    head = write_head(status_line(status), headers, None if bodiless else len(body))
-    return head if bodiless or method == "HEAD" else head + body
--- a/tests/unit/daemon/test_callers.py
+++ b/tests/unit/daemon/test_callers.py
@@ -273,3 +273,29 @@
     assert wire.callers.bodies.used == 0
     wire.conn.connection_lost(None)
     assert wire.callers.bodies.used == 0
+
+
+def test_many_requests_that_wait_and_are_answered_at_once_are_all_answered() -> None:
+    """Answers given while a request starts nested until the interpreter's limit, then none came."""
+    wire = Wire()
+    wire.send(GET * 1001)
+    wire.callers.on_request = lambda conn, req: conn.answer(OK, "t")
+    wire.conn.answer(OK, "t")
+    assert wire.transport.take().count(b"HTTP/1.1 200 OK\r\n") == 1001
+    assert wire.conn.idle
+
+
+def test_an_error_after_an_answer_harms_no_later_request() -> None:
+    """An error after a request was answered withdrew the next one."""
+    wire = Wire()
+    wire.send(GET * 4)
+
+    def answer_first_and_fail(conn: CallerConnection, req: CallerRequest) -> None:
+        wire.callers.on_request = wire.record
+        conn.answer(OK, "t")
+        raise ValueError("provoked")
+
+    wire.callers.on_request = answer_first_and_fail
+    wire.conn.answer(OK, "t")
+    assert wire.transport.take().count(b"HTTP/1.1 ") == 2
+    assert (len(wire.requests), wire.disconnected) == (2, [])
