A stop goes on when one of its steps fails, and needs no descriptor to stop listening

Cause: accepting what waits took a copy of the listening socket, which needs a descriptor; the error left the shutdown, and the process ended without its other steps. Any error of a step did the same. Change: what waits is accepted at the listener itself before it is closed. An error while the daemon leaves is logged, and the steps after it (last calls, answers, Goaway) follow. Failed before: test_an_error_in_a_step_of_a_stop_cuts_off_no_call ('OSError: no descriptor left' out of drain). Passes after, with all of test_stopping and test_last_bytes; test_last_bytes passes its listener now.

--- a/foldhoist/daemon/caller_listener.py
+++ b/foldhoist/daemon/caller_listener.py
@@ -15,23 +15,20 @@
     from foldhoist.daemon.caller_state import ServerState
 
 
-def stop_listening(server: asyncio.Server, state: ServerState) -> None:
-    """Accept every connection that waits, and close the listening sockets.
+def stop_listening(server: asyncio.Server, listener: socket.socket, state: ServerState) -> None:
+    """Accept every connection that waits at the listener of a server, and close the server.
 
     A socket that is closed resets the connections in its queue, whose requests may have waited
     there for as long as the event loop was late.
     """
     loop = asyncio.get_running_loop()
-    copies = [sock.dup() for sock in server.sockets]
+    waiting = _accept_all(listener)
     server.close()
-    for copy in copies:
-        with copy:
-            copy.setblocking(False)
-            for sock in _accept_all(copy):
-                coro = loop.connect_accepted_socket(lambda: CallerConnection(state), sock)
-                task = loop.create_task(coro)
-                state.arriving.add(task)
-                task.add_done_callback(state.arriving.discard)
+    for sock in waiting:
+        coro = loop.connect_accepted_socket(lambda: CallerConnection(state), sock)
+        task = loop.create_task(coro)
+        state.arriving.add(task)
+        task.add_done_callback(state.arriving.discard)
 
 
 def _accept_all(listener: socket.socket) -> list[socket.socket]:
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -176,7 +176,7 @@
 
     def stop_accepting(self) -> None:
         """Stop accepting connections of callers."""
-        stop_listening(self._servers[0], self.callers)
+        stop_listening(self._servers[0], self._sockets["callers"], self.callers)
 
     async def stop(self) -> None:
         """Close every socket and end every task."""
--- a/foldhoist/daemon/graceful_shutdown.py
+++ b/foldhoist/daemon/graceful_shutdown.py
@@ -82,11 +82,10 @@
         logger.info("draining")
         owner = self._daemon.owner_task.owner
         owner.status.begin_shutdown(limit, owner.queue.service_s)
-        match self._order:
-            case NoticeFirst():
-                await self._leave_after_notice(limit)
-            case LeaveFirst():
-                await self._leave_at_once(limit)
+        try:
+            await self._leave(limit)
+        except Exception:
+            logger.opt(exception=True).error("shutdown: a step failed, the others follow")
         await self._wait_until(self._is_finished, limit)
         self._log_step("last calls")
         await self._end_calls()
@@ -98,6 +97,13 @@
         await self._daemon.stop()
         self._log_step("close")
 
+    async def _leave(self, limit: float) -> None:
+        match self._order:
+            case NoticeFirst():
+                await self._leave_after_notice(limit)
+            case LeaveFirst():
+                await self._leave_at_once(limit)
+
     async def _leave_after_notice(self, limit: float) -> None:
         daemon = self._daemon
         notice_until = self._started_at + NOTICE_S
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -277,7 +277,7 @@
 
     def stop_accepting(self) -> None:
         """Stop accepting connections of callers."""
-        stop_listening(self._servers[0], self.callers)
+        stop_listening(self._servers[0], self._sockets["callers"], self.callers)
 
     def _is_ready(self) -> bool:
         return self.versions.fleet is not None and not self.shutdown.started
--- a/tests/adapter/test_stopping.py
+++ b/tests/adapter/test_stopping.py
@@ -182,6 +182,26 @@
         assert answer.status == (502 if attempt in ran else 503), answer
 
 
+@with_cluster
+async def test_an_error_in_a_step_of_a_stop_cuts_off_no_call(cluster: Cluster) -> None:
+    """An error while the daemon stopped listening ended the process at once, with running calls."""
+    await start_shop(cluster)
+    gate = cluster.targets["b"].gate = asyncio.Event()
+    daemon = cluster.daemons["a"]
+    headers = {"X-Deadline-Ms": "60000"}
+    running = asyncio.create_task(cluster.send("a", method="POST", headers=headers))
+    await until(lambda: bool(cluster.targets["b"].ran))
+
+    def fail() -> None:
+        gate.set()
+        raise OSError("no descriptor left")
+
+    daemon.stop_accepting = fail  # type: ignore[method-assign]
+    await daemon.drain()
+    assert (await running).status == 200
+    assert daemon.stopped.is_set()
+
+
 @with_cluster
 async def test_a_connection_that_appears_late_is_served_before_the_stop(cluster: Cluster) -> None:
     """The daemon looked once for connections, then waited for its upstream, and cut later ones."""
--- a/tests/integration/test_last_bytes.py
+++ b/tests/integration/test_last_bytes.py
@@ -49,13 +49,15 @@
 
     async def start(self) -> None:
         """Listen, with small buffers for all accepted connections."""
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
-        listener.bind(("127.0.0.1", 0))
-        self.address = listener.getsockname()
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        self.listener.bind(("127.0.0.1", 0))
+        self.address = self.listener.getsockname()
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: CallerConnection(self.state), sock=listener)
+        self.server = await loop.create_server(
+            lambda: CallerConnection(self.state), sock=self.listener
+        )
 
     def connect(self) -> socket.socket:
         """Connect with small buffers; the system accepts at once."""
@@ -223,7 +225,7 @@
     waiting = [server.connect() for _ in range(3)]
     for sock in waiting:
         sock.sendall(LAST_GET)
-    stop_listening(server.server, server.state)
+    stop_listening(server.server, server.listener, server.state)
     await until(lambda: len(server.conns) == len(waiting))
     for sock in waiting:
         server.answer(b"yes")
