Send a report again to a peer that opens another connection

Cause: a change goes to a peer of another data centre on the connection that the peer opened, and is recorded as told. If that connection ends before it arrives (here the peer had dropped it, 0.1 s after it began, beside load), nobody sends it again: the loss of a connection that a peer opened was not looked at. Change: a peer's Hello on a new connection makes its last report count as not sent, so that its own report is answered with one. Failed before: test_a_report_that_is_lost_with_its_connection_is_sent_again (not learned within 25 s). Passes after.

--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -244,6 +244,8 @@
             return
         self._accepted_links.add(conn.number)
         self._carry_out(self.owner.hello(self._loop.time(), conn.number, hello))
+        if self._on_peer is not None:
+            self._on_peer(conn.number, "Hello", hello)
 
     def _handle(self, link: int, kind: str, body: Any) -> None:
         now = self._loop.time()
--- a/foldhoist/daemon/peer_messages.py
+++ b/foldhoist/daemon/peer_messages.py
@@ -45,6 +45,8 @@
         """Handle a message received on a connection that a peer opened."""
         daemon = self._daemon
         match kind:
+            case "Hello":
+                daemon.peers.forget_report(body["name"])
             case "Member":
                 self._on_member(link, body)
             case "Remembered":
--- a/foldhoist/daemon/peers_task.py
+++ b/foldhoist/daemon/peers_task.py
@@ -208,6 +208,10 @@
         """Record that a peer was sent the current report of this daemon."""
         self._reported[name] = self._revision
 
+    def forget_report(self, name: str) -> None:
+        """Record that a peer may lack the last report, as it opened another connection."""
+        self._reported.pop(name, None)
+
     def schedule_link_update(self) -> None:
         """Schedule an update of the wanted connections for the next iteration of the event loop."""
         if self._link_update is None:
--- a/tests/adapter/test_neighbours.py
+++ b/tests/adapter/test_neighbours.py
@@ -12,7 +12,7 @@
 from foldhoist.configlog.versions import READERS
 from foldhoist.membership import neighbours
 from foldhoist.routing.rendezvous import ranked
-from tests.adapter.cluster import Cluster, route, until
+from tests.adapter.cluster import Cluster, route, until, with_cluster
 
 DATA_CENTRES = ("one", "two", "three")
 
@@ -161,3 +161,22 @@
 async def wait_version(cluster: Cluster, version: int) -> None:
     daemons = cluster.daemons.values()
     await until(lambda: all(daemon.versions.version.number == version for daemon in daemons))
+
+
+@with_cluster
+async def test_a_report_that_is_lost_with_its_connection_is_sent_again(cluster: Cluster) -> None:
+    """A daemon did not learn of an upstream whose report was lost when a connection ended."""
+    await cluster.add("a", service="web", data_centre="one")
+    await cluster.add("b", data_centre="two")
+    await cluster.add("c", service="web", data_centre="two")
+    await cluster.configure(1, [route()])
+    await cluster.settle(1)
+    owner_task = cluster.daemons["b"].owner_task
+    (link,) = [number for number, name in owner_task.ingresses() if name == "a"]
+    conn = owner_task._conns[link]
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(conn, "send", lambda kind, body: True)
+        await cluster.heartbeat("b", slots=7)
+        conn.close()
+        peer = cluster.daemons["a"].registry.peers["b"]
+        await until(lambda: peer.upstream is not None and peer.upstream["slots"] == 7)
