Test of pipelined requests: a transport that can pause

With a transport that can, it fails on the code before with 'assert 319 == 1001' and passes on the code after.

--- a/tests/unit/daemon/test_callers.py
+++ b/tests/unit/daemon/test_callers.py
@@ -278,6 +278,7 @@
 def test_many_requests_that_wait_and_are_answered_at_once_are_all_answered() -> None:
     """Answers given while a request starts nested until the interpreter's limit, then none came."""
     wire = Wire()
+    wire.transport.pause_reading = wire.transport.resume_reading = lambda: None  # type: ignore[method-assign]
     wire.send(GET * 1001)
     wire.callers.on_request = lambda conn, req: conn.answer(OK, "t")
     wire.conn.answer(OK, "t")
@@ -299,3 +300,23 @@
     wire.conn.answer(OK, "t")
     assert wire.transport.take().count(b"HTTP/1.1 ") == 2
     assert (len(wire.requests), wire.disconnected) == (2, [])
+
+
+def test_an_error_at_an_overdue_connection_keeps_none_of_the_others_open() -> None:
+    """An error while an overdue connection was closed left all others open, again and again."""
+    wire = Wire()
+    others = [CallerConnection(wire.callers) for _ in range(8)]
+    for conn in others:
+        conn.connection_made(FakeTransport())
+
+    def fail() -> None:
+        raise ValueError("provoked")
+
+    for conn in [wire.conn, *others][::2]:
+        conn.on_timeout = fail  # type: ignore[method-assign]
+    ended: list[CallerConnection] = []
+    for conn in others[::2]:
+        conn.on_timeout = lambda conn=conn: ended.append(conn)  # type: ignore[misc, method-assign]
+    wire.callers._end_overdue(float("inf"))
+    assert set(ended) == set(others[::2])
+    assert wire.callers.count.faults == 5
