An error in one action of the owner, or at one overdue connection, stops none of the others

Callers saw (found by the review, errors injected): of the owner's actions those after one that failed were not carried out: answers and ends of calls. One overdue connection that failed kept all other callers that were gone or idle, again at each check. Cause: the guard of each action stood at the ingress only. Change: carry_out_each in background.py guards both; an overdue connection that fails is aborted, logged and counted.

--- a/foldhoist/daemon/background.py
+++ b/foldhoist/daemon/background.py
@@ -4,14 +4,16 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from loguru import logger
 
 from foldhoist.admission.bucket import TokenBucket
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable, Coroutine, Iterable
+
+T = TypeVar("T")
 
 MIN_RESTART_PAUSE_S = 0.1
 """Pause before a failed task starts again, seconds; it doubles with each failure."""
@@ -60,6 +62,15 @@
     return task
 
 
+def carry_out_each(items: Iterable[T], carry_out: Callable[[T], None], what: str) -> None:
+    """Carry out each item; one that raises an exception is logged and does not stop the others."""
+    for item in items:
+        try:
+            carry_out(item)
+        except Exception:
+            logger.opt(exception=True).error("{} {} failed", what, type(item).__name__)
+
+
 def report_callback_errors(loop: asyncio.AbstractEventLoop) -> None:
     """Log and count the exceptions of callbacks and protocols, within a rate limit."""
     bucket = TokenBucket(ERROR_LINES_PER_S, ERROR_LINES_BURST, loop.time())
--- a/foldhoist/daemon/caller_state.py
+++ b/foldhoist/daemon/caller_state.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from foldhoist.admission.body_memory import BodyMemory
 from foldhoist.daemon.dialect import DefaultDialect
 
@@ -76,7 +78,12 @@
 
     def _end_overdue(self, now: float) -> None:
         for conn in [conn for conn in self.open if conn.expires_at <= now]:
-            conn.on_timeout()
+            try:
+                conn.on_timeout()
+            except Exception:
+                self.count.faults += 1
+                logger.opt(exception=True).error("an overdue connection is aborted after an error")
+                conn.abort()
 
     def abort_slow_readers(self) -> None:
         """Abort the slow readers with the most unread bytes while their total exceeds the limit."""
--- a/foldhoist/daemon/ingress_task.py
+++ b/foldhoist/daemon/ingress_task.py
@@ -6,8 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from loguru import logger
-
+from foldhoist.daemon.background import carry_out_each
 from foldhoist.delivery.call import Connect, Reply, SendTo
 from foldhoist.observe.records import trace_id
 
@@ -139,13 +138,7 @@
         self.link_up(self._name, incarnation)
 
     def _carry_out(self, actions: list[Action]) -> None:
-        """Carry out each action; one that fails by an error does not stop the others."""
-        for action in actions:
-            try:
-                self._carry_out_one(action)
-            except Exception:
-                kind = type(action).__name__
-                logger.opt(exception=True).error("an action of the ingress failed: {}", kind)
+        carry_out_each(actions, self._carry_out_one, "action of the ingress")
         self._set_timer()
 
     def _carry_out_one(self, action: Action) -> None:
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from foldhoist.addresses import parse_address
-from foldhoist.daemon.background import run_task
+from foldhoist.daemon.background import carry_out_each, run_task
 from foldhoist.daemon.frames import FrameConnection, send_or_refuse
 from foldhoist.daemon.goaway import GoawayExchange
 from foldhoist.daemon.lost_calls import LostCalls
@@ -297,8 +297,9 @@
         if isinstance(result, Complete):
             self.sampler.record_pace(result.pace)
         self.owner.status.pace_sampled = self.sampler.pace_sampled
-        if _is_unreachable(result):
-            self._reconnector.start()
+        match result:
+            case Incomplete(False, reason) if reason == UPSTREAM_UNREACHABLE:
+                self._reconnector.start()
         self._carry_out(self.owner.finished(now, ticket, result))
         if hop is not None:
             self._on_hop(hop)
@@ -315,24 +316,26 @@
     def _carry_out(self, actions: list[Action]) -> None:
         self._report_refusals()
         self._set_timer()
-        for action in actions:
-            match action:
-                case SendTo(link, frame):
-                    self._send(link, frame.kind, frame.body)
-                case StartCall(ticket):
-                    self.pool.start(self._loop.time(), action)
-                case CancelCall(ticket, reason):
-                    self.pool.cancel(ticket, reason)
-                case ShareSuspects(suspects) if self.on_suspects is not None:
-                    self.on_suspects(suspects)
-                case QuarantineCalls(calls):
-                    self._report_quarantined(calls)
-                case SignalsChanged(changes):
-                    self._report_signals(changes)
-                case CloseLink(link):
-                    conn = self._conns.get(link)
-                    if conn is not None:
-                        conn.close()
+        carry_out_each(actions, self._carry_out_one, "action of the owner")
+
+    def _carry_out_one(self, action: Action) -> None:
+        match action:
+            case SendTo(link, frame):
+                self._send(link, frame.kind, frame.body)
+            case StartCall(ticket):
+                self.pool.start(self._loop.time(), action)
+            case CancelCall(ticket, reason):
+                self.pool.cancel(ticket, reason)
+            case ShareSuspects(suspects) if self.on_suspects is not None:
+                self.on_suspects(suspects)
+            case QuarantineCalls(calls):
+                self._report_quarantined(calls)
+            case SignalsChanged(changes):
+                self._report_signals(changes)
+            case CloseLink(link):
+                conn = self._conns.get(link)
+                if conn is not None:
+                    conn.close()
 
     def _report_quarantined(self, calls: list[str]) -> None:
         for call in calls:
@@ -392,9 +395,3 @@
         for ticket, limit in self.owner.tickets.running():
             if now > limit:
                 self.pool.cancel(ticket, "deadline-passed")
-
-
-def _is_unreachable(result: Result) -> bool:
-    return (
-        isinstance(result, Incomplete) and not result.sent and result.reason == UPSTREAM_UNREACHABLE
-    )
--- a/tests/adapter/test_failed_tasks.py
+++ b/tests/adapter/test_failed_tasks.py
@@ -13,6 +13,7 @@
 
 from foldhoist.daemon import peers_task
 from foldhoist.daemon.background import COUNT
+from foldhoist.delivery.dispatch import CancelCall
 from foldhoist_adapter.store import LogStore
 from tests.adapter.cluster import Cluster, call, route, start_two, until, with_cluster
 
@@ -192,3 +193,25 @@
         assert b"foldhoist_process_callback_errors_total" in metrics.body
 
     with_cluster(test)()
+
+
+def test_an_error_in_an_action_of_the_owner_stops_none_of_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An error in one action left calls without the answers and ends that came after it."""
+
+    async def test(cluster: Cluster) -> None:
+        await cluster.add("a")
+        owner_task = cluster.daemons["a"].owner_task
+        cancelled: list[int] = []
+
+        def cancel(ticket: int, reason: str) -> None:
+            if ticket == 1:
+                raise ProvokedError
+            cancelled.append(ticket)
+
+        monkeypatch.setattr(owner_task.pool, "cancel", cancel)
+        owner_task._carry_out([CancelCall(ticket, "withdrawn") for ticket in (1, 2, 3)])
+        assert cancelled == [2, 3]
+
+    with_cluster(test)()
