Spare descriptor: a socket

The spare is an unused socket now. tests/unit/daemon/test_accepting.py passes; a limit for sockets alone could not be set here, so that the case itself is not shown.

--- a/foldhoist/daemon/accepting.py
+++ b/foldhoist/daemon/accepting.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import errno
-import os
 import socket
 from typing import Any
 
@@ -49,12 +48,13 @@
 
     def _close_spare(self) -> None:
         if self._spare is not None:
-            os.close(self._spare)
+            self._spare.close()
             self._spare = None
 
 
-def _open_spare() -> int | None:
+def _open_spare() -> socket.socket | None:
+    """Return an unused socket; sockets may have a limit of their own beside that of files."""
     try:
-        return os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
+        return socket.socket()
     except OSError:
         return None
