Count no connection against the limit of callers that takes no request any more

Callers saw (found by the review): while callers kept coming at the limit, places that had become free were not given out for 1.4 s, as refused connections counted until their refusal was acknowledged. Cause: the limit counted all open connections; refused ones linger now, which they did not before. Change: connections that have ended do not count. Failed before: test_connections_that_are_ending_take_no_place (timeout). Passes after, with test_last_bytes and test_callers.

--- a/foldhoist/daemon/caller_state.py
+++ b/foldhoist/daemon/caller_state.py
@@ -64,6 +64,14 @@
         self.closing = False
         self.refusing = False
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether more callers than allowed are connected, but for those that have ended."""
+        limit = self.limits["callers"]
+        if len(self.open) <= limit:
+            return False
+        return sum(1 for conn in self.open if not conn.ended) > limit
+
     def set_limits(self, limits: Limits) -> None:
         """Apply new limits; bodies that are already held stay."""
         self.limits = limits
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -77,7 +77,7 @@
         state = self._state
         state.count.connections += 1
         state.open.add(self)
-        if len(state.open) > state.limits["callers"]:
+        if state.is_full:
             state.count.refused_connections += 1
             self._fail(BadRequest(503, "too-many-connections"), discards=False)
             return
@@ -232,6 +232,11 @@
             self._transport.resume_reading()
         self._start_next()
 
+    @property
+    def ended(self) -> bool:
+        """Return whether no further request is taken, as the last answer is being sent."""
+        return self._ended
+
     @property
     def idle(self) -> bool:
         """Return whether no request is being received or served, and no last answer is sent."""
--- a/tests/integration/test_last_bytes.py
+++ b/tests/integration/test_last_bytes.py
@@ -259,3 +259,24 @@
     async with asyncio.timeout(0.5):
         await until(lambda: server.disconnected == [1])
     overdue.cancel()
+
+
+@with_server(callers=1)
+async def test_connections_that_are_ending_take_no_place(server: Server) -> None:
+    """Refused connections that waited for their end kept callers out when a place was free."""
+    _, writer = await server.open()
+    await until(lambda: len(server.state.open) == 1)
+    refused = [server.connect() for _ in range(3)]
+    await until(lambda: server.state.count.refused_connections == 3)
+    for conn in list(server.state.open):
+        if conn.ended:
+            conn.connection_lost = lambda exc: None  # type: ignore[method-assign]
+    writer.close()
+    await until(lambda: all(conn.ended for conn in server.state.open))
+    reader, writer = await server.open()
+    writer.write(GET)
+    await until(lambda: len(server.conns) == 1)
+    server.answer(b"yes")
+    assert (await read_answer(reader)).status == 200
+    for sock in refused:
+        sock.close()
