--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,8 @@
 	$(BIN)/python -m standins.demo
 
 test: $(SET_UP) lint
-	$(BIN)/python -m pytest --numprocesses 4 --dist loadfile --durations 10
+	$(BIN)/python -m pytest --numprocesses 4 --dist loadfile --durations 10 --ignore tests/crowd
+	$(BIN)/python -m pytest tests/crowd
 
 lint: $(SET_UP)
 	$(BIN)/ruff format --check .
--- a/tests/adapter/test_numbers.py
+++ b/tests/adapter/test_numbers.py
@@ -37,6 +37,7 @@
     "{{service}}": "kasa",
     "{{platform.address}}": "10.0.0.9:8309",
     "{{bootstrap}}": "true",
+    "{{limits.memory_mb}}": "300",
 }
 
 
