Collect a body in one buffer, so that small chunks cost no more than their bytes

Callers saw: 100 clients that send 120 kB each in chunks of 2 bytes, and stop, take a daemon over 200 MB (414 MB with 200, by the users); the host's limit ends it. Cause: each chunk was a bytes object in a list, 56 bytes for 2, and only the bytes of the body were counted. Change: admission/body_buffer.py, one buffer for a body of a caller, of an upstream's answer and of an answer in pieces. Failed before: test_memory_stays_within_the_host[chunks of 1 byte] and [chunks of 2 bytes].

--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -14,6 +14,7 @@
 import httptools
 from loguru import logger
 
+from foldhoist.admission.body_buffer import BodyBuffer
 from foldhoist.daemon.caller_answers import FAULT_ANSWER, encode_answer
 from foldhoist.daemon.http import CHUNKED, HeadReader, codings
 from foldhoist.daemon.lingering_close import LingeringClose
@@ -179,7 +180,7 @@
             raise _RefusedError(503, "bodies-full")
         self._state.bodies.reserve(len(body))
         self._body_bytes = size
-        self._body.append(body)
+        self._body.add(body)
 
     def on_message_complete(self) -> None:
         """Start the request, or queue it until the previous one is answered."""
@@ -187,7 +188,7 @@
         self._head_done = True
         self._in_request = False
         method = self._parser.get_method().decode()
-        body = b"".join(self._body)
+        body = self._body.take()
         upgrade = self._parser.should_upgrade()
         keep_alive = self._parser.should_keep_alive() and not upgrade
         self._unanswered.append(_Unanswered(keep_alive, self._body_bytes))
@@ -297,7 +298,7 @@
     def _reset(self) -> None:
         self._url = b""
         self._head = HeadReader(self._state.dialect.caller_rules)
-        self._body: list[bytes] = []
+        self._body = BodyBuffer()
         self._body_bytes = 0
         self._head_bytes = 0
         self._head_done = False
--- a/foldhoist/daemon/upstream_connection.py
+++ b/foldhoist/daemon/upstream_connection.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from foldhoist.admission.body_buffer import BodyBuffer
 from foldhoist.admission.body_memory import BodyMemory
 from foldhoist.daemon.answer_size import AnswerSize, pieces
 from foldhoist.daemon.dialect import DefaultDialect
@@ -215,7 +216,7 @@
             raise _TooLargeError
         self._bodies.reserve(size)
         self._body_bytes = body_bytes
-        self._body.append(body)
+        self._body.add(body)
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete; skips interim answers and those to another call.
@@ -244,7 +245,7 @@
 
     def _reset_answer(self) -> None:
         self.head = HeadReader(self._dialect.upstream_rules)
-        self._body: list[bytes] = []
+        self._body = BodyBuffer()
         self._release_body()
         self._announced_bytes = 0
         self._status = 0
@@ -268,7 +269,7 @@
     def _interpret(self) -> Result | None:
         """Return the result of the answer, or None if it belongs to another call."""
         assert self._call is not None
-        body = b"".join(self._body)
+        body = self._body.take()
         result = self._dialect.result(self._status, self.head, body, self._call)
         if isinstance(result, Incomplete):
             self._close_after = True
--- a/foldhoist/delivery/pieces.py
+++ b/foldhoist/delivery/pieces.py
@@ -8,6 +8,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from foldhoist.admission.body_buffer import BodyBuffer
 from foldhoist.exceptions import ProtocolError
 
 if TYPE_CHECKING:
@@ -36,11 +37,13 @@
     """Splits the answers sent over one connection; pieces of several answers alternate.
 
     `limit` is the largest total size of answers that are sent at the same time, bytes; others wait
-    for them. The receiver must be able to hold as much.
+    for them. The receiver must be able to hold as much. `held_bytes` is the size of the answers
+    that are not sent whole, `pending_bytes` what is left to be sent of them.
     """
 
     def __init__(self, limit: int) -> None:
         self.pending_bytes = 0
+        self.held_bytes = 0
         self._limit = limit
         self._next = 1
         self._started_bytes = 0
@@ -58,6 +61,7 @@
         if len(raw) <= LARGE_BODY_BYTES and not body.get("bulk", False):
             return body
         self.pending_bytes += len(raw)
+        self.held_bytes += len(raw)
         self._waiting.append(body)
         return self.next_answer()
 
@@ -88,6 +92,7 @@
             self._remainders.append(rest._replace(body=left))
         else:
             self._started_bytes -= rest.size
+            self.held_bytes -= rest.size
         return {"number": rest.number, "last": not left, "body": bytes(sent)}
 
 
@@ -95,7 +100,7 @@
     """An answer whose pieces have not all arrived."""
 
     body: dict[str, Any]
-    parts: list[bytes]
+    buffer: BodyBuffer
 
 
 class Reassembler:
@@ -107,7 +112,7 @@
     def __init__(self, limit: int) -> None:
         self._limit = limit
         self._partials: dict[int, _Partial] = {}
-        self._buffered_bytes = 0
+        self.buffered_bytes = 0
 
     def on_answer(self, body: dict[str, Any]) -> dict[str, Any] | None:
         """Return the answer if it is complete, or None if pieces of it follow.
@@ -119,9 +124,9 @@
             return body
         if number in self._partials:
             raise ProtocolError(f"two incomplete answers have number {number}")
-        self._partials[number] = _Partial(body, [])
+        self._partials[number] = _Partial(body, BodyBuffer())
         self._add_buffered(body["body"])
-        self._partials[number].parts.append(body["body"])
+        self._partials[number].buffer.add(body["body"])
         return None
 
     def on_piece(self, piece: Piece) -> dict[str, Any] | None:
@@ -133,15 +138,15 @@
         if partial is None:
             raise ProtocolError(f"piece of unknown answer {piece['number']}")
         self._add_buffered(piece["body"])
-        partial.parts.append(piece["body"])
+        partial.buffer.add(piece["body"])
         if not piece["last"]:
             return None
         del self._partials[piece["number"]]
-        joined = b"".join(partial.parts)
-        self._buffered_bytes -= len(joined)
+        joined = partial.buffer.take()
+        self.buffered_bytes -= len(joined)
         return {**partial.body, "body": joined}
 
     def _add_buffered(self, part: bytes) -> None:
-        self._buffered_bytes += len(part)
-        if self._buffered_bytes > self._limit:
+        self.buffered_bytes += len(part)
+        if self.buffered_bytes > self._limit:
             raise ProtocolError(f"incomplete answers exceed {self._limit} bytes")
