Parse what a caller sends in pieces, and share each turn of the event loop

Callers saw: 300 clients with 2,000 requests each in one write, and no answer read, take a daemon over 200 MB (823 MB after 600 such clients had gone, by the users); with 10,000 short requests each an ordinary caller is unanswered for 90 s. Heartbeats, leases and peers wait as long. Cause: a read took up to 256 KiB, all of it was parsed in one go, and MAX_PIPELINED paused reading only after that: up to 14,000 requests of one read were built and held. All ready connections are served in one turn of the loop. Change: reads of 16 KiB into one buffer for all connections (asyncio.BufferedProtocol). caller_input.py parses them in pieces of 1 KiB, up to 16 KiB while their parts are not tiny, and stops when enough requests wait; the rest stays as bytes. Pieces of tiny parts (under 16 bytes in the mean) take turns (parse_turns.py): 8,000 parts a turn for all connections; all other pieces are parsed at once. Framing of headers counts towards `header_bytes`, so that a head of one read no longer goes past it. Options of Connection are compared by a set: 4,000 of them cost 4,000 x headers before.

--- a/foldhoist/daemon/caller_state.py
+++ b/foldhoist/daemon/caller_state.py
@@ -11,6 +11,7 @@
 
 from foldhoist.admission.body_memory import BodyMemory
 from foldhoist.daemon.dialect import DefaultDialect
+from foldhoist.daemon.parse_turns import ParseTurns
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,6 +23,8 @@
 
 CHECK_INTERVAL_S = 0.1
 """Interval between two checks for overdue connections, seconds."""
+READ_BYTES = 16 * 1024
+"""Most bytes that are read from a caller at a time."""
 
 
 @dataclass(slots=True)
@@ -58,6 +61,8 @@
         self.count = Counters()
         self.limits = limits
         self.bodies = BodyMemory(limits["held_bytes"])
+        self.turns = ParseTurns()
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.open: set[CallerConnection] = set()
         self.slow_readers: set[CallerConnection] = set()
         self.arriving: set[asyncio.Task[object]] = set()
--- a/foldhoist/daemon/http.py
+++ b/foldhoist/daemon/http.py
@@ -46,6 +46,8 @@
 UPSTREAM_LIMIT = b"upstream-limit"
 """Response header with the rate limit of an upstream, calls per second from all hosts."""
 
+MIN_HEADER_FRAMING_BYTES = len(b":\r\n")
+"""Bytes that a header takes at least in addition to its name and value."""
 CHUNKED = b"chunked"
 """The only transfer coding that is undone here."""
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,9})?")
@@ -104,7 +106,7 @@
     def add(self, name: bytes, value: bytes) -> None:
         """Add a header; repeated values of a header that is read are joined with commas."""
         lower = name.lower()
-        self.size += len(name) + len(value)
+        self.size += len(name) + len(value) + MIN_HEADER_FRAMING_BYTES
         if lower in HOP_BY_HOP:
             if lower == b"connection":
                 self.connection_options += [part.strip().lower() for part in value.split(b",")]
@@ -125,7 +127,7 @@
 
     def forwarded_headers(self) -> Headers:
         """Return the headers to forward, without those that a Connection header names."""
-        drop = [name for name in self.connection_options if name not in (b"keep-alive", b"close")]
+        drop = {name for name in self.connection_options if name not in (b"keep-alive", b"close")}
         if not drop:
             return self.forwarded
         return [pair for pair in self.forwarded if pair[0].lower() not in drop]
--- a/foldhoist/daemon/listeners.py
+++ b/foldhoist/daemon/listeners.py
@@ -87,7 +87,7 @@
 ) -> list[asyncio.Server]:
     """Accept connections of callers, at the first server, and of peers, at the second."""
     loop = asyncio.get_running_loop()
-    factories: dict[str, Callable[[], asyncio.Protocol]] = {
+    factories: dict[str, Callable[[], asyncio.BaseProtocol]] = {
         "callers": lambda: CallerConnection(callers),
         "frames": owner_task.connection,
     }
