Bound what callers and peers make a process hold by its memory, at its cost; stalled requests give way

Callers saw: 800 clients with a head of 14 kB that is thousands of headers, and not finished, take a daemon over 200 MB (510 MB with 1,500, by the users). A few hundred uploads that stop short take all the room for bodies until `request_ms` has passed, again and again: an ordinary upload gets 503 bodies-full. Cause: heads were bounded in bytes on the wire (a header of 5 bytes takes some 140), queued requests and calls not at all, each of the limits of bodies knew of itself alone, and none of the host's memory. Whoever had the room kept it. Change: ProcessMemory counts connections (8 KiB), heads (160 bytes a header beside its bytes), requests that wait or run, bodies here, at the owner (not twice where both are this process) and of incomplete answers, in one limit: half of the setting `memory_mb` (the platform's `limits.memory_mb` by the template; 256 without). Where it, or `held_bytes`, is reached, an unfinished request of at least a second gives way to one that has held less for less long (byte seconds), with 503 bodies-full, which is true: it has not begun to run. An incomplete answer makes others give way, too. Failed before: test_memory_stays_within_the_host[thousands of headers], test_a_third_crowd_adds_nothing, test_unfinished_bodies_leave_room_for_an_ordinary_upload. Pass after, with tests/unit/daemon/test_giving_way.py.

--- a/foldhoist/config/reload.py
+++ b/foldhoist/config/reload.py
@@ -18,6 +18,7 @@
         "callers",
         "header_bytes",
         "held_bytes",
+        "memory_mb",
         "request_ms",
         "idle_ms",
         "calls",
--- a/foldhoist/daemon/caller_input.py
+++ b/foldhoist/daemon/caller_input.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Protocol
 
 import httptools
@@ -38,7 +39,7 @@
         self._state = state
         self._receiver: Receiver | None = receiver
         self._unparsed = b""
-        self._reading_paused = False
+        self._paused_bytes = 0
         self._parsing = False
 
     @property
@@ -55,6 +56,7 @@
         """Add what has come; `parse_on` parses it."""
         if self.is_empty:
             self.reader.in_request = True
+            self.reader.began_at = time.monotonic()
         self._unparsed += data
 
     def parse_on(self) -> None:
@@ -95,12 +97,13 @@
             self._state.turns.spend(reader.parts)
 
     def _pace_reading(self) -> None:
-        """Pause or resume reading."""
-        wants_pause = bool(self._unparsed)
-        if self.transport is None or self._reading_paused == wants_pause:
+        """Pause or resume reading; what is not parsed is counted as held."""
+        unparsed, was_paused = len(self._unparsed), self._paused_bytes > 0
+        self._state.memory.reserve(unparsed - self._paused_bytes)
+        self._paused_bytes = unparsed
+        if self.transport is None or was_paused == (unparsed > 0):
             return
-        self._reading_paused = wants_pause
-        if wants_pause:
+        if unparsed:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
--- a/foldhoist/daemon/caller_state.py
+++ b/foldhoist/daemon/caller_state.py
@@ -9,15 +9,18 @@
 
 from loguru import logger
 
-from foldhoist.admission.body_memory import BodyMemory
+from foldhoist.admission.body_memory import BodyMemory, ProcessMemory
 from foldhoist.daemon.dialect import DefaultDialect
+from foldhoist.daemon.giving_way import most_held
 from foldhoist.daemon.parse_turns import ParseTurns
+from foldhoist.daemon.request_reader import BODIES_FULL
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from foldhoist.daemon.callers import CallerConnection
     from foldhoist.daemon.dialect import Dialect
+    from foldhoist.daemon.request_reader import RequestReader
     from foldhoist.delivery.call import CallerRequest
     from foldhoist.schema.settings import Limits
 
@@ -25,6 +28,10 @@
 """Interval between two checks for overdue connections, seconds."""
 READ_BYTES = 16 * 1024
 """Most bytes that are read from a caller at a time."""
+CONNECTION_COST_BYTES = 8 * 1024
+"""Memory of a connection without a request, bytes."""
+SPARE_SHARE = 1 / 16
+"""Share of the limit of bodies that is freed at a time, beside what is needed."""
 
 
 @dataclass(slots=True)
@@ -35,6 +42,7 @@
     bodies_full: int = 0
     connections: int = 0
     faults: int = 0
+    gave_way: int = 0
     refused_connections: int = 0
     slow: int = 0
     too_large: int = 0
@@ -54,13 +62,16 @@
         on_request: Callable[[CallerConnection, CallerRequest], None],
         on_disconnect: Callable[[int], None],
         dialect: Dialect | None = None,
+        memory: ProcessMemory | None = None,
     ) -> None:
         self.dialect = dialect or DefaultDialect()
         self.on_request = on_request
         self.on_disconnect = on_disconnect
         self.count = Counters()
         self.limits = limits
-        self.bodies = BodyMemory(limits["held_bytes"])
+        self.memory = memory if memory is not None else ProcessMemory()
+        self.bodies = BodyMemory(limits["held_bytes"], self.memory)
+        self.memory.make_room = self._free
         self.turns = ParseTurns()
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.open: set[CallerConnection] = set()
@@ -69,6 +80,18 @@
         self.closing = False
         self.refusing = False
 
+    def add(self, conn: CallerConnection) -> None:
+        """Add a connection that was accepted."""
+        self.open.add(conn)
+        self.memory.reserve(CONNECTION_COST_BYTES)
+
+    def remove(self, conn: CallerConnection) -> None:
+        """Remove a connection that has ended."""
+        self.slow_readers.discard(conn)
+        if conn in self.open:
+            self.open.discard(conn)
+            self.memory.release(CONNECTION_COST_BYTES)
+
     @property
     def is_full(self) -> bool:
         """Return whether more callers than allowed are connected, but for those that have ended."""
@@ -77,6 +100,34 @@
             return False
         return sum(1 for conn in self.open if not conn.ended) > limit
 
+    def has_room(self, asking: RequestReader, size: int, body_size: int) -> bool:
+        """Return whether a request may hold `size` more bytes, `body_size` of a body in all.
+
+        Others give way to it if they have held more for longer.
+        """
+        if self._fits(size, body_size):
+            return True
+        now = time.monotonic()
+        wanted = size + int(self.bodies.limit * SPARE_SHARE)
+        for conn in most_held(self.open, now, asking.byte_seconds(now)):
+            if self._fits(wanted, body_size):
+                break
+            conn.give_way(BODIES_FULL)
+        return self._fits(size, body_size)
+
+    def _fits(self, size: int, body_size: int) -> bool:
+        if body_size:
+            return self.bodies.has_room(size, body_size)
+        return self.memory.has_room(size)
+
+    def _free(self, size: int) -> None:
+        """Free so many bytes of the memory of the process, as far as callers can give way."""
+        aim = self.memory.used - size
+        for conn in most_held(self.open, time.monotonic()):
+            if self.memory.used <= aim:
+                return
+            conn.give_way(BODIES_FULL)
+
     def set_limits(self, limits: Limits) -> None:
         """Apply new limits; bodies that are already held stay."""
         self.limits = limits
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:
     from foldhoist.daemon.caller_state import ServerState
-    from foldhoist.daemon.request_reader import Received
+    from foldhoist.daemon.request_reader import Received, RequestReader
     from foldhoist.delivery.call import CallerRequest
 
 MAX_PIPELINED = 8
@@ -65,7 +65,7 @@
         transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
         state = self._state
         state.count.connections += 1
-        state.open.add(self)
+        state.add(self)
         if state.is_full:
             state.count.refused_connections += 1
             self._fail(BadRequest(503, "too-many-connections"), discards=False)
@@ -74,8 +74,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the running call as disconnected and release the memory of all bodies."""
-        self._state.open.discard(self)
-        self._state.slow_readers.discard(self)
+        self._state.remove(self)
         self._transport = None
         if self._lingering is not None:
             self._lingering.cancel()
@@ -181,6 +180,16 @@
         """Return the bytes of answers in the write buffer."""
         return self._transport.get_write_buffer_size() if self._transport is not None else 0
 
+    @property
+    def arriving(self) -> RequestReader | None:
+        """Return the reader of a request that is arriving, None if none is."""
+        return self._input.reader if self._input.in_request and not self._ended else None
+
+    def give_way(self, reason: str) -> None:
+        """Refuse the request that is arriving, for other callers' sake."""
+        self._state.count.gave_way += 1
+        self._reject(BadRequest(503, reason))
+
     def close(self) -> None:
         """Close the connection after the write buffer is sent, unless a request waits unread."""
         if not self._ended and not self._has_unread():
@@ -304,6 +313,7 @@
 
     def _release(self, received: Received) -> None:
         self._state.bodies.release(received.body_bytes)
+        self._state.memory.release(received.cost_bytes)
 
     def _write(self, head: bytes, body: bytes = b"") -> None:
         if self._transport is not None:
--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -10,7 +10,6 @@
 
 from loguru import logger
 
-from foldhoist.admission.body_memory import BodyMemory
 from foldhoist.admission.cold import ColdRate
 from foldhoist.admission.slots import QueueLimits
 from foldhoist.config.fleet import evacuated
@@ -24,6 +23,7 @@
 from foldhoist.daemon.garbage import configure_gc
 from foldhoist.daemon.graceful_shutdown import GracefulShutdown, LeaveFirst
 from foldhoist.daemon.handover import HandoverTask
+from foldhoist.daemon.held_memory import apply_limits, owner_bodies
 from foldhoist.daemon.ingress_task import IngressTask
 from foldhoist.daemon.links import LinkEvents, Links
 from foldhoist.daemon.listeners import accept_traffic, addresses_of, open_listeners
@@ -99,7 +99,7 @@
         limit = cfg["limits"]["body_bytes"] + FRAME_OVERHEAD_BYTES
         platform = cfg["platform"]
         self.client = PlatformClient(platform["log"], platform["stream"], platform["hosts"])
-        self._bodies = BodyMemory(cfg["limits"]["held_bytes"])
+        self._bodies = owner_bodies(cfg["limits"])
         quarantine = Quarantine(self.incarnation)
         self.owner = Owner(
             self.name,
@@ -133,7 +133,10 @@
             lambda hosts: self.links.connect(hosts - {self.name}),
         )
         self.callers = ServerState(
-            cfg["limits"], self.ingress_task.arrive, self.ingress_task.caller_disconnected
+            cfg["limits"],
+            self.ingress_task.arrive,
+            self.ingress_task.caller_disconnected,
+            memory=self._bodies.process,
         )
         self._servers = await accept_traffic(self._sockets, self.callers, self.owner_task)
         self.shutdown = GracefulShutdown(self, LeaveFirst())
@@ -166,8 +169,7 @@
         limits = found.cfg["limits"]
         self.callers.set_limits(limits)
         self.ingress_task.ingress.admission.max_calls = limits["calls"]
-        self._bodies.limit = limits["held_bytes"]
-        self.owner_task.pool.set_max_held_bytes(limits["held_bytes"])
+        apply_limits(limits, self._bodies, self.owner_task.pool)
 
     @property
     def draining(self) -> bool:
--- /dev/null
+++ b/foldhoist/daemon/giving_way.py
@@ -0,0 +1,32 @@
+"""Which connections of callers give way to others, when memory runs out."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from foldhoist.daemon.callers import CallerConnection
+
+GIVE_WAY_AFTER_S = 1.0
+"""Time after which an unfinished request may give way, seconds."""
+
+
+def most_held(
+    conns: Iterable[CallerConnection], now: float, above: float = 0.0
+) -> list[CallerConnection]:
+    """Return the connections that may give way in memory, those that held most for longest first.
+
+    Only those `above` so many byte seconds.
+    """
+    held = {conn: _byte_seconds(conn, now) for conn in conns}
+    found = [conn for conn, byte_s in held.items() if byte_s > above]
+    return sorted(found, key=held.__getitem__, reverse=True)
+
+
+def _byte_seconds(conn: CallerConnection, now: float) -> float:
+    reader = conn.arriving
+    if reader is None or now - reader.began_at < GIVE_WAY_AFTER_S:
+        return 0.0
+    return reader.byte_seconds(now)
--- a/foldhoist/daemon/http.py
+++ b/foldhoist/daemon/http.py
@@ -6,6 +6,8 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
+from foldhoist.admission.body_memory import HEADER_COST_BYTES
+
 if TYPE_CHECKING:
     from foldhoist.delivery.verdict import Headers
 
@@ -94,18 +96,25 @@
 class HeadReader:
     """Sorts the headers of one message into those to forward, to read and to drop."""
 
-    __slots__ = ("_rules", "connection_options", "forwarded", "size", "values")
+    __slots__ = ("_rules", "connection_options", "count", "forwarded", "size", "values")
 
     def __init__(self, rules: HeadRules = DEFAULT_UPSTREAM_RULES) -> None:
         self._rules = rules
         self.forwarded: Headers = []
         self.values: dict[bytes, bytes] = {}
         self.connection_options: list[bytes] = []
+        self.count = 0
         self.size = 0
 
+    @property
+    def cost_bytes(self) -> int:
+        """Return the memory that the headers take, with the objects that hold them."""
+        return self.size + HEADER_COST_BYTES * (self.count + len(self.connection_options))
+
     def add(self, name: bytes, value: bytes) -> None:
         """Add a header; repeated values of a header that is read are joined with commas."""
         lower = name.lower()
+        self.count += 1
         self.size += len(name) + len(value) + MIN_HEADER_FRAMING_BYTES
         if lower in HOP_BY_HOP:
             if lower == b"connection":
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -9,7 +9,6 @@
 
 from loguru import logger
 
-from foldhoist.admission.body_memory import BodyMemory
 from foldhoist.admission.cold import ColdRate, Tolerance
 from foldhoist.admission.due import DueQueue
 from foldhoist.admission.slots import QueueLimits
@@ -22,6 +21,7 @@
 from foldhoist.daemon.caller_state import ServerState
 from foldhoist.daemon.garbage import configure_gc
 from foldhoist.daemon.graceful_shutdown import GracefulShutdown, NoticeFirst
+from foldhoist.daemon.held_memory import apply_limits, owner_bodies
 from foldhoist.daemon.ingress_task import IngressTask
 from foldhoist.daemon.links import LinkEvents, Links
 from foldhoist.daemon.listeners import accept_traffic, addresses_of, open_listeners
@@ -137,10 +137,9 @@
             self._on_adopt,
             self.rng,
         )
-        task = self.ingress_task
-        self.callers = ServerState(
-            cfg["limits"], task.arrive, task.caller_disconnected, self.adapter.dialect
-        )
+        dialect, memory = self.adapter.dialect, self._bodies.process
+        handlers = self.ingress_task.arrive, self.ingress_task.caller_disconnected
+        self.callers = ServerState(cfg["limits"], *handlers, dialect, memory)
         self._servers = await accept_traffic(self._sockets, self.callers, self.owner_task)
         self.shutdown = GracefulShutdown(self, NoticeFirst())
         self.endpoints = self.adapter.listen(
@@ -169,8 +168,7 @@
         self.adapter.reload(found.cfg)
         self.events.share = found.cfg["observe"]["log_share"]
         self.ingress_task.ingress.admission.max_calls = limits["calls"]
-        self._bodies.limit = limits["held_bytes"]
-        self.owner_task.pool.set_max_held_bytes(limits["held_bytes"])
+        apply_limits(limits, self._bodies, self.owner_task.pool)
         self._slack.attempts = platform["retry_slack"]
         self._slack.window_s = platform["retry_window_s"]
         self.quotas.server.slack = platform["quota_slack"]
@@ -223,7 +221,7 @@
         self.messages = PeerMessages(self)
         service = cfg["upstream"]["service"]
         queue = DueQueue(INITIAL_QUEUE_LIMITS)
-        self._bodies = BodyMemory(cfg["limits"]["held_bytes"])
+        self._bodies = owner_bodies(cfg["limits"])
         self.quarantine = Quarantine(self.incarnation)
         self.owner = Owner(
             self.name,
@@ -258,9 +256,8 @@
             self.ingress_task.link_refused,
             self.messages.on_outbound,
         )
-        self.links = Links(
-            self._hello, cfg["limits"]["body_bytes"] + FRAME_OVERHEAD_BYTES, events, self.rng
-        )
+        limit = cfg["limits"]["body_bytes"] + FRAME_OVERHEAD_BYTES
+        self.links = Links(self._hello, limit, events, self.rng)
         self.ingress_task.on_ended = self._record_call
         self.owner_task.on_refused = self._record_refusal
         self.owner_task.on_suspects = self.messages.share_suspects
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -18,9 +18,9 @@
 from foldhoist.daemon.signal_log import SignalLog
 from foldhoist.daemon.upstream import UpstreamPool
 from foldhoist.daemon.upstream_connection import CONNECTION_LOST
-from foldhoist.delivery.call_finisher import LOCAL_LINK
 from foldhoist.delivery.codec import FRAME_OVERHEAD_BYTES, SCHEMA_VERSION
 from foldhoist.delivery.dispatch import (
+    LOCAL_LINK,
     CancelCall,
     CloseLink,
     Complete,
@@ -97,6 +97,7 @@
             self._on_signals,
             dialect,
             self._on_sole_connection,
+            owner.tickets.bodies.process,
         )
         self._reconnector = Reconnector(self.pool, self._is_announced, self.set_state)
         self._lost_calls = LostCalls(self.pool, self._on_calls_lost)
@@ -293,7 +294,7 @@
 
     def _finish_call(self, ticket: int, result: Result) -> None:
         now = self._loop.time()
-        hop = self.owner.call_record(now, ticket, result)
+        hop = self.owner.tickets.ended_record(now, ticket, result, self.owner.queue)
         if isinstance(result, Complete):
             self.sampler.record_pace(result.pace)
         self.owner.status.pace_sampled = self.sampler.pace_sampled
@@ -386,8 +387,7 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            now = self._loop.time()
-            self._carry_out(self.owner.tick(now))
+            self._carry_out(self.owner.tick(self._loop.time()))
             self._cancel_overdue()
 
     def _cancel_overdue(self) -> None:
--- a/foldhoist/daemon/quota_task.py
+++ b/foldhoist/daemon/quota_task.py
@@ -10,7 +10,7 @@
 from foldhoist.customers.candidates import quota_server_candidates
 from foldhoist.customers.quota_server import Hosts, QuotaServer
 from foldhoist.daemon.background import run_task
-from foldhoist.delivery.call_finisher import LOCAL_LINK
+from foldhoist.delivery.dispatch import LOCAL_LINK
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/foldhoist/daemon/request_reader.py
+++ b/foldhoist/daemon/request_reader.py
@@ -26,14 +26,17 @@
 """Mean size of the parts of a piece below which it costs much, bytes."""
 REQUEST_PARTS = 8
 """Parts for which a whole request counts, beside its headers and chunks."""
+REQUEST_COST_BYTES = 2048
+"""Memory of a request and its call in addition to its headers and body, bytes."""
 
 
 class Received(NamedTuple):
-    """A whole request; `body_bytes` are counted as held until its answer."""
+    """A whole request; `body_bytes` and `cost_bytes` are counted as held until its answer."""
 
     request: CallerRequest | BadRequest
     keep_alive: bool
     body_bytes: int
+    cost_bytes: int
 
 
 class Listener(Protocol):
@@ -76,10 +79,21 @@
         self.parts = 0
         self.in_request = False
         self.body_bytes = 0
+        self.cost_bytes = 0
+        self.began_at = 0.0
         self.is_heavy = False
         self.piece_bytes = MIN_PIECE_BYTES
         self._reset()
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that the request which is arriving takes so far."""
+        return self.body_bytes + self.cost_bytes
+
+    def byte_seconds(self, now: float) -> float:
+        """Return the memory that the request takes times how long it has been arriving."""
+        return self.held_bytes * max(0.0, now - self.began_at)
+
     def feed(self, piece: bytes) -> None:
         """Parse the next piece; raises what `refusal_of` translates if it is refused."""
         if self._parser is None:
@@ -93,6 +107,7 @@
             return
         if not self._head_done and self._head_bytes > self._state.limits["header_bytes"]:
             raise RefusedError(431, "headers-too-large")
+        self._count_cost()
 
     def _weigh(self, size: int) -> None:
         self.is_heavy = self.parts * MIN_PART_BYTES > max(size, MIN_PIECE_BYTES)
@@ -104,6 +119,7 @@
     def drop(self) -> None:
         """Drop the request that is arriving, and release its memory."""
         self._state.bodies.release(self.body_bytes)
+        self._state.memory.release(self.cost_bytes)
         in_request = self.in_request
         self._reset()
         self.in_request = in_request
@@ -153,7 +169,7 @@
         size = self.body_bytes + len(body)
         if size > self._state.limits["body_bytes"]:
             raise RefusedError(413, "body-too-large")
-        if not self._state.bodies.has_room(len(body), size):
+        if not self._state.has_room(self, len(body), size):
             raise RefusedError(503, BODIES_FULL)
         self._state.bodies.reserve(len(body))
         self.body_bytes = size
@@ -167,22 +183,35 @@
         method = self._parser.get_method().decode()
         upgrade = self._parser.should_upgrade()
         keep_alive = self._parser.should_keep_alive() and not upgrade
+        self._count_cost()
         body = self._body.take()
         request: CallerRequest | BadRequest
         if upgrade:
             request = BadRequest(400, "upgrade-not-supported")
         else:
             request = self._state.dialect.read_request(method, self._url, self._head, body)
-        received = Received(request, keep_alive, self.body_bytes)
+        received = Received(request, keep_alive, self.body_bytes, self.cost_bytes)
         self._reset()
         if self._listener is not None:
             self._listener.on_request(received)
 
+    def _count_cost(self) -> None:
+        """Reserve memory for what has come of the request beside its body."""
+        if not self.in_request:
+            return
+        cost = REQUEST_COST_BYTES + self._head.cost_bytes + len(self._url)
+        added = cost - self.cost_bytes
+        if added and not self._state.has_room(self, added, 0):
+            raise RefusedError(503, BODIES_FULL)
+        self._state.memory.reserve(added)
+        self.cost_bytes = cost
+
     def _reset(self) -> None:
         self._url = b""
         self._head = HeadReader(self._state.dialect.caller_rules)
         self._body = BodyBuffer()
         self.body_bytes = 0
+        self.cost_bytes = 0
         self._head_bytes = 0
         self._head_done = False
         self.in_request = False
--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from foldhoist.admission.body_memory import ProcessMemory
     from foldhoist.daemon.dialect import Dialect
     from foldhoist.delivery.dispatch import Result, StartCall
     from foldhoist.delivery.signal_state import AnswerSignals
@@ -47,6 +48,7 @@
         on_signals: Callable[[int, AnswerSignals], None],
         dialect: Dialect | None = None,
         on_sole_connection: Callable[[], None] | None = None,
+        memory: ProcessMemory | None = None,
     ) -> None:
         """Create the pool without connections.
 
@@ -66,7 +68,7 @@
         self._busy: dict[int, UpstreamConnection] = {}
         self._connecting: dict[int, asyncio.Task[None]] = {}
         self._host = f"{address[0]}:{address[1]}".encode()
-        self._bodies = BodyMemory(0)
+        self._bodies = BodyMemory(0, memory)
         self.set_max_held_bytes(max_held_bytes)
         self._log_bucket = TokenBucket(
             TOO_LARGE_LOG_LINES_PER_S, TOO_LARGE_LOG_LINES_BURST, asyncio.get_running_loop().time()
--- a/foldhoist/daemon/upstream_connection.py
+++ b/foldhoist/daemon/upstream_connection.py
@@ -210,7 +210,7 @@
         size = len(body)
         self.size.bodies += size
         body_bytes = self._body_bytes + size
-        if body_bytes > self._max_body_bytes or not self._bodies.has_room(size, body_bytes):
+        if body_bytes > self._max_body_bytes or not self._bodies.has_made_room(size, body_bytes):
             raise _TooLargeError
         if self.size.bodies > MAX_BODIES * self._max_body_bytes:
             raise _TooLargeError
--- a/foldhoist/delivery/call_finisher.py
+++ b/foldhoist/delivery/call_finisher.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from foldhoist.delivery import replies
-from foldhoist.delivery.dispatch import Frame, SendTo
+from foldhoist.delivery.dispatch import LOCAL_LINK, Frame, SendTo
 from foldhoist.delivery.joined import JoinedCalls
 from foldhoist.delivery.peers import fate_without_result
 from foldhoist.delivery.refusal_log import RefusalLog
@@ -19,9 +19,6 @@
     from foldhoist.delivery.tickets import Tickets
     from foldhoist.schema.messages import Dispatch
 
-LOCAL_LINK = 0
-"""Link number of the ingress in the owner's own process."""
-
 
 class CallFinisher:
     """Ends calls: removes their tickets and sends results to all that wait for them."""
--- a/foldhoist/delivery/dispatch.py
+++ b/foldhoist/delivery/dispatch.py
@@ -16,6 +16,10 @@
     from foldhoist.schema.messages import Answer, Crashes, Dispatch, Refusal, Report, Suspect
 
 
+LOCAL_LINK = 0
+"""Link number of the ingress in the owner's own process."""
+
+
 class Frame(NamedTuple):
     """A message to an ingress, with its kind and its fields."""
 
@@ -206,6 +210,11 @@
         self.lost_at = 0.0
         self.used_at = 0.0
 
+    @property
+    def is_local(self) -> bool:
+        """Return whether the ingress is in the owner's own process."""
+        return self.link == LOCAL_LINK
+
 
 class Ticket:
     """A call that waits or runs at this owner; times are monotonic seconds.
@@ -213,12 +222,15 @@
     `start_by` is its latest useful start, `last_start` the latest that a process that stops allows.
     `ahead` counts the calls that ran or waited when it
     arrived, `running_at_start` the busy slots when it started, its own included, `replacements` the
-    upstream's incarnations until then. `repeat` is the probability that it is a repeat, 0 to 1.
+    upstream's incarnations until then. `body_bytes` and `cost_bytes` are the memory that it takes
+    beside its ingress. `repeat` is the probability that it is a repeat, 0 to 1.
     """
 
     __slots__ = (
         "ahead",
         "arrived",
+        "body_bytes",
+        "cost_bytes",
         "deadline",
         "incarnation",
         "key",
@@ -236,6 +248,8 @@
     def __init__(self, incarnation: str, request: Dispatch, now: float) -> None:
         self.incarnation = incarnation
         self.request = request
+        self.body_bytes = 0
+        self.cost_bytes = 0
         self.arrived = now
         self.deadline = now + request["budget_ms"] / 1000
         due = now + request.get("due_ms", request["budget_ms"]) / 1000
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -11,7 +11,6 @@
 from foldhoist.admission.cold import ColdStart
 from foldhoist.admission.due import DueQueue
 from foldhoist.admission.slots import QueueLimits, SlotQueue
-from foldhoist.delivery import replies
 from foldhoist.delivery.call_finisher import CallFinisher
 from foldhoist.delivery.claims import Claims
 from foldhoist.delivery.dispatch import (
@@ -19,7 +18,6 @@
     CloseLink,
     Complete,
     Counters,
-    Ended,
     Frame,
     Incomplete,
     Peer,
@@ -138,7 +136,7 @@
             self.count.fenced += 1
             return []
         drop_acked(peer, req["acked"])
-        rejection = self._admission.rejection(now, req, self.service)
+        rejection = self._admission.rejection(now, peer, req, self.service)
         if rejection is not None:
             return [self._finisher.refused_on_arrival(peer, req, *rejection)]
         if req["key"]:
@@ -347,13 +345,6 @@
         peer = self._peers.at(link)
         return peer.name if peer is not None else ""
 
-    def call_record(self, now: float, ticket_id: int, result: Result) -> Ended | None:
-        """Return the record of a call whose result has arrived but is not handled yet."""
-        ticket = self.tickets.get(ticket_id)
-        if ticket is None:
-            return None
-        return replies.ended_record(now, ticket, result, self.queue.busy, self.queue.queued)
-
     def load(self) -> Load:
         """Return the current load."""
         return self._reports.load()
@@ -383,7 +374,7 @@
         ticket = Ticket(peer.incarnation, req, now)
         ticket.limit_start(self.status.last_start_at)
         ticket.ahead = self.queue.busy + self.queue.queued
-        ticket_id = self.tickets.add(ticket)
+        ticket_id = self.tickets.add(ticket, shared=peer.is_local)
         peer.used_at = now
         peer.live[req["seq"]] = ticket_id
         match self.queue:
