Write answers at their caller's pace, count them whole, and close a connection whose caller does not read

Callers saw: 200 clients that ask for answers of 3 MB, or 20 of 30 MB, and read nothing take a daemon over 200 MB. A client that reads nothing of its last answer keeps its connection, and its descriptor, for ever. Cause: an answer was joined with its head and copied by the transport as far as it was not sent, up to three times its size. Only callers above 16 KiB counted as slow, only every 0.1 s, and against `held_bytes` alone. The next of a caller's requests started while the answer before it was unread. A connection that was to be closed had no time limit. Every byte in the transport's buffer makes a slow reader; no request of it starts or is parsed meanwhile. A caller that takes less than 16 KiB in `idle_ms` is closed. Unread answers give way to others by byte seconds, at once when the memory of the process is used up. A caller that half-closes while its answer is written still gets the rest.

--- a/foldhoist/daemon/caller_state.py
+++ b/foldhoist/daemon/caller_state.py
@@ -109,7 +109,8 @@
             return True
         now = time.monotonic()
         wanted = size + int(self.bodies.limit * SPARE_SHARE)
-        for conn in most_held(self.open, now, asking.byte_seconds(now)):
+        bodies_only = self.memory.has_room(size)
+        for conn in most_held(self.open, now, asking.byte_seconds(now), bodies_only=bodies_only):
             if self._fits(wanted, body_size):
                 break
             conn.give_way(BODIES_FULL)
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -15,7 +15,7 @@
 
 from foldhoist.daemon.caller_answers import FAULT_ANSWER, encode_answer
 from foldhoist.daemon.caller_input import CallerInput
-from foldhoist.daemon.lingering_close import LingeringClose
+from foldhoist.daemon.caller_output import CallerOutput
 from foldhoist.daemon.request import BadRequest
 from foldhoist.daemon.request_reader import BODIES_FULL, OWN_FAULT
 from foldhoist.daemon.socket_state import is_readable
@@ -28,8 +28,6 @@
 
 MAX_PIPELINED = 8
 """Complete requests that may wait on a connection; nothing more of it is parsed above it."""
-WRITE_BUFFER_HIGH_BYTES = 16 * 1024
-"""Write buffer size above which a caller counts as a slow reader, bytes."""
 HALF_CLOSED_S = 0.25
 """Time to answer a caller that has closed its sending side, seconds; then it counts as gone.
 
@@ -43,7 +41,7 @@
     def __init__(self, state: ServerState) -> None:
         self._state = state
         self._transport: asyncio.Transport | None = None
-        self._lingering: LingeringClose | None = None
+        self._output: CallerOutput | None = None
         self._input = CallerInput(state, self)
         self.expires_at = float("inf")
         self._waiting: deque[CallerRequest | BadRequest] = deque()
@@ -52,6 +50,7 @@
         self._busy = False
         self._starting = False
         self._half_closed_until = float("inf")
+        self.blocked_since = 0.0
         self._method = ""
         self._ended = False
 
@@ -61,8 +60,10 @@
         if self._state.refusing:
             transport.abort()
             return
-        self._transport = self._input.transport = transport
-        transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=0)
+        self._output = CallerOutput(transport, self._state.memory)
+        self._input.transport = transport
         state = self._state
         state.count.connections += 1
         state.add(self)
@@ -76,8 +77,8 @@
         """Report the running call as disconnected and release the memory of all bodies."""
         self._state.remove(self)
         self._transport = None
-        if self._lingering is not None:
-            self._lingering.cancel()
+        if self._output is not None:
+            self._output.drop()
         self._ended = True
         call_id, self._call_id = self._call_id, None
         self._let_go()
@@ -86,11 +87,22 @@
 
     def pause_writing(self) -> None:
         """Record that the caller is a slow reader."""
+        if self._output is not None:
+            self._output.pause()
+        self.blocked_since = time.monotonic()
         self._state.slow_readers.add(self)
 
     def resume_writing(self) -> None:
-        """Record that the caller has caught up with reading."""
+        """Write on; once the caller has caught up with reading, go on with its requests."""
+        if self._output is not None:
+            self._output.resume()
+        if self.is_blocked:
+            return
         self._state.slow_readers.discard(self)
+        if self._ended:
+            self.expires_at = float("inf")
+        else:
+            self._go_on()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer to receive into, which all connections share."""
@@ -102,8 +114,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse requests; an invalid one ends the connection, once the running one is answered."""
-        if self._lingering is not None:
-            self._lingering.discard(len(data))
+        if self._output is not None:
+            self._output.discard(len(data))
         if self._ended:
             return
         if self._input.is_empty and not self._busy:
@@ -117,11 +129,15 @@
 
     def eof_received(self) -> bool:
         """Close the connection, unless a complete request of the caller is still to be answered."""
-        if not self._busy:
+        if self.is_blocked and not self._waiting:
+            self._end(lingers=False)
+            return True
+        if not self._busy and not self._waiting:
             return False
         if self._half_closed_until == float("inf"):
             self._half_closed_until = time.monotonic() + HALF_CLOSED_S
-            self.expires_at = self._half_closed_until
+            if self._busy:
+                self.expires_at = self._half_closed_until
             self._input.reader.in_request = False
         return True
 
@@ -160,6 +176,7 @@
             self._count_fault()
             data, keep_alive = FAULT_ANSWER, False
         self._write(data.head, data.body)
+        self._state.memory.has_made_room(0)
         if not keep_alive:
             self._end(lingers=True, discards=self._input.in_request)
             return
@@ -172,13 +189,25 @@
 
     @property
     def idle(self) -> bool:
-        """Return whether no request is being received or served, and no last answer is sent."""
-        return not self._busy and self._input.is_empty and not self._ended
+        """Return whether no request is being received or served, and no answer is being sent."""
+        return self.waits_for_request and self._input.is_empty
 
     @property
     def unread_bytes(self) -> int:
-        """Return the bytes of answers in the write buffer."""
-        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+        """Return the bytes of answers that are written and not sent yet."""
+        if self._transport is None or self._output is None:
+            return 0
+        return self._output.unread_bytes
+
+    @property
+    def answer_bytes(self) -> int:
+        """Return the memory that unread answers take."""
+        return self._output.held_bytes if self._output is not None else 0
+
+    @property
+    def waits_for_request(self) -> bool:
+        """Return whether no whole request of the caller has been read that is not answered yet."""
+        return not self._busy and not self._ended and not self.is_blocked and not self._waiting
 
     @property
     def arriving(self) -> RequestReader | None:
@@ -186,24 +215,32 @@
         return self._input.reader if self._input.in_request and not self._ended else None
 
     def give_way(self, reason: str) -> None:
-        """Refuse the request that is arriving, for other callers' sake."""
+        """End the connection for other callers' sake; a request that is arriving is refused."""
         self._state.count.gave_way += 1
-        self._reject(BadRequest(503, reason))
+        if self.is_blocked:
+            self._state.count.unread += 1
+            self.abort()
+        elif self._input.in_request:
+            self._reject(BadRequest(503, reason))
+        else:
+            self.close()
 
     def close(self) -> None:
-        """Close the connection after the write buffer is sent, unless a request waits unread."""
+        """Close the connection after what is written is sent, unless a request waits unread."""
         if not self._ended and not self._has_unread():
             self._end(lingers=False)
 
     def abort(self) -> None:
-        """Close the connection at once and discard the write buffer."""
+        """Close the connection at once and discard what is written."""
+        if self._output is not None:
+            self._output.drop()
         if self._transport is not None:
             self._transport.abort()
 
     @property
     def takes_requests(self) -> bool:
         """Return whether another request is parsed now."""
-        return not self._ended and len(self._waiting) <= MAX_PIPELINED
+        return not self._ended and len(self._waiting) <= MAX_PIPELINED and not self.is_blocked
 
     def on_refusal(self, bad: BadRequest) -> None:
         """End the connection, once the request that runs is answered."""
@@ -211,8 +248,16 @@
             self._count_fault()
         self._reject(bad)
 
+    @property
+    def is_blocked(self) -> bool:
+        """Return whether the caller has not taken everything that was written."""
+        return self._output is not None and self._output.blocked
+
     def _go_on(self) -> None:
         """Go on with what has been received, once an answer is written and sent."""
+        if self.is_blocked:
+            self._watch_reading()
+            return
         limits = self._state.limits
         self._set_timer(limits["request_ms"] if self._input.in_request else limits["idle_ms"])
         self._start_next()
@@ -223,7 +268,7 @@
         if self._starting:
             return
         self._starting = True
-        while self._waiting and not self._busy and not self._ended:
+        while self._waiting and not self._busy and not self._ended and not self.is_blocked:
             self._start(self._waiting.popleft())
         self._starting = False
 
@@ -280,28 +325,40 @@
         if self._busy:
             self.abort()
             return
+        if self.is_blocked:
+            self._check_reading()
+            return
         if self._input.in_request:
             self._state.count.slow += 1
             self._fail(BadRequest(408, "request-too-slow"))
             return
         self.close()
 
+    def _check_reading(self) -> None:
+        """Abort the connection of a caller that has taken next to nothing of its answer."""
+        if self._output is not None and self._output.stands_still():
+            self._state.count.unread += 1
+            self.abort()
+            return
+        self._watch_reading()
+
     def _has_unread(self) -> bool:
         """Return whether the system holds bytes of the caller, as it does if the loop was late."""
         return self._transport is not None and is_readable(self._transport)
 
     def _end(self, *, lingers: bool, discards: bool = False) -> None:
-        """Close the connection after its last answer; bytes that still come may be discarded."""
+        """Close the connection after its last answer; see `CallerOutput.end`."""
         self._ended = True
         self.expires_at = float("inf")
         self._let_go()
-        if self._transport is None:
-            return
-        if not lingers:
-            self._transport.close()
-            return
-        self._lingering = LingeringClose(self._transport, discards)
-        self._lingering.start()
+        if self._output is not None and self._transport is not None:
+            self._output.end(lingers=lingers, discards=discards)
+        if self.is_blocked:
+            self._watch_reading()
+
+    def _watch_reading(self) -> None:
+        """Have `on_timeout` check how much the caller takes of its answer."""
+        self.expires_at = time.monotonic() + self._state.limits["idle_ms"] / 1000
 
     def _let_go(self) -> None:
         """Drop what has been received, apart from the request that runs; nothing more is parsed."""
@@ -316,8 +373,8 @@
         self._state.memory.release(received.cost_bytes)
 
     def _write(self, head: bytes, body: bytes = b"") -> None:
-        if self._transport is not None:
-            self._transport.write(head + body)
+        if self._output is not None and self._transport is not None:
+            self._output.write(head, body)
 
     def _set_timer(self, ms: int) -> None:
         self.expires_at = min(time.monotonic() + ms / 1000, self._half_closed_until)
--- a/foldhoist/daemon/giving_way.py
+++ b/foldhoist/daemon/giving_way.py
@@ -14,18 +14,21 @@
 
 
 def most_held(
-    conns: Iterable[CallerConnection], now: float, above: float = 0.0
+    conns: Iterable[CallerConnection], now: float, above: float = 0.0, *, bodies_only: bool = False
 ) -> list[CallerConnection]:
     """Return the connections that may give way in memory, those that held most for longest first.
 
-    Only those `above` so many byte seconds.
+    Only those `above` so many byte seconds. With `bodies_only` unread answers do not count.
     """
-    held = {conn: _byte_seconds(conn, now) for conn in conns}
+    held = {conn: _byte_seconds(conn, now, bodies_only=bodies_only) for conn in conns}
     found = [conn for conn, byte_s in held.items() if byte_s > above]
     return sorted(found, key=held.__getitem__, reverse=True)
 
 
-def _byte_seconds(conn: CallerConnection, now: float) -> float:
+def _byte_seconds(conn: CallerConnection, now: float, *, bodies_only: bool) -> float:
+    if conn.is_blocked:
+        unread = 0 if bodies_only else conn.answer_bytes
+        return unread * max(GIVE_WAY_AFTER_S, now - conn.blocked_since)
     reader = conn.arriving
     if reader is None or now - reader.began_at < GIVE_WAY_AFTER_S:
         return 0.0
