Connections that ask nothing give their places to other callers

Callers saw: while as many connections as allowed are open with an unfinished head, or none, every other caller gets 503 too-many-connections, for up to `idle_ms`, and again if these come again. Connections that are told no were not bounded. Cause: `callers` was first come, first served, however long a connection asked nothing; refused ones and those that end did not count at all. Change: where no place is free, a 64th of the limit is closed that has waited a second or more for a whole request: first those never answered, then idle ones, last those whose answers are unread; longest first. An unfinished request gets 503 too-many-connections, which is true. A request that runs is never given up. Beyond an eighth above the limit a connection is closed at once. A connection with an unread last answer keeps counting. Failed before: test_unfinished_requests_leave_a_connection_to_an_ordinary_caller. Passes after, with test_places.py (an aborted connection that counted on until the next turn of the loop was found by it).

--- a/foldhoist/daemon/caller_state.py
+++ b/foldhoist/daemon/caller_state.py
@@ -11,7 +11,7 @@
 
 from foldhoist.admission.body_memory import BodyMemory, ProcessMemory
 from foldhoist.daemon.dialect import DefaultDialect
-from foldhoist.daemon.giving_way import most_held
+from foldhoist.daemon.giving_way import longest_waiting, most_held
 from foldhoist.daemon.parse_turns import ParseTurns
 from foldhoist.daemon.request_reader import BODIES_FULL
 
@@ -30,8 +30,16 @@
 """Most bytes that are read from a caller at a time."""
 CONNECTION_COST_BYTES = 8 * 1024
 """Memory of a connection without a request, bytes."""
+GIVE_WAY_SHARE = 1 / 64
+"""Share of the limit of connections that is freed at a time."""
 SPARE_SHARE = 1 / 16
 """Share of the limit of bodies that is freed at a time, beside what is needed."""
+ENDING_SHARE = 1 / 8
+"""Connections beyond the limit that may still be open until their callers know, as a share."""
+TOO_MANY = "too-many-connections"
+"""Reason of a connection for which there is no place."""
+MIN_ENDING = 16
+"""Least number of such connections."""
 
 
 @dataclass(slots=True)
@@ -92,13 +100,25 @@
             self.open.discard(conn)
             self.memory.release(CONNECTION_COST_BYTES)
 
+    @property
+    def may_open(self) -> bool:
+        """Return whether one more connection can be kept until it is served or told why not."""
+        limit = self.limits["callers"]
+        return len(self.open) < limit + max(MIN_ENDING, int(limit * ENDING_SHARE))
+
     @property
     def is_full(self) -> bool:
         """Return whether more callers than allowed are connected, but for those that have ended."""
         limit = self.limits["callers"]
         if len(self.open) <= limit:
             return False
-        return sum(1 for conn in self.open if not conn.ended) > limit
+        return sum(1 for conn in self.open if conn.takes_place) > limit
+
+    def close_for_another(self) -> None:
+        """Close some connections that have waited long, so that there are places for others."""
+        count = max(1, int(self.limits["callers"] * GIVE_WAY_SHARE))
+        for conn in longest_waiting(self.open, count, time.monotonic()):
+            conn.give_way(TOO_MANY)
 
     def has_room(self, asking: RequestReader, size: int, body_size: int) -> bool:
         """Return whether a request may hold `size` more bytes, `body_size` of a body in all.
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -16,6 +16,7 @@
 from foldhoist.daemon.caller_answers import FAULT_ANSWER, encode_answer
 from foldhoist.daemon.caller_input import CallerInput
 from foldhoist.daemon.caller_output import CallerOutput
+from foldhoist.daemon.caller_state import TOO_MANY
 from foldhoist.daemon.request import BadRequest
 from foldhoist.daemon.request_reader import BODIES_FULL, OWN_FAULT
 from foldhoist.daemon.socket_state import is_readable
@@ -44,6 +45,8 @@
         self._output: CallerOutput | None = None
         self._input = CallerInput(state, self)
         self.expires_at = float("inf")
+        self.waits_since = float("inf")
+        self.has_been_answered = False
         self._waiting: deque[CallerRequest | BadRequest] = deque()
         self._unanswered: deque[Received] = deque()
         self._call_id: int | None = None
@@ -57,7 +60,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept the connection; refuse it if there are too many, or none is taken any more."""
         assert isinstance(transport, asyncio.Transport)
-        if self._state.refusing:
+        if self._state.refusing or not self._state.may_open:
             transport.abort()
             return
         self._transport = transport
@@ -67,10 +70,13 @@
         state = self._state
         state.count.connections += 1
         state.add(self)
+        if state.is_full:
+            state.close_for_another()
         if state.is_full:
             state.count.refused_connections += 1
-            self._fail(BadRequest(503, "too-many-connections"), discards=False)
+            self._fail(BadRequest(503, TOO_MANY), discards=False)
             return
+        self.waits_since = time.monotonic()
         self._set_timer(state.limits["idle_ms"])
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -165,6 +171,7 @@
         """
         self._call_id = None
         self._busy = False
+        self.has_been_answered = True
         answered = self._unanswered.popleft()
         ends = self._state.closing or self._half_closed_until < float("inf")
         begun = bool(self._waiting) or not self._input.is_empty
@@ -187,6 +194,11 @@
         """Return whether no further request is taken, as the last answer is being sent."""
         return self._ended
 
+    @property
+    def takes_place(self) -> bool:
+        """Return whether it counts against the limit: not once the last answer is sent."""
+        return not self._ended or self.is_blocked
+
     @property
     def idle(self) -> bool:
         """Return whether no request is being received or served, and no answer is being sent."""
@@ -232,6 +244,7 @@
 
     def abort(self) -> None:
         """Close the connection at once and discard what is written."""
+        self._ended = True
         if self._output is not None:
             self._output.drop()
         if self._transport is not None:
@@ -377,4 +390,5 @@
             self._output.write(head, body)
 
     def _set_timer(self, ms: int) -> None:
-        self.expires_at = min(time.monotonic() + ms / 1000, self._half_closed_until)
+        self.waits_since = time.monotonic()
+        self.expires_at = min(self.waits_since + ms / 1000, self._half_closed_until)
