Let one body of the largest size pass: bodies go on without copies, and are skipped where there is no room

Callers saw: a body of 30 or 64 MiB, and nothing else, gets 503 bodies-full with Retry-After 1 each time, though the operator allows 64 MiB and coming back does not help; an answer of 64 MiB is cut off in the middle. Cause: `held_bytes` was 32 MiB whatever `max_body_bytes`, and larger bodies may use three quarters of it. With a higher limit such a body would stand four times in memory: as parts, joined with its head, as what the transport had not sent, and in its buffer; at the other host as parts, joined, and copied from the frame. A connection on which an upstream has answered before it read the whole request is not used again. A message between hosts above 128 KiB is decoded as it comes: its fields first, then its body into one buffer; where there is no room it is skipped and refused as not run (bodies-full), so that thirteen hosts that send large bodies to one owner no longer add up.

--- a/foldhoist/daemon/daemon.py
+++ b/foldhoist/daemon/daemon.py
@@ -122,7 +122,7 @@
             self.ingress_task.link_refused,
             self.ingress_task.message,
         )
-        self.links = Links(self._hello, limit, events, self.rng)
+        self.links = Links(self._hello, limit, events, self.rng, self._bodies)
         self.ingress_task.attach(self.name, self.links, self.owner_task)
         self.quotas = QuotaTask(
             self.name,
--- a/foldhoist/daemon/links.py
+++ b/foldhoist/daemon/links.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable, Container, Iterable, Mapping
     from random import Random
 
+    from foldhoist.admission.body_memory import BodyMemory
     from foldhoist.schema.messages import Hello
 
 MIN_RETRY_S = 0.02
@@ -55,8 +56,16 @@
     """The connection to one owner; a task opens it and reconnects after a loss."""
 
     def __init__(
-        self, name: str, address: str, hello: Hello, limit: int, events: LinkEvents, rng: Random
+        self,
+        name: str,
+        address: str,
+        hello: Hello,
+        limit: int,
+        events: LinkEvents,
+        rng: Random,
+        bodies: BodyMemory | None = None,
     ) -> None:
+        self._bodies = bodies
         self.name = name
         self.address = address
         self._host, self._port = parse_address(address)
@@ -113,7 +122,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S) as self._timeout:
                 _, conn = await loop.create_connection(
-                    lambda: FrameConnection(self._limit, self._on_message, self._on_lost),
+                    lambda: FrameConnection(
+                        self._limit, self._on_message, self._on_lost, self._bodies
+                    ),
                     self._host,
                     self._port,
                 )
@@ -168,8 +179,16 @@
 class Links:
     """All links of a daemon, by the name of the owner."""
 
-    def __init__(self, hello: Hello, limit: int, events: LinkEvents, rng: Random) -> None:
+    def __init__(
+        self,
+        hello: Hello,
+        limit: int,
+        events: LinkEvents,
+        rng: Random,
+        bodies: BodyMemory | None = None,
+    ) -> None:
         self._hello = hello
+        self._bodies = bodies
         self._limit = limit
         self._events = events
         self._rng = rng
@@ -190,7 +209,9 @@
             address = self._addresses.get(name)
             if address is None or name in self._links:
                 continue
-            link = Link(name, address, self._hello, self._limit, self._events, self._rng)
+            link = Link(
+                name, address, self._hello, self._limit, self._events, self._rng, self._bodies
+            )
             self._links[name] = link
 
     def set_address(self, name: str, address: str) -> None:
--- a/foldhoist/daemon/mesh.py
+++ b/foldhoist/daemon/mesh.py
@@ -257,7 +257,7 @@
             self.messages.on_outbound,
         )
         limit = cfg["limits"]["body_bytes"] + FRAME_OVERHEAD_BYTES
-        self.links = Links(self._hello, limit, events, self.rng)
+        self.links = Links(self._hello, limit, events, self.rng, self._bodies)
         self.ingress_task.on_ended = self._record_call
         self.owner_task.on_refused = self._record_refusal
         self.owner_task.on_suspects = self.messages.share_suspects
--- a/foldhoist/daemon/owner_task.py
+++ b/foldhoist/daemon/owner_task.py
@@ -128,7 +128,8 @@
 
     def connection(self) -> FrameConnection:
         """Return the protocol object for a new connection."""
-        conn = FrameConnection(self._limit, self._on_message, self._on_lost)
+        bodies = self.owner.tickets.bodies
+        conn = FrameConnection(self._limit, self._on_message, self._on_lost, bodies)
         conn.number = self._next_link
         self._next_link += 1
         self._conns[conn.number] = conn
@@ -254,6 +255,8 @@
             case "Dispatch":
                 self.sampler.record_call()
                 self._carry_out(self.owner.dispatch(now, int(time.time() * 1000), link, body))
+            case "NotHeld":
+                self._carry_out(self.owner.refuse_not_held(link, body))
             case "Withdraw":
                 self._carry_out(self.owner.withdraw(now, link, body))
             case "FateAsk":
--- a/foldhoist/daemon/upstream.py
+++ b/foldhoist/daemon/upstream.py
@@ -91,12 +91,12 @@
 
     def start(self, now: float, call: StartCall) -> None:
         """Send a call on an idle connection, or on a new one; `now` is monotonic seconds."""
-        data = self._request_bytes(call)
+        head = self._request_head(call)
         while self._idle:
             conn = self._idle.pop()
             if conn.usable and now - conn.idle_since < conn.idle_s:
                 self._busy[call.ticket] = conn
-                conn.call(call, data)
+                conn.call(call, head, call.request["body"])
                 return
             conn.abort("idle")
         if self.open >= self.max_connections:
@@ -104,7 +104,7 @@
             return
         task = run_once(
             "upstream connection",
-            lambda: self._connect(call, data),
+            lambda: self._connect(call, head),
             lambda: self._on_connect_failed(call.ticket),
         )
         self._connecting[call.ticket] = task
@@ -166,7 +166,7 @@
             self._on_sole_connection()
         return conn
 
-    async def _connect(self, call: StartCall, data: bytes) -> None:
+    async def _connect(self, call: StartCall, head: bytes) -> None:
         ticket = call.ticket
         try:
             conn = await self._open()
@@ -176,7 +176,7 @@
             return
         self._connecting.pop(ticket, None)
         self._busy[ticket] = conn
-        conn.call(call, data)
+        conn.call(call, head, call.request["body"])
 
     def _on_connect_failed(self, ticket: int) -> None:
         """End a call whose connection failed for an unexpected reason."""
@@ -210,12 +210,12 @@
             conn.size.bodies,
         )
 
-    def _request_bytes(self, call: StartCall) -> bytes:
+    def _request_head(self, call: StartCall) -> bytes:
         req = call.request
         request_line = f"{req['method']} {req['path']} HTTP/1.1\r\n".encode("latin-1")
         length = len(req["body"]) if req["body"] or req["method"] in _WITH_BODY else None
         headers = self.dialect.request_headers(call, self._host)
-        return write_head(request_line, headers, length) + req["body"]
+        return write_head(request_line, headers, length)
 
 
 _WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
--- a/foldhoist/daemon/upstream_connection.py
+++ b/foldhoist/daemon/upstream_connection.py
@@ -12,6 +12,7 @@
 from foldhoist.daemon.answer_size import AnswerSize, pieces
 from foldhoist.daemon.dialect import DefaultDialect
 from foldhoist.daemon.http import CHUNKED, HeadReader, codings, parse_count
+from foldhoist.daemon.paced_writer import PIECE_BYTES, PacedWriter
 from foldhoist.delivery.dispatch import Incomplete, Result, StartCall
 
 if TYPE_CHECKING:
@@ -70,6 +71,7 @@
         self._body_bytes = 0
         self.size = AnswerSize()
         self._transport: asyncio.Transport | None = None
+        self._writer: PacedWriter | None = None
         self._running = False
         self._sent = False
         self._is_head = False
@@ -92,27 +94,43 @@
         """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        transport.set_write_buffer_limits(high=PIECE_BYTES)
+        self._writer = PacedWriter(transport)
 
-    def call(self, call: StartCall, data: bytes) -> None:
-        """Send the encoded request of a call."""
+    def pause_writing(self) -> None:
+        """Let the rest of a request wait until the upstream has read more of it."""
+        if self._writer is not None:
+            self._writer.pause()
+
+    def resume_writing(self) -> None:
+        """Send more of a request."""
+        if self._writer is not None:
+            self._writer.resume()
+
+    def call(self, call: StartCall, head: bytes, body: bytes = b"") -> None:
+        """Send the request of a call, whose head is encoded."""
         self.ticket = call.ticket
         self._call = call
         self._reset(call.request["method"] == "HEAD")
         self._running = True
         self._sent = True
-        assert self._transport is not None
-        self._transport.write(data)
+        assert self._writer is not None
+        self._writer.write(head, body)
 
     def abort(self, reason: str) -> None:
         """Close the connection at once; a running call ends as incomplete."""
         self._reusable = False
         if self._transport is not None:
             self._transport.abort()
+        if self._writer is not None:
+            self._writer.drop()
         self._finish(Incomplete(self._sent, reason))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the running call; only an answer that lasts until the connection ends is complete."""
         self._transport = None
+        if self._writer is not None:
+            self._writer.drop()
         self._reusable = False
         if self._running and self._until_close and exc is None:
             result = self._interpret()
@@ -280,7 +298,8 @@
             return
         self._running = False
         if self._complete:
-            self._reusable = self._keep_alive and not self._close_after
+            sent = self._writer is None or not self._writer.blocked
+            self._reusable = self._keep_alive and not self._close_after and sent
             self.idle_s = _idle_s(self.head)
         self._let_go()
         self._on_end(self, result)
--- a/foldhoist/delivery/owner.py
+++ b/foldhoist/delivery/owner.py
@@ -29,7 +29,7 @@
 )
 from foldhoist.delivery.keys import KeyTable
 from foldhoist.delivery.load_reports import LoadReports, crashes_frame
-from foldhoist.delivery.owner_admission import OwnerAdmission
+from foldhoist.delivery.owner_admission import BODIES_FULL, FULL_RETRY_S, OwnerAdmission
 from foldhoist.delivery.peers import Peers, drop_acked
 from foldhoist.delivery.quarantined_calls import QuarantinedCalls
 from foldhoist.delivery.queue_decisions import QueueDecisions
@@ -145,6 +145,13 @@
                 return reply
         return self._admit(now, peer, req)
 
+    def refuse_not_held(self, link: int, req: Dispatch) -> list[Action]:
+        """Refuse a call whose body was skipped as it came."""
+        peer = self._peers.at(link)
+        if peer is None:
+            return []
+        return [self._finisher.refused_on_arrival(peer, req, BODIES_FULL, FULL_RETRY_S)]
+
     def withdraw(self, now: float, link: int, message: Withdraw) -> list[Action]:
         """Drop or cancel a call that its ingress has given up; one with a key goes on."""
         peer = self._peers.at(link)
