Second crowd: the search for who gives way is rare, and the smallest requests always find room

Seen with a second crowd on the mended code (17 shapes of bytes, 9 of behaviour; memory 176 MB at most): 60 clients that send 400 kB of a body and reset, again and again, 5,000 connections in 6 s: an ordinary caller is answered after 13.5 s. In a mixed crowd one got 503 bodies-full. Cause: each part of a body without room searched all connections for one that gives way (2 ms with 900 of them, mostly in vain), and each connection at the limit counted all others. Unread answers may use the memory up to its limit. Change: a search in vain is not repeated for 0.1 s by one that could find no more; connections that take no place are kept in a set. A tenth of the process's limit is for requests that take 8 KiB or less in all; unread answers stay below it. More crowd tests, each failing at (over 200 MB; 503 too-many-connections): thousands of trailers, pipelined heads of thousands of headers, connections that ask nothing at all.

--- a/foldhoist/admission/body_memory.py
+++ b/foldhoist/admission/body_memory.py
@@ -13,6 +13,10 @@
 """Bodies of up to this many bytes may use the part of the limit reserved for small ones."""
 LARGE_BODY_SHARE = 0.75
 """A larger body is accepted while all bodies together use at most this share of the limit."""
+TINY_BYTES = 8 * 1024
+"""Requests that take up to this much, all in all, may use the last part of the process's limit."""
+TINY_RESERVE = 0.1
+"""That part, as a share."""
 HELD_SHARE = 0.5
 """Share of a process's memory for what others make it hold; the rest is its own."""
 MEGABYTE = 1_000_000
@@ -36,6 +40,11 @@
         """Return whether `size` more bytes fit into this share of the limit."""
         return self.used + size <= self.limit * share
 
+    def has_room_in_request(self, size: int, request_bytes: int) -> bool:
+        """Return the same for a request that takes so many bytes, `size` included."""
+        share = 1.0 if request_bytes <= TINY_BYTES else 1.0 - TINY_RESERVE
+        return self.has_room(size, share)
+
     def has_made_room(self, size: int, share: float = 1.0) -> bool:
         """Return the same, once others have given way if they can."""
         if self.has_room(size, share):
--- a/foldhoist/daemon/caller_state.py
+++ b/foldhoist/daemon/caller_state.py
@@ -32,7 +32,9 @@
 """Memory of a connection without a request, bytes."""
 GIVE_WAY_SHARE = 1 / 64
 """Share of the limit of connections that is freed at a time."""
-SPARE_SHARE = 1 / 16
+SEARCH_INTERVAL_S = 0.1
+"""Pause after a search for connections that give way which was in vain, seconds."""
+SPARE_SHARE = 1 / 8
 """Share of the limit of bodies that is freed at a time, beside what is needed."""
 ENDING_SHARE = 1 / 8
 """Connections beyond the limit that may still be open until their callers know, as a share."""
@@ -84,6 +86,9 @@
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.open: set[CallerConnection] = set()
         self.slow_readers: set[CallerConnection] = set()
+        self.placeless: set[CallerConnection] = set()
+        self._vain_until = float("-inf")
+        self._vain_above = 0.0
         self.arriving: set[asyncio.Task[object]] = set()
         self.closing = False
         self.refusing = False
@@ -96,6 +101,7 @@
     def remove(self, conn: CallerConnection) -> None:
         """Remove a connection that has ended."""
         self.slow_readers.discard(conn)
+        self.placeless.discard(conn)
         if conn in self.open:
             self.open.discard(conn)
             self.memory.release(CONNECTION_COST_BYTES)
@@ -110,9 +116,7 @@
     def is_full(self) -> bool:
         """Return whether more callers than allowed are connected, but for those that have ended."""
         limit = self.limits["callers"]
-        if len(self.open) <= limit:
-            return False
-        return sum(1 for conn in self.open if conn.takes_place) > limit
+        return len(self.open) - len(self.placeless) > limit
 
     def close_for_another(self) -> None:
         """Close some connections that have waited long, so that there are places for others."""
@@ -125,29 +129,37 @@
 
         Others give way to it if they have held more for longer.
         """
-        if self._fits(size, body_size):
+        held = asking.held_bytes + size
+        if self._fits(size, body_size, held):
             return True
-        now = time.monotonic()
         wanted = size + int(self.bodies.limit * SPARE_SHARE)
-        bodies_only = self.memory.has_room(size)
-        for conn in most_held(self.open, now, asking.byte_seconds(now), bodies_only=bodies_only):
-            if self._fits(wanted, body_size):
-                break
-            conn.give_way(BODIES_FULL)
-        return self._fits(size, body_size)
+        bodies_only = self.memory.has_room_in_request(size, held)
+        own = asking.byte_seconds(time.monotonic())
+        self._make_room(lambda: self._fits(wanted, body_size, held), own, bodies_only=bodies_only)
+        return self._fits(size, body_size, held)
 
-    def _fits(self, size: int, body_size: int) -> bool:
-        if body_size:
-            return self.bodies.has_room(size, body_size)
-        return self.memory.has_room(size)
+    def _fits(self, size: int, body_size: int, held: int) -> bool:
+        if body_size and not self.bodies.has_room(size, body_size):
+            return False
+        return self.memory.has_room_in_request(size, held)
 
     def _free(self, size: int) -> None:
         """Free so many bytes of the memory of the process, as far as callers can give way."""
         aim = self.memory.used - size
-        for conn in most_held(self.open, time.monotonic()):
-            if self.memory.used <= aim:
+        self._make_room(lambda: self.memory.used <= aim)
+
+    def _make_room(
+        self, is_enough: Callable[[], bool], above: float = 0.0, *, bodies_only: bool = False
+    ) -> None:
+        """Have connections give way until it is enough, unless that was just tried in vain."""
+        now = time.monotonic()
+        if now < self._vain_until and above >= self._vain_above:
+            return
+        for conn in most_held(self.open, now, above, bodies_only=bodies_only):
+            if is_enough():
                 return
             conn.give_way(BODIES_FULL)
+        self._vain_until, self._vain_above = now + SEARCH_INTERVAL_S, above
 
     def set_limits(self, limits: Limits) -> None:
         """Apply new limits; bodies that are already held stay."""
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -13,6 +13,7 @@
 
 from loguru import logger
 
+from foldhoist.admission.body_memory import TINY_RESERVE
 from foldhoist.daemon.caller_answers import FAULT_ANSWER, encode_answer
 from foldhoist.daemon.caller_input import CallerInput
 from foldhoist.daemon.caller_output import CallerOutput
@@ -106,7 +107,7 @@
             return
         self._state.slow_readers.discard(self)
         if self._ended:
-            self.expires_at = float("inf")
+            self._leave_place()
         else:
             self._go_on()
 
@@ -183,7 +184,7 @@
             self._count_fault()
             data, keep_alive = FAULT_ANSWER, False
         self._write(data.head, data.body)
-        self._state.memory.has_made_room(0)
+        self._state.memory.has_made_room(0, 1.0 - TINY_RESERVE)
         if not keep_alive:
             self._end(lingers=True, discards=self._input.in_request)
             return
@@ -194,11 +195,6 @@
         """Return whether no further request is taken, as the last answer is being sent."""
         return self._ended
 
-    @property
-    def takes_place(self) -> bool:
-        """Return whether it counts against the limit: not once the last answer is sent."""
-        return not self._ended or self.is_blocked
-
     @property
     def idle(self) -> bool:
         """Return whether no request is being received or served, and no answer is being sent."""
@@ -245,6 +241,7 @@
     def abort(self) -> None:
         """Close the connection at once and discard what is written."""
         self._ended = True
+        self._leave_place()
         if self._output is not None:
             self._output.drop()
         if self._transport is not None:
@@ -362,12 +359,19 @@
     def _end(self, *, lingers: bool, discards: bool = False) -> None:
         """Close the connection after its last answer; see `CallerOutput.end`."""
         self._ended = True
-        self.expires_at = float("inf")
         self._let_go()
         if self._output is not None and self._transport is not None:
             self._output.end(lingers=lingers, discards=discards)
         if self.is_blocked:
             self._watch_reading()
+        else:
+            self._leave_place()
+
+    def _leave_place(self) -> None:
+        """Count no longer against the limit, as the last answer is sent or dropped."""
+        self.expires_at = float("inf")
+        if self._transport is not None:
+            self._state.placeless.add(self)
 
     def _watch_reading(self) -> None:
         """Have `on_timeout` check how much the caller takes of its answer."""
--- a/tests/crowd/clients.py
+++ b/tests/crowd/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,10 @@
 """Time for which a crowd has stayed when anything is checked, seconds."""
 SENDING_S = 10.0
 """Longest wait until a crowd has sent everything, seconds; a daemon may stop reading before."""
+STALLED_S = 0.5
+"""Time after which a client that comes and goes gives up sending, seconds."""
+RESET = struct.pack("ii", 1, 0)
+"""Option of a socket whose close sends a reset."""
 RECEIVE_BUFFER_BYTES = 2048
 """Receive buffer of a client that does not read."""
 HEAD = b"POST /u/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: 0b\r\nX-Deadline-Ms: 60000\r\n"
@@ -46,6 +51,11 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await asyncio.sleep(STAYING_S)
 
+    async def come_and_go(self, payload: bytes, clients: int, for_s: float) -> None:
+        """Have clients connect, send what they can, and reset their connection, again and again."""
+        until = asyncio.get_running_loop().time() + for_s
+        await asyncio.gather(*(self._come_and_go(payload, until) for _ in range(clients)))
+
     def close(self) -> None:
         """Close every connection."""
         for sock in self._socks:
@@ -62,6 +72,16 @@
             await loop.sock_connect(sock, self._address)
             await loop.sock_sendall(sock, payload)
 
+    async def _come_and_go(self, payload: bytes, until: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            with socket.socket() as sock, suppress(OSError):
+                sock.setblocking(False)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                async with asyncio.timeout(STALLED_S):
+                    await loop.sock_connect(sock, self._address)
+                    await loop.sock_sendall(sock, payload)
+
 
 def unfinished_chunks(body_bytes: int, chunk_bytes: int) -> bytes:
     """Return a request whose body comes in such chunks and lacks its last one."""
@@ -89,6 +109,11 @@
     return HEAD + header * ((head_bytes - len(HEAD)) // len(header))
 
 
+def unfinished_trailers(count: int) -> bytes:
+    """Return a request whose body is whole, with so many headers behind it, and more to come."""
+    return CHUNKED_HEAD + b"0\r\n" + b"a:\r\n" * count
+
+
 def get(path: bytes = b"/s/1", headers: bytes = b"") -> bytes:
     """Return a request without a body."""
     return GET % (path, headers)
--- a/tests/crowd/test_crowds.py
+++ b/tests/crowd/test_crowds.py
@@ -16,6 +16,7 @@
     unfinished_body,
     unfinished_chunks,
     unfinished_head,
+    unfinished_trailers,
     whole_body,
     whole_chunks,
 )
@@ -34,6 +35,8 @@
     "chunks of 1 byte": (100, unfinished_chunks(400_000, 1)),
     "chunks of 2 bytes": (100, unfinished_chunks(120_000, 2)),
     "thousands of headers": (800, unfinished_head(14_000)),
+    "thousands of trailers": (500, unfinished_trailers(8000)),
+    "pipelined heads of thousands of headers": (300, get(headers=b"ab:c\r\n" * 2300) * 9),
     "pipelined requests": (300, get() * 2000),
     "short pipelined requests": (300, b"GET / HTTP/1.1\r\n\r\n" * 10_000),
 }
@@ -91,11 +94,14 @@
     run(tmp_path)
 
 
-def test_unfinished_requests_leave_a_connection_to_an_ordinary_caller(tmp_path: Path) -> None:
+@pytest.mark.parametrize("sent", [unfinished_head(200), b""], ids=["unfinished", "idle"])
+def test_unfinished_requests_leave_a_connection_to_an_ordinary_caller(
+    sent: bytes, tmp_path: Path
+) -> None:
     @with_hosts(callers=CALLERS)
     async def run(hosts: Hosts) -> None:
         async with Crowd(hosts.front.addresses["callers"]) as crowd:
-            await crowd.send([unfinished_head(200)] * CALLERS)
+            await crowd.send([sent] * CALLERS)
             assert (await hosts.get()).status == 200
             hosts.check()
 
--- a/tests/unit/daemon/test_giving_way.py
+++ b/tests/unit/daemon/test_giving_way.py
@@ -100,3 +100,32 @@
 @pytest.mark.parametrize(("memory_mb", "limit"), [(0, float("inf")), (200, 200e6 * HELD_SHARE)])
 def test_the_limit_is_a_share_of_the_memory_of_the_host(memory_mb: int, limit: float) -> None:
     assert process_limit(memory_mb) == limit
+
+
+def test_tiny_requests_are_served_while_others_have_used_up_their_part(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    callers = Callers(monkeypatch, LIMIT_BYTES)
+    for _ in range(30):
+        callers.connect(unfinished(60_000))
+    assert callers.state.count.bodies_full > 0
+    callers.connect(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert callers.requests == 1
+
+
+def test_a_search_in_vain_is_not_repeated_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each part of a body without room cost a search of all connections, 2 ms each."""
+    callers = Callers(monkeypatch, LIMIT_BYTES)
+    searches: list[float] = []
+
+    def search(conns: object, now: float, above: float, **more: bool) -> list[CallerConnection]:
+        searches.append(above)
+        return []
+
+    monkeypatch.setattr("foldhoist.daemon.caller_state.most_held", search)
+    for _ in range(50):
+        callers.connect(unfinished(60_000))
+    assert len(searches) == 1
+    callers.now = 10.0
+    callers.connect(unfinished(60_000))
+    assert len(searches) == 2
