--- a/foldhoist/daemon/caller_state.py
+++ b/foldhoist/daemon/caller_state.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from foldhoist.admission.body_memory import BodyMemory, ProcessMemory
+from foldhoist.admission.body_memory import TINY_RESERVE, BodyMemory, ProcessMemory
 from foldhoist.daemon.allocator import UnusedMemory
 from foldhoist.daemon.dialect import DefaultDialect
 from foldhoist.daemon.giving_way import longest_waiting, most_held
@@ -96,7 +96,8 @@
         self.refusing = False
 
     def add(self, conn: CallerConnection) -> None:
-        """Add a connection that was accepted."""
+        """Add a connection that was accepted; others give way to it in memory if they can."""
+        self.memory.has_made_room(CONNECTION_COST_BYTES, 1.0 - TINY_RESERVE)
         self.open.add(conn)
         self.memory.reserve(CONNECTION_COST_BYTES)
 
