A half-closed caller that reads late gets the answers behind; the room for a call is asked for without its headers

Failed before: test_a_half_closed_caller_that_reads_late_gets_the_answers_behind. An owner added up the headers of each remote call twice.

--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -77,7 +77,6 @@
             state.count.refused_connections += 1
             self._fail(BadRequest(503, TOO_MANY), discards=False)
             return
-        self.waits_since = time.monotonic()
         self._set_timer(state.limits["idle_ms"])
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -106,6 +105,8 @@
         if self.is_blocked:
             return
         self._state.slow_readers.discard(self)
+        if self._half_closed_until < float("inf"):
+            self._half_closed_until = time.monotonic() + HALF_CLOSED_S
         if self._ended:
             self._leave_place()
         else:
--- a/foldhoist/delivery/tickets.py
+++ b/foldhoist/delivery/tickets.py
@@ -55,7 +55,7 @@
         size = len(req["body"])
         if not self.bodies.has_made_room(size, size):
             return False
-        return self.bodies.process.has_made_room(_cost_bytes(req))
+        return self.bodies.process.has_made_room(CALL_COST_BYTES)
 
     def add(self, ticket: Ticket, *, shared: bool = False) -> int:
         """Add a call and reserve memory for it; returns its ticket number.
--- a/tests/integration/test_unread_answers.py
+++ b/tests/integration/test_unread_answers.py
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
+from foldhoist.daemon.callers import HALF_CLOSED_S
 from tests.integration.test_last_bytes import (
     GET,
     LARGE_BODY,
@@ -80,8 +82,28 @@
     sock.sendall(GET)
     await until(lambda: len(server.conns) == 1)
     server.answer(LARGE_BODY)
-    sock.shutdown(1)
+    sock.shutdown(socket.SHUT_WR)
     await asyncio.sleep(0.05)
     read = await asyncio.to_thread(read_slowly, sock)
     sock.close()
     assert read.endswith(LARGE_BODY), read[-100:]
+
+
+@with_server(held_bytes=4 * len(LARGE_BODY))
+async def test_a_half_closed_caller_that_reads_late_gets_the_answers_behind(server: Server) -> None:
+    """Its time to be answered passed while the answer before was unread."""
+    overdue = await watch(server)
+    sock = server.connect()
+    sock.sendall(GET * 2)
+    await until(lambda: len(server.conns) == 1)
+    server.answer(LARGE_BODY)
+    sock.shutdown(socket.SHUT_WR)
+    await asyncio.sleep(2 * HALF_CLOSED_S)
+    reading = asyncio.ensure_future(asyncio.to_thread(read_slowly, sock))
+    await until(lambda: len(server.conns) == 1)
+    await asyncio.sleep(0.15)
+    server.answer(b"second")
+    read = await reading
+    overdue.cancel()
+    sock.close()
+    assert read.endswith(b"second"), read[-100:]
