Setting memory_mb: a fraction is accepted, and the template leaves it out where the platform tells none

By reading, before any daemon met it: the platform's figures may have a fraction, and a daemon whose setting wants a whole number does not start; a platform that tells no `limits.memory_mb` would have laid out an empty value, with which it does not start either (the review's lab is one). test_numbers has the fraction now.

--- a/foldhoist/admission/body_memory.py
+++ b/foldhoist/admission/body_memory.py
@@ -62,7 +62,7 @@
         self.used -= size
 
 
-def process_limit(memory_mb: int) -> float:
+def process_limit(memory_mb: float) -> float:
     """Return the limit for a process that may use so many megabytes, bytes; 0: not known."""
     return memory_mb * MEGABYTE * HELD_SHARE if memory_mb else float("inf")
 
--- a/foldhoist/schema/settings.py
+++ b/foldhoist/schema/settings.py
@@ -179,7 +179,7 @@
     """
     Bytes of request bodies held at once, for calls that came in here and again for calls to the upstream; as many bytes of answers may be unread by callers. Above it requests are refused, unless others that have arrived for longer give way. Bodies over 64 KiB get three quarters of it; see also `memory_mb`.
     """
-    memory_mb: int
+    memory_mb: float
     """
     Memory that this process may use, megabytes; 0 if it is not known. Half of it is for what callers and other daemons have it hold: connections, requests that arrive, wait or run, and what is not sent yet. Above that, requests that have arrived for longest give way, others are refused, and the slowest readers are closed.
     """
--- a/tests/adapter/test_numbers.py
+++ b/tests/adapter/test_numbers.py
@@ -37,7 +37,7 @@
     "{{service}}": "kasa",
     "{{platform.address}}": "10.0.0.9:8309",
     "{{bootstrap}}": "true",
-    "{{limits.memory_mb}}": "300",
+    "{{#limits.memory_mb}}memory_mb = {{limits.memory_mb}}{{/limits.memory_mb}}": "memory_mb = 300.5",
 }
 
 
@@ -59,6 +59,7 @@
     assert faults == []
     assert settings["platform"]["retry_slack"] == float(slack)
     assert settings["platform"]["retry_window_s"] == float(window)
+    assert settings["limits"]["memory_mb"] == 300.5
     part = RetrySlack(float(slack), float(window)).part(14)
     assert part.capacity > 0
     assert part.per_s > 0
