--- a/tests/adapter/test_numbers.py
+++ b/tests/adapter/test_numbers.py
@@ -37,7 +37,9 @@
     "{{service}}": "kasa",
     "{{platform.address}}": "10.0.0.9:8309",
     "{{bootstrap}}": "true",
-    "{{#limits.memory_mb}}memory_mb = {{limits.memory_mb}}{{/limits.memory_mb}}": "memory_mb = 300.5",
+    "{{limits.memory_mb}}": "300.5",
+    "{{#limits.memory_mb}}": "",
+    "{{/limits.memory_mb}}": "",
 }
 
 
