Callers' path: fewer steps for an ordinary request

Change: whether a connection is blocked is kept, not asked through three objects; only heavy pieces ask for their turn; nothing is counted twice for a request of one piece; memory is looked for after an answer only if its caller is slow.

--- a/foldhoist/admission/body_memory.py
+++ b/foldhoist/admission/body_memory.py
@@ -40,10 +40,13 @@
         """Return whether `size` more bytes fit into this share of the limit."""
         return self.used + size <= self.limit * share
 
+    def is_short(self, size: int) -> bool:
+        """Return whether, with `size` more bytes, only the smallest requests have room."""
+        return self.used + size > self.limit * (1.0 - TINY_RESERVE)
+
     def has_room_in_request(self, size: int, request_bytes: int) -> bool:
         """Return the same for a request that takes so many bytes, `size` included."""
-        share = 1.0 if request_bytes <= TINY_BYTES else 1.0 - TINY_RESERVE
-        return self.has_room(size, share)
+        return not self.is_short(size) or (request_bytes <= TINY_BYTES and self.has_room(size))
 
     def has_made_room(self, size: int, share: float = 1.0) -> bool:
         """Return the same, once others have given way if they can."""
--- a/foldhoist/daemon/caller_input.py
+++ b/foldhoist/daemon/caller_input.py
@@ -57,7 +57,7 @@
         if self.is_empty:
             self.reader.in_request = True
             self.reader.began_at = time.monotonic()
-        self._unparsed += data
+        self._unparsed = self._unparsed + data if self._unparsed else data
 
     def parse_on(self) -> None:
         """Parse as long as the connection takes requests and this turn has time for it."""
@@ -77,9 +77,9 @@
         self.reader.close()
 
     def _may_parse(self, receiver: Receiver) -> bool:
-        return receiver.takes_requests and self._state.turns.may_parse(
-            receiver, self.reader.is_heavy
-        )
+        if not receiver.takes_requests:
+            return False
+        return not self.reader.is_heavy or self._state.turns.may_parse(receiver)
 
     def _parse_piece(self) -> None:
         reader, receiver = self.reader, self._receiver
@@ -98,6 +98,8 @@
 
     def _pace_reading(self) -> None:
         """Pause or resume reading; what is not parsed is counted as held."""
+        if not self._unparsed and not self._paused_bytes:
+            return
         unparsed, was_paused = len(self._unparsed), self._paused_bytes > 0
         self._state.memory.reserve(unparsed - self._paused_bytes)
         self._paused_bytes = unparsed
--- a/foldhoist/daemon/callers.py
+++ b/foldhoist/daemon/callers.py
@@ -38,7 +38,10 @@
 
 
 class CallerConnection(asyncio.BufferedProtocol):
-    """A caller's connection: parses requests, writes answers and enforces the limits."""
+    """A caller's connection: parses requests, writes answers and enforces the limits.
+
+    It `is_blocked` while the caller has not taken everything that was written.
+    """
 
     def __init__(self, state: ServerState) -> None:
         self._state = state
@@ -54,6 +57,7 @@
         self._busy = False
         self._starting = False
         self._half_closed_until = float("inf")
+        self.is_blocked = False
         self.blocked_since = 0.0
         self._method = ""
         self._ended = False
@@ -93,6 +97,7 @@
 
     def pause_writing(self) -> None:
         """Record that the caller is a slow reader."""
+        self.is_blocked = True
         if self._output is not None:
             self._output.pause()
         self.blocked_since = time.monotonic()
@@ -100,6 +105,7 @@
 
     def resume_writing(self) -> None:
         """Write on; once the caller has caught up with reading, go on with its requests."""
+        self.is_blocked = False
         if self._output is not None:
             self._output.resume()
         if self.is_blocked:
@@ -122,9 +128,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse requests; an invalid one ends the connection, once the running one is answered."""
-        if self._output is not None:
-            self._output.discard(len(data))
         if self._ended:
+            if self._output is not None:
+                self._output.discard(len(data))
             return
         if self._input.is_empty and not self._busy:
             self._set_timer(self._state.limits["request_ms"])
@@ -185,7 +191,8 @@
             self._count_fault()
             data, keep_alive = FAULT_ANSWER, False
         self._write(data.head, data.body)
-        self._state.memory.has_made_room(0, 1.0 - TINY_RESERVE)
+        if self.is_blocked:
+            self._state.memory.has_made_room(0, 1.0 - TINY_RESERVE)
         if not keep_alive:
             self._end(lingers=True, discards=self._input.in_request)
             return
@@ -236,13 +243,15 @@
 
     def close(self) -> None:
         """Close the connection after what is written is sent, unless a request waits unread."""
-        if not self._ended and not self._has_unread():
+        unread = self._transport is not None and is_readable(self._transport)
+        if not self._ended and not unread:
             self._end(lingers=False)
 
     def abort(self) -> None:
         """Close the connection at once and discard what is written."""
         self._ended = True
         self._leave_place()
+        self.is_blocked = False
         if self._output is not None:
             self._output.drop()
         if self._transport is not None:
@@ -259,11 +268,6 @@
             self._count_fault()
         self._reject(bad)
 
-    @property
-    def is_blocked(self) -> bool:
-        """Return whether the caller has not taken everything that was written."""
-        return self._output is not None and self._output.blocked
-
     def _go_on(self) -> None:
         """Go on with what has been received, once an answer is written and sent."""
         if self.is_blocked:
@@ -353,10 +357,6 @@
             return
         self._watch_reading()
 
-    def _has_unread(self) -> bool:
-        """Return whether the system holds bytes of the caller, as it does if the loop was late."""
-        return self._transport is not None and is_readable(self._transport)
-
     def _end(self, *, lingers: bool, discards: bool = False) -> None:
         """Close the connection after its last answer; see `CallerOutput.end`."""
         self._ended = True
--- a/foldhoist/daemon/parse_turns.py
+++ b/foldhoist/daemon/parse_turns.py
@@ -18,16 +18,16 @@
 
 
 class ParseTurns:
-    """Lets connections whose bytes cost much take turns; all others are parsed at once."""
+    """Lets connections whose pieces are heavy take turns; others do not ask."""
 
     def __init__(self) -> None:
         self._spent = 0
         self._waiting: deque[Parsing] = deque()
         self._scheduled = False
 
-    def may_parse(self, conn: Parsing, is_heavy: bool) -> bool:
-        """Return whether a connection may parse a piece now; if not, it is called back later."""
-        if not is_heavy or self._spent < MAX_TURN_PARTS:
+    def may_parse(self, conn: Parsing) -> bool:
+        """Return whether a heavy piece may be parsed now; if not, it is called back later."""
+        if self._spent < MAX_TURN_PARTS:
             return True
         self._waiting.append(conn)
         return False
--- a/foldhoist/daemon/request_reader.py
+++ b/foldhoist/daemon/request_reader.py
@@ -137,7 +137,9 @@
         """Reset the state for a new request; none is read once the connection has ended."""
         if self._listener is None or self._listener.ended:
             raise EndedError
-        self.drop()
+        if self.held_bytes:
+            self.drop()
+        self._head_bytes = 0
         self.in_request = True
 
     def on_url(self, url: bytes) -> None:
@@ -201,9 +203,10 @@
             return
         cost = REQUEST_COST_BYTES + self._head.cost_bytes + len(self._url)
         added = cost - self.cost_bytes
-        if added and not self._state.has_room(self, added, 0):
+        memory = self._state.memory
+        if added and memory.is_short(added) and not self._state.has_room(self, added, 0):
             raise RefusedError(503, BODIES_FULL)
-        self._state.memory.reserve(added)
+        memory.reserve(added)
         self.cost_bytes = cost
 
     def _reset(self) -> None:
